Lay down the skeleton: layers, messages, error table, settings, checks

Cause: an empty repository; parts written side by side need fixed interfaces. Conclusion: a base to build the parts on; it serves no request yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Two commands set up everything they need: `make demo` and `make test`.
+PY := .venv/bin/python
+STAMP := .venv/.installed
+
+.PHONY: demo test bench lint format proto clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(PY) || python3.11 -m venv .venv
+	.venv/bin/pip install --quiet -r requirements.lock
+	.venv/bin/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m bench.demo
+
+test: $(STAMP)
+	$(PY) -m pytest tests
+
+bench: $(STAMP)
+	$(PY) -m bench.run
+
+lint: $(STAMP)
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+
+format: $(STAMP)
+	.venv/bin/ruff format .
+	.venv/bin/ruff check --fix .
+
+proto: $(STAMP)
+	$(PY) -m grpc_tools.protoc -I proto --python_out=monsoongap/protocol \
+	    --pyi_out=monsoongap/protocol --grpc_python_out=monsoongap/protocol \
+	    proto/peer.proto
+	sed -i 's/^import peer_pb2/from monsoongap.protocol import peer_pb2/' \
+	    monsoongap/protocol/peer_pb2_grpc.py
+
+clean:
+	rm -rf .venv out build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Wall-clock benchmarks, the demonstration and the code count."""
--- /dev/null
+++ b/monsoongap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/monsoongap/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: admission, placement, settlement, membership, settings replay."""
--- /dev/null
+++ b/monsoongap/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, invariant checking and reports."""
--- /dev/null
+++ b/monsoongap/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codecs and identifiers shared by every layer above."""
--- /dev/null
+++ b/monsoongap/settings.py
@@ -0,0 +1,145 @@
+"""The settings of an entry daemon, read from an INI file.
+
+Layers: the defaults below, then the file, then `--set section.key=value` of the
+command line. What operators change at run time lives in the settings tree that
+the log carries, see `monsoongap.coordination`.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+from monsoongap.util.ini import load_ini
+
+Port = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]{1,63}$")]
+Url = Annotated[str, Meta(pattern=r"^https?://[^/]+$")]
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+@dataclass(frozen=True, slots=True)
+class HostSection:
+    """Who this process is. `region` groups data centres."""
+
+    name: HostName
+    dc: HostName
+    region: HostName = "main"
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSection:
+    """Addresses (IP:port) this process listens on."""
+
+    caller: Port = "127.0.0.1:8080"
+    peer: Port = "127.0.0.1:8090"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSection:
+    """Where the platform's services are."""
+
+    log_url: Url = "http://127.0.0.1:8000"
+    hosts_url: Url = "http://127.0.0.1:8000"
+    timeout_s: Seconds = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeersSection:
+    """Peers known before the host list is, as `name=dc=address`."""
+
+    bootstrap: tuple[str, ...] = ()
+    heartbeat_s: Seconds = 0.5
+    suspect_after_s: Seconds = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsSection:
+    """Limits that protect one caller from another."""
+
+    body_bytes: Count = 1_000_000
+    header_bytes: Count = 16_384
+    connections: Count = 2_000
+    body_timeout_s: Seconds = 10.0
+    jobs: Count = 5_000
+    issued_ids: Count = 20_000
+    drain_s: Seconds = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkersSection:
+    """How this process talks to workers."""
+
+    connections: Annotated[int, Meta(ge=1, le=64)] = 16
+    connect_timeout_s: Seconds = 1.0
+    reply_grace_s: Seconds = 1.0
+    probe_s: Seconds = 1.0
+    silent_after_s: Seconds = 0.5
+    lease_s: Seconds = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementSection:
+    """Queueing, shares, credits, ejection of bad workers."""
+
+    short_s: Seconds = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsSection:
+    """How callers' own keys are claimed in the log."""
+
+    buckets: Annotated[int, Meta(ge=1, le=4096)] = 16
+    batch_s: Seconds = 0.01
+    keep_s: Seconds = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class TreeSection:
+    """How the settings tree is replayed and passed on."""
+
+    digest_s: Seconds = 1.0
+    snapshot_s: Seconds = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class TlsSection:
+    """Certificate files (PEM); empty means plain connections."""
+
+    certificate: str = ""
+    key: str = ""
+    ca: str = ""
+    reload_s: Seconds = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogSection:
+    """Form and level of this process's own log."""
+
+    format: Literal["text", "json"] = "text"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Everything an entry daemon is told at start."""
+
+    host: HostSection
+    listen: ListenSection = field(default_factory=ListenSection)
+    platform: PlatformSection = field(default_factory=PlatformSection)
+    peers: PeersSection = field(default_factory=PeersSection)
+    limits: LimitsSection = field(default_factory=LimitsSection)
+    workers: WorkersSection = field(default_factory=WorkersSection)
+    placement: PlacementSection = field(default_factory=PlacementSection)
+    claims: ClaimsSection = field(default_factory=ClaimsSection)
+    tree: TreeSection = field(default_factory=TreeSection)
+    tls: TlsSection = field(default_factory=TlsSection)
+    log: LogSection = field(default_factory=LogSection)
+
+
+def load_settings(path: Path, overrides: dict[str, str] | None = None) -> EntrySettings:
+    """Read an entry daemon's settings; raises `SettingsErrors`."""
+    return load_ini(path, EntrySettings, overrides)
--- /dev/null
+++ b/monsoongap/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the caller's HTTP server, worker connections, log, gRPC peers."""
--- /dev/null
+++ b/monsoongap/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a place in any layer."""
