Keep one HTTP connection alive between exchanges

Cause: tornado's simple client opens a connection per request. Change: KeepAliveConnection drives HTTP1Connection over an own stream; a lost, late or cancelled exchange closes it, so replies cannot cross.

--- /dev/null
+++ b/monsoongap/transport/http_conn.py
@@ -0,0 +1,157 @@
+"""One HTTP/1.1 client connection that is kept alive between exchanges.
+
+`tornado.simple_httpclient` opens a connection per request, so the project drives
+`HTTP1Connection` over its own stream. A connection carries one exchange at a
+time; its owner is the single task that uses it.
+"""
+
+import asyncio
+import socket
+import ssl
+from dataclasses import dataclass
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+MAX_REPLY_BYTES = 8_000_000
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request to send. `path` starts with a slash and is already encoded."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete reply."""
+
+    status: int
+    body: bytes
+
+
+class NotConnected(Exception):
+    """The connection could not be opened: nothing was sent."""
+
+
+class ExchangeLost(Exception):
+    """The request was sent, or may have been, and no whole reply came."""
+
+
+class _Collector(HTTPMessageDelegate):
+    """Gathers the parts of one reply."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.chunks: list[bytes] = []
+        self.complete = False
+
+    def headers_received(self, start_line: object, headers: HTTPHeaders) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.complete = True
+
+    def on_connection_close(self) -> None:
+        self.complete = False
+
+
+class KeepAliveConnection:
+    """A connection to one address (`IP:port`)."""
+
+    def __init__(self, stream: IOStream, address: str) -> None:
+        self._stream = stream
+        self._address = address
+        params = HTTP1ConnectionParameters(
+            no_keep_alive=False, max_body_size=MAX_REPLY_BYTES
+        )
+        self._http = HTTP1Connection(stream, True, params)
+
+    @classmethod
+    async def open(
+        cls, address: str, timeout_s: float, tls: ssl.SSLContext | None = None
+    ) -> "KeepAliveConnection":
+        """Connect to `address`; raises `NotConnected`."""
+        host, _, port = address.rpartition(":")
+        host = host.strip("[]")
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await TCPClient().connect(host, int(port), ssl_options=tls)
+        except (OSError, TimeoutError, StreamClosedError, ValueError) as exc:
+            raise NotConnected(f"{address}: {exc or type(exc).__name__}") from exc
+        stream.set_nodelay(True)
+        _enable_tcp_keepalive(stream.socket)
+        return cls(stream, address)
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the connection is of no more use."""
+        return self._stream.closed()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+
+    async def exchange(self, req: HttpRequest, timeout_s: float) -> HttpReply:
+        """Send a request and read the whole reply; raises `ExchangeLost`.
+
+        A failed, cancelled or late exchange closes the connection, so that its
+        reply can never be taken for the reply of a later request.
+        """
+        collector = _Collector()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._send(req)
+                reusable = await self._http.read_response(collector)
+        except (StreamClosedError, OSError) as exc:
+            self.close()
+            raise ExchangeLost(f"{self._address}: connection closed") from exc
+        except TimeoutError as exc:
+            self.close()
+            raise ExchangeLost(f"{self._address}: no reply in {timeout_s} s") from exc
+        except BaseException:
+            self.close()
+            raise
+        if not collector.complete:
+            self.close()
+            raise ExchangeLost(f"{self._address}: reply cut short")
+        if not reusable:
+            self.close()
+        return HttpReply(collector.status, b"".join(collector.chunks))
+
+    async def _send(self, req: HttpRequest) -> None:
+        headers = HTTPHeaders({"Host": self._address})
+        headers["Content-Length"] = str(len(req.body))
+        if req.body:
+            headers["Content-Type"] = "application/json"
+        for name, value in req.headers:
+            headers.add(name, value)
+        line = RequestStartLine(req.method, req.path, "HTTP/1.1")
+        await self._http.write_headers(line, headers, req.body)
+        self._http.finish()
+
+
+def _enable_tcp_keepalive(sock: socket.socket) -> None:
+    """Let the kernel find a peer that is gone, at no cost in messages."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
