--- a/monsoongap/errors.py
+++ b/monsoongap/errors.py
@@ -27,6 +27,7 @@
 
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
@@ -68,6 +69,7 @@
 ANSWERS: dict[ErrorKind, ErrorRule] = {
     ErrorKind.BAD_REQUEST: ErrorRule(400, _NOT_RUN, False),
     ErrorKind.TOO_LARGE: ErrorRule(413, _NOT_RUN, False),
+    ErrorKind.REQUEST_TIMEOUT: ErrorRule(408, _NOT_RUN, True),
     ErrorKind.UNAUTHORIZED: ErrorRule(401, _NOT_RUN, False),
     ErrorKind.FORBIDDEN: ErrorRule(403, _NOT_RUN, False),
     ErrorKind.NOT_FOUND: ErrorRule(404, _UNKNOWN, False),
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -64,6 +64,7 @@
     header_bytes: Count = 16_384
     connections: Count = 2_000
     body_timeout_s: Seconds = 10.0
+    idle_s: Seconds = 300.0
     jobs: Count = 5_000
     issued_ids: Count = 20_000
     drain_s: Seconds = 30.0
