--- /dev/null
+++ b/monsoongap/coordination/watch.py
@@ -0,0 +1,263 @@
+"""Finds starts whose connection went silent, at a bounded cost in messages.
+
+A start's reply comes when its task ends, so a long wait alone proves nothing.
+Two rules decide when to ask on a fresh connection what became of a task:
+
+- Quiet worker: it has starts outstanding and replied to none of them for
+  `QUIET_AFTER_S`. One task is asked about at once; when its reply turns out to be
+  lost, all others of the worker are asked about too.
+- Quiet connection: a single start waits for longer than `OVERDUE_AFTER_S` while
+  the worker replies to others. Such checks are paid from a budget that is a share
+  of recent starts, so a healthy system spends little on them.
+
+A silent connection is no evidence against its worker: only a fresh connection that
+fails too is reported.
+"""
+
+import asyncio
+import logging
+from collections import defaultdict
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from monsoongap.coordination.parts import Directory
+from monsoongap.coordination.ports import WorkerPort
+from monsoongap.errors import StartAmbiguous, WorkerUnreachable
+from monsoongap.protocol.messages import (
+    TaskReport,
+    TaskStart,
+    TaskState,
+    WorkerUsage,
+)
+from monsoongap.settings import WorkersSection
+from monsoongap.timers import Subscription, TimerService
+
+log = logging.getLogger(__name__)
+
+SCAN_S = 0.25
+QUIET_AFTER_S = 1.0
+OVERDUE_AFTER_S = 1.0
+SETTLED_AGE_S = 0.5
+REPLY_GRACE_S = 0.1
+CHECK_SHARE = 0.02
+CHECK_BUDGET_MAX = 10.0
+BACKOFF_MAX_S = 4.0
+
+
+@dataclass(slots=True, eq=False)
+class _Outstanding:
+    """A start that waits for its reply; times are on the timer clock."""
+
+    worker: str
+    task: str
+    sent_at: float
+    check_at: float
+    work: "asyncio.Task[TaskReport]"
+    verdict: TaskReport | StartAmbiguous | None = None
+
+
+@dataclass(slots=True)
+class _WorkerWatch:
+    """What is known of one worker's replies."""
+
+    heard_at: float
+    quiet_check_at: float = 0.0
+    failing_since: float | None = None
+    checking: bool = False
+
+
+class WatchedWorkers:
+    """A `ports.WorkerPort` that settles starts whose reply was lost."""
+
+    def __init__(
+        self,
+        cfg: WorkersSection,
+        port: WorkerPort,
+        directory: Directory,
+        timers: TimerService,
+    ) -> None:
+        self.checks = 0
+        self.found_silent = 0
+        self._cfg = cfg
+        self._port = port
+        self._directory = directory
+        self._timers = timers
+        self._outstanding: defaultdict[str, set[_Outstanding]] = defaultdict(set)
+        self._watches: dict[str, _WorkerWatch] = {}
+        self._budget = CHECK_BUDGET_MAX
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._subscription: Subscription | None = None
+
+    def begin(self) -> None:
+        """Begin watching."""
+        self._subscription = self._timers.every(SCAN_S, self._scan, "reply-watch")
+
+    def close(self) -> None:
+        """Stop watching; outstanding starts go on unwatched."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    async def start(self, worker: str, start: TaskStart) -> TaskReport:
+        """Start a task and wait for its end, whichever connection tells it."""
+        now = self._timers.now()
+        watch = self._watches.setdefault(worker, _WorkerWatch(heard_at=now))
+        outstanding = self._outstanding[worker]
+        if not outstanding:
+            watch.heard_at = now
+        work = asyncio.ensure_future(self._port.start(worker, start))
+        entry = _Outstanding(worker, start.task, now, now + OVERDUE_AFTER_S, work)
+        outstanding.add(entry)
+        self._budget = min(CHECK_BUDGET_MAX, self._budget + CHECK_SHARE)
+        try:
+            report = await work
+        except asyncio.CancelledError:
+            if _cancelled_by_caller():
+                raise
+            match entry.verdict:
+                case TaskReport() as found:
+                    return found
+                case StartAmbiguous() as lost:
+                    raise lost from None
+            raise
+        finally:
+            outstanding.discard(entry)
+        self._heard(worker, watch)
+        return report
+
+    async def inspect(self, worker: str, task: str, wait_ms: int) -> TaskReport:
+        """Ask for a task's state."""
+        return await self._port.inspect(worker, task, wait_ms)
+
+    async def revoke(self, worker: str, task: str, fence: int) -> TaskReport:
+        """Cancel a task, or bar its start."""
+        return await self._port.revoke(worker, task, fence)
+
+    async def usage(self, worker: str) -> WorkerUsage:
+        """Ask for size, load, boot and clock."""
+        return await self._port.usage(worker)
+
+    def _heard(self, worker: str, watch: _WorkerWatch) -> None:
+        watch.heard_at = self._timers.now()
+        watch.quiet_check_at = 0.0
+        if watch.failing_since is not None:
+            watch.failing_since = None
+            self._directory.report_alive(worker)
+
+    def _scan(self) -> None:
+        now = self._timers.now()
+        for worker, outstanding in self._outstanding.items():
+            watch = self._watches[worker]
+            if not outstanding or watch.checking:
+                continue
+            if self._quiet(watch, now) and now >= watch.quiet_check_at:
+                self._spawn(self._check_quiet(worker, watch))
+                continue
+            overdue = [entry for entry in outstanding if now >= entry.check_at]
+            if overdue and self._budget >= 1:
+                self._budget -= 1
+                newest = max(overdue, key=lambda entry: entry.sent_at)
+                self._spawn(self._check_overdue(watch, newest))
+
+    def _quiet(self, watch: _WorkerWatch, now: float) -> bool:
+        return now - watch.heard_at >= QUIET_AFTER_S
+
+    def _spawn(self, check: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(check)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check_quiet(self, worker: str, watch: _WorkerWatch) -> None:
+        """Ask about the newest start, then about the rest if it was lost."""
+        watch.checking = True
+        try:
+            now = self._timers.now()
+            entries = sorted(
+                (e for e in self._outstanding[worker] if self._settled_age(e, now)),
+                key=lambda entry: entry.sent_at,
+                reverse=True,
+            )
+            if entries and await self._check(watch, entries[0]):
+                await asyncio.gather(*(self._check(watch, e) for e in entries[1:]))
+            now = self._timers.now()
+            quiet_for = now - watch.heard_at
+            watch.quiet_check_at = now + min(quiet_for, BACKOFF_MAX_S)
+        finally:
+            watch.checking = False
+
+    async def _check_overdue(self, watch: _WorkerWatch, entry: _Outstanding) -> None:
+        """Ask about one start; one lost reply casts doubt on the others too."""
+        watch.checking = True
+        try:
+            if await self._check(watch, entry):
+                rest = list(self._outstanding[entry.worker])
+                now = self._timers.now()
+                aged = [e for e in rest if self._settled_age(e, now)]
+                await asyncio.gather(*(self._check(watch, e) for e in aged))
+        finally:
+            watch.checking = False
+
+    def _settled_age(self, entry: _Outstanding, now: float) -> bool:
+        return now - entry.sent_at >= SETTLED_AGE_S
+
+    async def _check(self, watch: _WorkerWatch, entry: _Outstanding) -> bool:
+        """Ask what became of a start; tells whether its reply was lost."""
+        self.checks += 1
+        now = self._timers.now()
+        entry.check_at = now + (now - entry.sent_at)
+        try:
+            report = await self._port.inspect(entry.worker, entry.task, 0)
+        except (WorkerUnreachable, StartAmbiguous) as exc:
+            self._check_failed(watch, entry, exc)
+            return False
+        if watch.failing_since is not None:
+            watch.failing_since = None
+            self._directory.report_alive(entry.worker)
+        if report.state is TaskState.RUNNING:
+            return False
+        # The reply may be on its way: it crossed the question.
+        await self._timers.sleep(REPLY_GRACE_S)
+        if entry.work.done():
+            return False
+        self.found_silent += 1
+        if report.state in (TaskState.DONE, TaskState.FAILED):
+            self._end(entry, report, "reply lost, answer taken on a new connection")
+        else:
+            lost = StartAmbiguous(f"{entry.task}: {report.state} at {entry.worker}")
+            self._end(entry, lost, f"start lost, worker says {report.state}")
+        return True
+
+    def _check_failed(
+        self, watch: _WorkerWatch, entry: _Outstanding, exc: Exception
+    ) -> None:
+        now = self._timers.now()
+        if watch.failing_since is None:
+            watch.failing_since = now
+            self._directory.report_silent(entry.worker)
+        if now - watch.failing_since < self._cfg.lease_s:
+            return
+        for other in list(self._outstanding[entry.worker]):
+            lost = StartAmbiguous(f"{other.task}: worker unreachable: {exc}")
+            self._end(other, lost, "worker unreachable past its lease")
+
+    def _end(
+        self,
+        entry: _Outstanding,
+        verdict: TaskReport | StartAmbiguous,
+        reason: str,
+    ) -> None:
+        """End the wait for a reply; cancelling retires its connection."""
+        entry.verdict = verdict
+        entry.work.cancel()
+        log.info(
+            "silent connection retired",
+            extra={"task": entry.task, "upstream": entry.worker, "reason": reason},
+        )
+
+
+def _cancelled_by_caller() -> bool:
+    """Tell whether the running task itself was asked to end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/monsoongap/protocol/ids.py
+++ b/monsoongap/protocol/ids.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+ISSUED_PREFIX = "mg1:"
+
 _ISSUED = re.compile(r"^mg1:([A-Za-z0-9-]+):([A-Za-z0-9-]+):(\d+):(\d+)$")
 
 ATTEMPT_BITS = 20
@@ -21,7 +23,7 @@
     serial: int
 
     def __str__(self) -> str:
-        return f"mg1:{self.dc}:{self.host}:{self.boot}:{self.serial}"
+        return f"{ISSUED_PREFIX}{self.dc}:{self.host}:{self.boot}:{self.serial}"
 
 
 def parse_issued(text: str) -> IssuedId | None:
--- a/monsoongap/transport/http_base.py
+++ b/monsoongap/transport/http_base.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import ssl
 from typing import Any, TypeVar
 
 import msgspec
@@ -156,30 +157,41 @@
 class LimitedServer(HTTPServer):
     """An HTTP server that refuses connections over its limit with an answer."""
 
-    def initialize(self, *args: Any, limits: LimitsSection, **kwargs: Any) -> None:
-        """Pass the size limits to tornado and keep the connection limit."""
-        super().initialize(
-            *args,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes * 2,
-            idle_connection_timeout=limits.idle_s,
-            **kwargs,
-        )
-        self._limits = limits
-        self._open = 0
+    connection_limit = 1
+    open_count = 0
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection, or refuse it when too many are open."""
-        if self._open >= self._limits.connections:
-            _refuse(stream, self._limits.connections)
+        if self.open_count >= self.connection_limit:
+            _refuse(stream, self.connection_limit)
             return
-        self._open += 1
+        self.open_count += 1
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn: object) -> None:
         """Count a closed connection."""
-        self._open -= 1
-        super().on_close(server_conn)  # type: ignore[arg-type]
+        self.open_count -= 1
+        super().on_close(server_conn)
+
+
+def listen(
+    app: tornado.web.Application,
+    address: str,
+    limits: LimitsSection,
+    tls: ssl.SSLContext | None = None,
+) -> LimitedServer:
+    """Serve `app` on `address` (`IP:port`) within the limits."""
+    server = LimitedServer(
+        app,
+        ssl_options=tls,
+        max_header_size=limits.header_bytes,
+        max_body_size=limits.body_bytes * 2,
+        idle_connection_timeout=limits.idle_s,
+    )
+    server.connection_limit = limits.connections
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), host.strip("[]"))
+    return server
 
 
 def _refuse(stream: IOStream, limit: int) -> None:
@@ -190,5 +202,10 @@
         "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    fut = asyncio.ensure_future(stream.write(head.encode() + body))
-    fut.add_done_callback(lambda done: (done.exception(), stream.close()))
+    written = asyncio.ensure_future(stream.write(head.encode() + body))
+
+    def close(done: asyncio.Future[None]) -> None:
+        done.exception()  # A caller that is gone already is no fault.
+        stream.close()
+
+    written.add_done_callback(close)
