--- a/monsoongap/platform/faults.py
+++ b/monsoongap/platform/faults.py
@@ -267,3 +267,21 @@
             generator = random.Random(f"{key[0]}:{fault.seed}:{salt}")
             self._generators[key] = generator
         return generator.random() < fault.share
+
+
+@dataclass(frozen=True, slots=True)
+class FaultsByPart:
+    """Faults sorted by the part of the platform that shows them."""
+
+    workers: tuple[WorkerFault, ...]
+    log: tuple[LogFault, ...]
+    host_list: tuple[HostListFault, ...]
+
+
+def sort_faults(faults: tuple[Fault, ...]) -> FaultsByPart:
+    """Sort faults by the part that shows them, keeping their order."""
+    return FaultsByPart(
+        tuple(fault for fault in faults if isinstance(fault, WorkerFault)),
+        tuple(fault for fault in faults if isinstance(fault, LogFault)),
+        tuple(fault for fault in faults if isinstance(fault, HostListFault)),
+    )
