Bound the reply watch by what a kind usually takes

Ruled out: a longer quiet time (a short task lost on a silent connection would be found later than 2 s). Change: a start is asked about only once it lasts longer than its kind usually does; tests for silent, stale and failing connections and for the cost. Conclusion: silent connections are settled within 2 s plus the task's own time.

--- a/monsoongap/coordination/watch.py
+++ b/monsoongap/coordination/watch.py
@@ -3,9 +3,9 @@
 A start's reply comes when its task ends, so a long wait alone proves nothing.
 Two rules decide when to ask on a fresh connection what became of a task:
 
-- Quiet worker: it has starts outstanding and replied to none of them for
-  `QUIET_AFTER_S`. One task is asked about at once; when its reply turns out to be
-  lost, all others of the worker are asked about too.
+- Quiet worker: it has starts outstanding that have lasted longer than their kind
+  usually does, and replied to none for `QUIET_AFTER_S`. One task is asked about
+  at once; when its reply turns out to be lost, the others are asked about too.
 - Quiet connection: a single start waits for longer than `OVERDUE_AFTER_S` while
   the worker replies to others. Such checks are paid from a budget that is a share
   of recent starts, so a healthy system spends little on them.
@@ -35,10 +35,14 @@
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000
 SCAN_S = 0.25
 QUIET_AFTER_S = 1.0
 OVERDUE_AFTER_S = 1.0
 SETTLED_AGE_S = 0.5
+USUAL_MARGIN_S = 0.5
+USUAL_WEIGHT = 0.2
+USUAL_KINDS_MAX = 2048
 REPLY_GRACE_S = 0.1
 CHECK_SHARE = 0.02
 CHECK_BUDGET_MAX = 10.0
@@ -52,6 +56,7 @@
     worker: str
     task: str
     sent_at: float
+    aged_at: float
     check_at: float
     work: "asyncio.Task[TaskReport]"
     verdict: TaskReport | StartAmbiguous | None = None
@@ -67,6 +72,24 @@
     checking: bool = False
 
 
+class _UsualRunTimes:
+    """Moving average of run time in seconds per (team, kind), bounded."""
+
+    def __init__(self) -> None:
+        self._seconds: dict[tuple[str, str], float] = {}
+
+    def get(self, kind: tuple[str, str]) -> float:
+        """Return the usual run time, 0 for a kind not seen before."""
+        return self._seconds.get(kind, 0.0)
+
+    def learn(self, kind: tuple[str, str], seconds: float) -> None:
+        """Take one run time into the average."""
+        if kind not in self._seconds and len(self._seconds) >= USUAL_KINDS_MAX:
+            del self._seconds[next(iter(self._seconds))]
+        usual = self._seconds.get(kind, seconds)
+        self._seconds[kind] = usual + USUAL_WEIGHT * (seconds - usual)
+
+
 class WatchedWorkers:
     """A `ports.WorkerPort` that settles starts whose reply was lost."""
 
@@ -85,6 +108,7 @@
         self._timers = timers
         self._outstanding: defaultdict[str, set[_Outstanding]] = defaultdict(set)
         self._watches: dict[str, _WorkerWatch] = {}
+        self._usual = _UsualRunTimes()
         self._budget = CHECK_BUDGET_MAX
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscription: Subscription | None = None
@@ -108,7 +132,10 @@
         if not outstanding:
             watch.heard_at = now
         work = asyncio.ensure_future(self._port.start(worker, start))
-        entry = _Outstanding(worker, start.task, now, now + OVERDUE_AFTER_S, work)
+        kind = (start.team, start.kind)
+        aged_at = now + max(SETTLED_AGE_S, self._usual.get(kind) + USUAL_MARGIN_S)
+        check_at = max(aged_at, now + OVERDUE_AFTER_S)
+        entry = _Outstanding(worker, start.task, now, aged_at, check_at, work)
         outstanding.add(entry)
         self._budget = min(CHECK_BUDGET_MAX, self._budget + CHECK_SHARE)
         try:
@@ -125,6 +152,8 @@
         finally:
             outstanding.discard(entry)
         self._heard(worker, watch)
+        if report.run_ms is not None:
+            self._usual.learn(kind, report.run_ms / MS_PER_S)
         return report
 
     async def inspect(self, worker: str, task: str, wait_ms: int) -> TaskReport:
@@ -152,8 +181,10 @@
             watch = self._watches[worker]
             if not outstanding or watch.checking:
                 continue
-            if self._quiet(watch, now) and now >= watch.quiet_check_at:
-                self._spawn(self._check_quiet(worker, watch))
+            if self._quiet(watch, now):
+                aged = [entry for entry in outstanding if now >= entry.aged_at]
+                if aged and now >= watch.quiet_check_at:
+                    self._spawn(self._check_quiet(watch, aged))
                 continue
             overdue = [entry for entry in outstanding if now >= entry.check_at]
             if overdue and self._budget >= 1:
@@ -169,21 +200,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _check_quiet(self, worker: str, watch: _WorkerWatch) -> None:
+    async def _check_quiet(self, watch: _WorkerWatch, aged: list[_Outstanding]) -> None:
         """Ask about the newest start, then about the rest if it was lost."""
         watch.checking = True
         try:
+            aged.sort(key=lambda entry: entry.sent_at, reverse=True)
+            if await self._check(watch, aged[0]):
+                await asyncio.gather(*(self._check(watch, e) for e in aged[1:]))
             now = self._timers.now()
-            entries = sorted(
-                (e for e in self._outstanding[worker] if self._settled_age(e, now)),
-                key=lambda entry: entry.sent_at,
-                reverse=True,
-            )
-            if entries and await self._check(watch, entries[0]):
-                await asyncio.gather(*(self._check(watch, e) for e in entries[1:]))
-            now = self._timers.now()
-            quiet_for = now - watch.heard_at
-            watch.quiet_check_at = now + min(quiet_for, BACKOFF_MAX_S)
+            watch.quiet_check_at = now + min(now - watch.heard_at, BACKOFF_MAX_S)
         finally:
             watch.checking = False
 
@@ -192,16 +217,13 @@
         watch.checking = True
         try:
             if await self._check(watch, entry):
-                rest = list(self._outstanding[entry.worker])
                 now = self._timers.now()
-                aged = [e for e in rest if self._settled_age(e, now)]
+                others = self._outstanding[entry.worker]
+                aged = [e for e in others if now - e.sent_at >= SETTLED_AGE_S]
                 await asyncio.gather(*(self._check(watch, e) for e in aged))
         finally:
             watch.checking = False
 
-    def _settled_age(self, entry: _Outstanding, now: float) -> bool:
-        return now - entry.sent_at >= SETTLED_AGE_S
-
     async def _check(self, watch: _WorkerWatch, entry: _Outstanding) -> bool:
         """Ask what became of a start; tells whether its reply was lost."""
         self.checks += 1
