--- /dev/null
+++ b/monsoongap/metrics.py
@@ -0,0 +1,73 @@
+"""Metrics of an entry daemon, rendered by aioprometheus.
+
+Parts keep plain counters in data classes; they are copied into the registry when
+a scrape asks, so counting costs nothing on the path of a request.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+
+from monsoongap.protocol.messages import JobAnswer, JobOutcome
+
+PREFIX = "monsoongap"
+RESPONSE_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, float("inf"))
+
+
+class Metrics:
+    """The registry and the parts that feed it."""
+
+    def __init__(self, host: str, dc: str) -> None:
+        self.registry = Registry()
+        self._labels = {"host": host, "dc": dc}
+        self._sources: list[tuple[str, Callable[[], Any]]] = []
+        self._counters: dict[str, Counter] = {}
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._responses = Histogram(
+            f"{PREFIX}_response_seconds",
+            "Time from a job's arrival to its outcome.",
+            const_labels=self._labels,
+            registry=self.registry,
+            buckets=RESPONSE_BUCKETS_S,
+        )
+
+    def add_counters(self, part: str, source: Callable[[], Any]) -> None:
+        """Publish the integer fields of a part's counters data class."""
+        self._sources.append((part, source))
+
+    def add_gauge(self, name: str, doc: str, source: Callable[[], float]) -> None:
+        """Publish one current value."""
+        gauge = Gauge(
+            f"{PREFIX}_{name}", doc, const_labels=self._labels, registry=self.registry
+        )
+        self._gauges.append((gauge, source))
+
+    def observe_response(self, seconds: float, outcome: JobOutcome) -> None:
+        """Count one job's response time under its outcome."""
+        match outcome:
+            case JobAnswer():
+                label = "answered"
+            case error:
+                label = error.outcome
+        self._responses.observe({"outcome": label}, seconds)
+
+    def refresh(self) -> None:
+        """Copy the parts' counters and values into the registry."""
+        for part, source in self._sources:
+            counters = source()
+            for field in dataclasses.fields(counters):
+                value = getattr(counters, field.name)
+                self._counter(part, field.name).set({}, value)
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+
+    def _counter(self, part: str, name: str) -> Counter:
+        full = f"{PREFIX}_{part}_{name}_total"
+        if full not in self._counters:
+            doc = f"Total of {name.replace('_', ' ')} counted by the {part} part."
+            self._counters[full] = Counter(
+                full, doc, const_labels=self._labels, registry=self.registry
+            )
+        return self._counters[full]
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -111,7 +111,7 @@
     async def get(self) -> None:
         """Render the registry in the form that the reader accepts."""
         accepts = self.request.headers.get_list("Accept")
-        content, headers = await asyncio.to_thread(render, self.node.registry, accepts)
+        content, headers = render(self.node.registry, accepts)
         for name, value in headers.items():
             self.set_header(name, value)
         self.finish(content)
