--- /dev/null
+++ b/monsoongap/coordination/dispatch_verdict.py
@@ -0,0 +1,87 @@
+"""The verdict on a job from the ends of its tasks."""
+
+from monsoongap.coordination.settle import (
+    Answered,
+    Broken,
+    NeverStarted,
+    TaskEnd,
+    Unsettled,
+)
+from monsoongap.errors import ANSWERS, DispatchError, ErrorKind, Outcome
+from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
+from monsoongap.state.jobs import JobEntry
+
+_BEFORE_START = {
+    ErrorKind.DEADLINE: ErrorKind.DEADLINE_BEFORE_START,
+    ErrorKind.CANCELLED: ErrorKind.CANCELLED_BEFORE_START,
+}
+_AFTER_START = {
+    ErrorKind.DEADLINE_BEFORE_START: ErrorKind.DEADLINE,
+    ErrorKind.CANCELLED_BEFORE_START: ErrorKind.CANCELLED,
+}
+
+
+def error_outcome(
+    submission: str,
+    kind: ErrorKind,
+    detail: str,
+    outcome: Outcome | None = None,
+    retry_after_ms: int | None = None,
+) -> JobError:
+    """Build the report of one error kind; `outcome` None means the table's."""
+    promise = outcome or ANSWERS[kind].outcome
+    return JobError(str(kind), str(promise), detail, retry_after_ms, submission)
+
+
+def from_exception(submission: str, exc: DispatchError) -> JobError:
+    """Build the report of a `DispatchError`."""
+    return error_outcome(
+        submission, exc.kind, exc.detail, exc.outcome, exc.retry_after_ms
+    )
+
+
+def job_verdict(entry: JobEntry, ends: tuple[TaskEnd, ...]) -> JobOutcome:
+    """Return the complete answer, or the error with what can be promised.
+
+    `not_run` needs every task proved never started; `failed` needs one known
+    start; anything else is `unknown`.
+    """
+    if all(isinstance(end, Answered) for end in ends):
+        answers = tuple(end.value for end in ends if isinstance(end, Answered))
+        return JobAnswer(entry.submission, answers)
+    cause = _cause(entry, ends)
+    if all(isinstance(end, NeverStarted) for end in ends):
+        kind = _BEFORE_START.get(cause.kind, cause.kind)
+        return error_outcome(
+            entry.submission,
+            kind,
+            cause.detail,
+            Outcome.NOT_RUN,
+            cause.retry_after_ms,
+        )
+    if any(isinstance(end, Answered | Broken) for end in ends):
+        kind = _AFTER_START.get(cause.kind, cause.kind)
+        return error_outcome(entry.submission, kind, cause.detail, Outcome.FAILED)
+    return error_outcome(
+        entry.submission, ErrorKind.START_UNSETTLED, cause.detail, Outcome.UNKNOWN
+    )
+
+
+def _cause(entry: JobEntry, ends: tuple[TaskEnd, ...]) -> NeverStarted:
+    """Return the reason that ended the job, as an error kind with its detail.
+
+    A stop by the deadline or the caller comes first, then a task that broke,
+    then one that can't be settled, then one that was refused a slot.
+    """
+    stop = entry.stop.result() if entry.stop.done() else ErrorKind.INTERNAL
+    if stop is not ErrorKind.TASK_FAILED:
+        return NeverStarted(stop, "stopped before all tasks were done")
+    for index, end in enumerate(ends):
+        if isinstance(end, Broken):
+            return NeverStarted(stop, f"task {index}: {end.detail}")
+    for index, end in enumerate(ends):
+        if isinstance(end, Unsettled):
+            kind = ErrorKind.START_UNSETTLED
+            return NeverStarted(kind, f"task {index}: {end.detail}")
+    refused = [end for end in ends if isinstance(end, NeverStarted)]
+    return next((end for end in refused if end.kind is not stop), refused[0])
