Settings: bootstrap peers checked, list poll and cross-dc fan-out; tree section

Cause: membership reads hosts_poll_s and cross_dc, and a bootstrap peer that does not read name=dc=address must be refused at start, not at first use. The tree section's open and admin_token_hash, written at the same time, are part of this commit because the file is shared.

--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -49,11 +49,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PeersSection:
-    """Peers known before the host list is, as `name=dc=address`."""
+    """Peers known before the host list is, as `name=dc=address`, and heartbeats.
 
-    bootstrap: tuple[str, ...] = ()
+    `cross_dc` is the number of hosts of each other data centre that this host
+    exchanges heartbeats with.
+    """
+
+    bootstrap: tuple[
+        Annotated[str, Meta(pattern=r"^[\w-]+=[\w-]+=[0-9a-fA-F.:\[\]]+:\d{1,5}$")], ...
+    ] = ()
     heartbeat_s: Seconds = 0.5
     suspect_after_s: Seconds = 2.0
+    hosts_poll_s: Seconds = 2.0
+    cross_dc: Annotated[int, Meta(ge=1, le=16)] = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +108,18 @@
 
 @dataclass(frozen=True, slots=True)
 class TreeSection:
-    """How the settings tree is replayed and passed on."""
+    """How the settings tree is replayed, passed on and first written to.
+
+    `open` says whether teams that the tree does not name may submit.
+    `admin_token_hash` (`sha256:` and 64 hexadecimal digits) lets a first operator
+    change any subtree; empty means that only operators named in the tree may.
+    `snapshot_s` must lie well below the log's retention.
+    """
 
     digest_s: Seconds = 1.0
     snapshot_s: Seconds = 300.0
+    open: bool = True
+    admin_token_hash: Annotated[str, Meta(pattern=r"^(sha256:[0-9a-f]{64})?\Z")] = ""
 
 
 @dataclass(frozen=True, slots=True)
