Offer open-loop load and report how it was served

Ruled out: a closed loop, which slows down with the system and hides its queue; ready-made load tools, which know neither ideal response nor outcomes. Change: monsoongap-load plans all jobs from the profile, submits each when it is due, checks every promise against the ledger and prints, dumps or plots figures. Profiles of both deployments are in examples/.

--- /dev/null
+++ b/tests/load/test_load.py
@@ -0,0 +1,203 @@
+"""Tests of the load plan, the runner against a small entry host, the report."""
+
+import asyncio
+import itertools
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from typer.testing import CliRunner
+
+from monsoongap.load.main import app
+from monsoongap.load.plan import JobClass, capacity_jobs_per_s, plan_jobs
+from monsoongap.load.report import write_report
+from monsoongap.load.runner import LoadResult, run_load
+from monsoongap.load.settings import (
+    ArrivalsSection,
+    CallsSection,
+    DeploymentSection,
+    LoadProfile,
+    MixSection,
+    TargetSection,
+    load_profile,
+)
+from monsoongap.load.summary import samples_of, summarize
+from monsoongap.load.violations import FalseNotRun, MissingOutcome, WrongAnswer
+from monsoongap.platform.ledger import StartLedger
+from monsoongap.protocol.ids import task_id
+from monsoongap.protocol.messages import (
+    JobAnswer,
+    JobError,
+    JobRequest,
+    TaskState,
+)
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+PROFILE = LoadProfile(
+    deployment=DeploymentSection(workers=4),
+    arrivals=ArrivalsSection(duration_s=200, load=0.5),
+    mix=MixSection(straggler_share=0.01, wrong_share=0.5),
+    calls=CallsSection(resubmit_share=0.2),
+)
+
+
+def test_plan_is_repeatable_and_offers_what_the_profile_says() -> None:
+    first, second = (tuple(plan_jobs(PROFILE, "run")) for _ in range(2))
+    assert first == second
+    capacity = capacity_jobs_per_s(PROFILE)
+    assert len(first) == pytest.approx(0.5 * capacity * 200, rel=0.15)
+    classes = {job.job.job_class for job in first}
+    assert classes == set(JobClass)
+    work_ms = sum(job.job.work_ms for job in first)
+    assert work_ms / 1000 / 200 == pytest.approx(0.5 * 4 * 8, rel=0.15)
+
+
+def test_step_and_burst_raise_the_rate_only_within_their_window() -> None:
+    step = replace(
+        PROFILE,
+        arrivals=ArrivalsSection("step", 0.5, 3.0, 50, 50, duration_s=200),
+    )
+    times = [job.at_s for job in plan_jobs(step, "run")]
+    inside = sum(50 <= at_s < 100 for at_s in times) / 50
+    outside = sum(not 50 <= at_s < 100 for at_s in times) / 150
+    assert inside / outside == pytest.approx(6, rel=0.2)
+    burst = replace(
+        PROFILE,
+        arrivals=ArrivalsSection("burst", peak_from_s=50, burst_jobs=70, duration_s=99),
+    )
+    times = [job.at_s for job in plan_jobs(burst, "run")]
+    assert times.count(50) == 70 and times == sorted(times)
+
+
+@pytest.mark.parametrize("name", ["tirol", "rio"])
+def test_shipped_profiles_are_valid(name: str) -> None:
+    cfg = load_profile(EXAMPLES / f"{name}.ini")
+    assert cfg.deployment.workers == 24
+    assert next(plan_jobs(cfg, "run")).job.request.team == cfg.mix.team
+
+
+class SmallEntry(tornado.web.RequestHandler):
+    """Answers each job itself, after its longest task; some wrongly."""
+
+    def initialize(self, ledger: StartLedger, fault: str) -> None:
+        self.ledger = ledger
+        self.fault = fault
+
+    async def put(self, submission: str) -> None:
+        request = msgspec.json.decode(self.request.body, type=JobRequest)
+        names = [task_id(submission, n) for n in range(len(request.tasks))]
+        serials = [self.ledger.record_start(name, submission, "w1") for name in names]
+        await asyncio.sleep(max(t.payload["run_ms"] for t in request.tasks) / 1000)
+        for serial in serials:
+            self.ledger.record_end(serial, TaskState.DONE)
+        if self.fault == "lost":
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        if self.fault == "not_run":
+            self.set_status(503)
+            self.finish(msgspec.json.encode(JobError("overloaded", "not_run", "")))
+            return
+        if self.fault == "crossed":
+            names.reverse()
+        pairs = zip(names, request.tasks, strict=True)
+        answers = ({"task": n, "value": t.payload["value"]} for n, t in pairs)
+        self.finish(msgspec.json.encode(JobAnswer(submission, tuple(answers))))
+
+
+class SmallService(tornado.web.RequestHandler):
+    """Issues ids, tells the ledger and some metrics."""
+
+    serials = itertools.count()
+
+    def initialize(self, ledger: StartLedger) -> None:
+        self.ledger = ledger
+
+    def post(self) -> None:
+        ids = [f"mg1:dc:h:1:{next(self.serials)}" for _ in range(50)]
+        self.finish({"submissions": ids})
+
+    def get(self) -> None:
+        if self.request.path == "/v1/ledger":
+            self.finish(msgspec.json.encode(self.ledger.snapshot()))
+            return
+        starts = len(self.ledger.snapshot().entries)
+        self.finish(
+            f'monsoongap_workers_starts_total{{dc="a"}} {starts}\n'
+            f"monsoongap_workers_usages_total {starts // 10}\n"
+        )
+
+
+def run_against_small_entry(fault: str) -> tuple[LoadProfile, LoadResult]:
+    async def main() -> tuple[LoadProfile, LoadResult]:
+        ledger = StartLedger()
+        parts: dict[str, Any] = {"ledger": ledger}
+        server = HTTPServer(
+            tornado.web.Application(
+                [
+                    (r"/v1/jobs/(.+)", SmallEntry, parts | {"fault": fault}),
+                    (r"/.*", SmallService, parts),
+                ]
+            )
+        )
+        sock, port = bind_unused_port()
+        server.add_sockets([sock])
+        url = f"http://127.0.0.1:{port}"
+        cfg = LoadProfile(
+            target=TargetSection(entries=(url,), ledgers=(url,)),
+            deployment=DeploymentSection(round_trips_ms=5),
+            arrivals=ArrivalsSection(duration_s=1.0, load=0.2),
+            mix=MixSection(
+                tasks_min=2, short_min_ms=5, short_max_ms=50, long_share=0.0
+            ),
+        )
+        result = await run_load(cfg)
+        server.stop()
+        return cfg, result
+
+    return asyncio.run(main())
+
+
+def test_a_run_is_measured_and_its_report_written(tmp_path: Path) -> None:
+    cfg, result = run_against_small_entry("")
+    summary = summarize(cfg, result)
+    assert summary.violations == () and summary.duplicates == 0
+    assert summary.outcomes == {"answered": summary.jobs} and summary.jobs > 10
+    short = summary.classes[JobClass.SHORT]
+    assert short.ratio_p50 is not None and 0.5 < short.ratio_p50 < 5
+    assert summary.messages_per_start == pytest.approx(1.1, abs=0.02)
+    page = tmp_path / "out.html"
+    write_report(page, cfg, samples_of(cfg, result), summary)
+    assert page.read_text().count("data:image/png;base64,") == 3
+
+
+@pytest.mark.parametrize(
+    ("fault", "violation", "outcome"),
+    [
+        ("crossed", WrongAnswer, "answered"),
+        ("not_run", FalseNotRun, "not_run"),
+        ("lost", MissingOutcome, "no_outcome"),
+    ],
+)
+def test_a_run_against_a_broken_entry_host_is_caught(
+    fault: str, violation: type, outcome: str
+) -> None:
+    cfg, result = run_against_small_entry(fault)
+    summary = summarize(cfg, result)
+    assert {type(found) for found in summary.violations or ()} == {violation}
+    assert set(summary.outcomes) == {outcome}
+
+
+def test_program_refuses_a_faulty_profile_with_every_fault(tmp_path: Path) -> None:
+    path = tmp_path / "load.ini"
+    path.write_text("[mix]\nlong_share = 2\n[arivals]\nload = 1\n")
+    refused = CliRunner().invoke(app, ["--profile", str(path)])
+    assert refused.exit_code == 2
+    assert "long_share" in refused.output and "arivals" in refused.output
+    path.write_text("[mix]\ntasks_min = 9\ntasks_max = 3\n")
+    refused = CliRunner().invoke(app, ["--profile", str(path)])
+    assert refused.exit_code == 2 and "is below tasks_min" in refused.output
