Claim callers' own keys in the log, forward jobs to their home, recover lost homes

Cause: own keys and ids of other hosts were refused.

Change: a key is claimed by a record in its bucket's stream; nothing starts before the claim is read back, and the first claim in log order wins. The hosts of a data centre hand a bucket's claims to one of them to batch. A claim lists the workers, by boot number, that its job may use, so recovery asks just these and bars what they have not seen. Ids of other hosts go to their home within the deadline.

Ruled out: `not_run` for own keys while the log is out. Another host may hold the key already or get it afterwards, so the outcome told is `unknown`. A refusal of an own key is written as a claim that closes it, so that it can be a promise.

Conclusion: 13 tests over three or four hosts: the same key at every host at once, lost append replies, a slow log and an outage, an abandoned claim that landed, refusal, conflict, leaving, view and cancel from any host.

--- /dev/null
+++ b/monsoongap/coordination/claim_batch.py
@@ -0,0 +1,179 @@
+"""Group commit of the claims of one bucket, and the reading back of its stream."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from monsoongap.coordination.ports import LogPort
+from monsoongap.errors import (
+    DispatchError,
+    ErrorKind,
+    LogTrimmed,
+    LogUnavailable,
+    Outcome,
+)
+from monsoongap.protocol.messages import LogPage, LogRecord
+from monsoongap.settings import ClaimsSection
+from monsoongap.state.claims import ClaimRecord, ClaimTable
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+MAX_BATCH = 200
+MAX_WAITING = 2_000
+PAGE_RECORDS = 500
+RETRY_S = 0.1
+
+
+def log_out(detail: str) -> DispatchError:
+    """Return the error of a claim that can't be settled now.
+
+    The outcome is `unknown`: another host may have claimed the key before, or may
+    claim it later, and without the log nobody here can know.
+    """
+    return DispatchError(
+        ErrorKind.LOG_UNAVAILABLE, detail, retry_after_ms=1_000, outcome=Outcome.UNKNOWN
+    )
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    record: ClaimRecord
+    winner: asyncio.Future[ClaimRecord]
+
+
+class BucketBatcher:
+    """Appends claims to one stream in batches and tells each one's winner.
+
+    An append without a reply is sent again: copies of a claim mean the same as
+    one, and which claim is first is read from the stream alone.
+    """
+
+    def __init__(
+        self,
+        cfg: ClaimsSection,
+        bucket: int,
+        port: LogPort,
+        table: ClaimTable,
+        timers: TimerService,
+    ) -> None:
+        self._cfg = cfg
+        self._stream = f"claims-{bucket}"
+        self._port = port
+        self._table = table
+        self._timers = timers
+        self._cursor = 0
+        self._reading = asyncio.Lock()
+        self._waiting: list[_Waiting] = []
+        self._work: asyncio.Task[None] | None = None
+        self.appends = 0
+
+    def close(self) -> None:
+        """Stop; claims that wait here are never settled."""
+        if self._work is not None:
+            self._work.cancel()
+
+    async def resolve(self, record: ClaimRecord) -> ClaimRecord:
+        """Append a claim unless its key is taken; return the key's winner."""
+        if len(self._waiting) >= MAX_WAITING:
+            raise log_out("too many claims wait for the log")
+        item = _Waiting(record, asyncio.get_running_loop().create_future())
+        self._waiting.append(item)
+        if self._work is None or self._work.done():
+            self._work = asyncio.create_task(self._commit_all())
+        return await item.winner
+
+    async def lookup(self, key: str) -> ClaimRecord | None:
+        """Read to the end of the stream and return a key's winner."""
+        await self.catch_up()
+        return await self._winner(key)
+
+    async def catch_up(self) -> None:
+        """Read what was appended since the last read."""
+        async with self._reading:
+            while True:
+                page = await self._read(self._cursor, PAGE_RECORDS)
+                for record in page.records:
+                    self._note(record)
+                self._cursor = page.next
+                if len(page.records) < PAGE_RECORDS:
+                    return
+
+    async def _commit_all(self) -> None:
+        await self._timers.sleep(self._cfg.batch_s)
+        while self._waiting:
+            batch = self._waiting[:MAX_BATCH]
+            del self._waiting[:MAX_BATCH]
+            batch = [item for item in batch if not item.winner.done()]
+            while batch:
+                try:
+                    batch = await self._commit(batch)
+                except LogUnavailable as exc:
+                    log.warning("claims wait", extra={"reason": str(exc)})
+                    await self._timers.sleep(RETRY_S)
+                    batch = [item for item in batch if not item.winner.done()]
+                except Exception:
+                    log.exception("claims failed")
+                    for item in batch:
+                        _fail(item, log_out("internal error"))
+                    batch = []
+
+    async def _commit(self, batch: list[_Waiting]) -> list[_Waiting]:
+        """Append the claims of unclaimed keys, read back and tell the winners."""
+        now = self._timers.now()
+        new = [i for i in batch if self._table.place(i.record.key, now) is None]
+        if new:
+            texts = tuple(msgspec.json.encode(i.record).decode() for i in new)
+            self.appends += 1
+            offset = await self._port.append(self._stream, texts)
+            while self._cursor < offset + len(texts):
+                await self.catch_up()
+        for item in batch:
+            winner = await self._winner(item.record.key)
+            if winner is None or not self._provable(item.record, winner):
+                _fail(item, log_out("the table of claims is full"))
+            elif not item.winner.done():
+                item.winner.set_result(winner)
+        return []
+
+    def _provable(self, record: ClaimRecord, winner: ClaimRecord) -> bool:
+        """Tell whether no earlier claim of this key can have been dropped."""
+        return self._table.complete(self._timers.now()) or not winner.same_claim(record)
+
+    async def _winner(self, key: str) -> ClaimRecord | None:
+        place = self._table.place(key, self._timers.now())
+        if place is None:
+            return None
+        record = self._table.record(key)
+        if record is None:
+            page = await self._read(place.offset, 1)
+            record = _decode(page.records[0]) if page.records else None
+        if record is None or record.key != key:
+            raise log_out("the claim of this key can't be read")
+        return record
+
+    async def _read(self, start: int, limit: int) -> LogPage:
+        try:
+            return await self._port.read(self._stream, start, limit, 0)
+        except LogTrimmed as exc:
+            return await self._port.read(self._stream, exc.first_offset, limit, 0)
+
+    def _note(self, entry: LogRecord) -> None:
+        record = _decode(entry)
+        if record is not None:
+            self._table.note(entry.offset, record, self._timers.now())
+
+
+def _decode(entry: LogRecord) -> ClaimRecord | None:
+    try:
+        return msgspec.json.decode(entry.data, type=ClaimRecord)
+    except msgspec.MsgspecError:
+        log.error("malformed claim", extra={"offset": entry.offset})
+        return None
+
+
+def _fail(item: _Waiting, exc: DispatchError) -> None:
+    if not item.winner.done():
+        item.winner.set_exception(exc)
--- a/monsoongap/coordination/dispatch_leases.py
+++ b/monsoongap/coordination/dispatch_leases.py
@@ -11,7 +11,11 @@
 from monsoongap.errors import StartAmbiguous, WorkerUnreachable
 from monsoongap.protocol.messages import StartLease
 from monsoongap.settings import WorkersSection
-from monsoongap.timers import TimerService
+from monsoongap.timers import Subscription, TimerService
+
+
+SCAN_S = 2.0
+MAX_AGE_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,15 +43,19 @@
         self._timers = timers
         self._stamps: dict[str, Stamp] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._subscription: Subscription | None = None
         self.probes = 0
 
     def start(self) -> None:
-        """Learn the boot numbers of listed workers, now and after changes."""
-        self._directory.subscribe(self._changed)
-        self._changed()
+        """Begin to ask listed workers that have not reported for `MAX_AGE_S`."""
+        self._directory.subscribe(self._scan)
+        self._subscription = self._timers.every(SCAN_S, self._scan, "leases")
+        self._scan()
 
     def close(self) -> None:
-        """Stop the probes under way."""
+        """Stop asking."""
+        if self._subscription is not None:
+            self._subscription.cancel()
         for probe in self._probes.values():
             probe.cancel()
 
@@ -56,6 +64,15 @@
         stamp = self._stamps.get(worker)
         return None if stamp is None else stamp.boot
 
+    async def any_known(self) -> bool:
+        """Tell whether some worker's boot number is known, asking if need be."""
+        if not self._stamps:
+            self._scan()
+            probes = tuple(self._probes.values())
+            if probes:
+                await asyncio.wait(probes)
+        return bool(self._stamps)
+
     def note(self, worker: str, boot: int, clock_ms: int) -> None:
         """Keep a stamp unless a newer one is known."""
         known = self._stamps.get(worker)
@@ -98,9 +115,12 @@
             self.note(worker, usage.boot, usage.clock_ms)
             self._directory.report_alive(worker)
 
-    def _changed(self) -> None:
+    def _scan(self) -> None:
         listed = {info.name for info in self._directory.workers()}
         for gone in self._stamps.keys() - listed:
             del self._stamps[gone]
-        for name in listed - self._stamps.keys():
-            self._probe(name)
+        old = self._timers.now() - MAX_AGE_S
+        for name in sorted(listed):
+            stamp = self._stamps.get(name)
+            if stamp is None or stamp.received_at < old:
+                self._probe(name)
--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -5,15 +5,20 @@
 """
 
 import asyncio
-import logging
 
+from monsoongap.coordination.claims import ClaimDesk
 from monsoongap.coordination.dispatch import Dispatcher
 from monsoongap.coordination.dispatch_attempt import Starter
 from monsoongap.coordination.dispatch_leases import LeaseTable
 from monsoongap.coordination.dispatch_verdict import from_exception
 from monsoongap.coordination.home_jobs import HomeJobs
+from monsoongap.coordination.home_locate import Locator
+from monsoongap.coordination.home_messages import SUBMIT, OutcomeReply, SubmitCall
+from monsoongap.coordination.home_own import OwnKeys
+from monsoongap.coordination.home_route import Router
 from monsoongap.coordination.parts import Directory, DrainState, HostIdentity, Slots
 from monsoongap.coordination.ports import LogPort, PeerPort, WorkerPort
+from monsoongap.coordination.recovery import LostHosts, Recovery
 from monsoongap.coordination.retries import RetryBudget
 from monsoongap.coordination.settle import Settler
 from monsoongap.errors import DispatchError, ErrorKind
@@ -24,10 +29,9 @@
 from monsoongap.state.jobs import IssuedWindow, JobEntry
 from monsoongap.timers import TimerService
 
-log = logging.getLogger(__name__)
-
 MAX_ISSUED_AT_ONCE = 1_000
 DRAIN_POLL_S = 0.05
+MS_PER_S = 1000
 
 
 class Home:
@@ -65,15 +69,43 @@
         dispatcher = Dispatcher(slots, directory, starter, self._budget, timers)
         self._jobs = HomeJobs(cfg, identity.name, slots, dispatcher, drain, timers)
         self._issued = IssuedWindow(cfg.limits.issued_ids)
+        self._claims = ClaimDesk(
+            cfg.claims, identity, directory, log, peers, handlers, timers
+        )
+        self._recovery = Recovery(self._settler, timers)
+        self._router = Router(
+            identity,
+            directory,
+            peers,
+            handlers,
+            LostHosts(cfg.peers, directory, timers),
+            self._recovery,
+            timers,
+        )
+        self._own = OwnKeys(
+            cfg,
+            identity,
+            directory,
+            self._leases,
+            self._claims,
+            self._jobs,
+            self._router,
+            timers,
+        )
+        self._locator = Locator(identity, self._claims, self._jobs, peers, handlers)
         self._callers = 0
+        handlers.register(SUBMIT, self._serve_submit)
 
     def start(self) -> None:
-        """Begin to watch workers."""
+        """Begin to watch workers and claims."""
         self._leases.start()
+        self._claims.start()
 
     def close(self) -> None:
         """Stop at once; what runs is left to recovery by others."""
         self._leases.close()
+        self._claims.close()
+        self._recovery.close()
         self._jobs.close()
 
     def issue(self, count: int) -> tuple[str, ...]:
@@ -103,16 +135,12 @@
             self._callers -= 1
 
     async def view(self, submission: str) -> JobView | None:
-        """Tell the state of a job, or None when it is not known."""
-        return self._jobs.view(submission)
+        """Tell the state of a job, or None when its home does not know it."""
+        return await self._locator.view(submission)
 
     async def cancel(self, submission: str) -> bool:
-        """Ask a job to stop; False when it is not running."""
-        entry = self._jobs.table.running(submission)
-        if entry is None:
-            return False
-        entry.request_stop(ErrorKind.CANCELLED)
-        return True
+        """Ask a job to stop, at its home; False when it is not running."""
+        return await self._locator.cancel(submission)
 
     def in_flight(self) -> int:
         """Return the number of callers that wait here, or of running jobs."""
@@ -131,6 +159,10 @@
             "inspects": self._settler.inspected,
             "revokes": self._settler.revoked,
             "lease_probes": self._leases.probes,
+            "claim_appends": self._claims.appends(),
+            "claims_known": self._claims.known(),
+            "forwarded": self._router.forwarded,
+            "recovered": self._recovery.recovered,
             "jobs_running": len(self._jobs.table.all_running()),
             "outcomes_kept": self._jobs.table.count_finished(),
         }
@@ -144,21 +176,59 @@
         if known is None:
             issued = parse_issued(submission)
             if issued is None:
-                raise DispatchError(ErrorKind.LOG_UNAVAILABLE, "own keys: not yet")
-            known = self._admit_issued(issued, req)
-        if isinstance(known, JobEntry):
-            return await asyncio.shield(known.finished)
-        return known
+                known = await self._submit_own(submission, req)
+            elif self._is_here(issued):
+                known = self._admit_issued(issued, req, None)
+            else:
+                deadline_at = self._timers.now() + req.deadline_ms / MS_PER_S
+                return await self._router.to_issuer(issued, req, deadline_at)
+        return await _outcome(known)
+
+    async def _submit_own(self, key: str, req: JobRequest) -> JobOutcome | JobEntry:
+        """Claim a key here, or at a peer while this host is leaving."""
+        if self._drain.draining:
+            deadline_at = self._timers.now() + req.deadline_ms / MS_PER_S
+            outcome = await self._router.to_any_peer(key, req, deadline_at)
+            if outcome is not None:
+                return outcome
+        return self._jobs.join(key, req) or self._own.submit(key, req)
+
+    async def _serve_submit(self, call: SubmitCall) -> OutcomeReply:
+        """Serve a job that a peer passed on; it is never passed on again."""
+        self._callers += 1
+        try:
+            known = self._jobs.join(call.submission, call.req)
+            if known is None:
+                known = self._admit_passed(call)
+            return OutcomeReply.of(await _outcome(known))
+        finally:
+            self._callers -= 1
 
-    def _admit_issued(self, issued: IssuedId, req: JobRequest) -> JobEntry:
+    def _admit_passed(self, call: SubmitCall) -> JobEntry:
+        issued = parse_issued(call.submission)
+        remaining_s = call.remaining_ms / MS_PER_S
+        if issued is not None:
+            return self._admit_issued(issued, call.req, remaining_s)
+        if call.claim is not None:
+            return self._own.resubmitted(call.claim, call.req)
+        if self._drain.draining:
+            raise DispatchError(ErrorKind.DRAINING, "this host is leaving too")
+        return self._own.submit(call.submission, call.req, remaining_s)
+
+    def _is_here(self, issued: IssuedId) -> bool:
+        return (issued.dc, issued.host) == (self._identity.dc, self._identity.name)
+
+    def _admit_issued(
+        self, issued: IssuedId, req: JobRequest, remaining_s: float | None
+    ) -> JobEntry:
         """Admit an id of this very process that was not used before."""
-        if issued.host != self._identity.name or issued.boot != self._identity.boot:
+        if not self._is_here(issued) or issued.boot != self._identity.boot:
             raise DispatchError(ErrorKind.HOME_LOST, "issued by another process")
         if not self._issued.take(issued.serial):
             raise DispatchError(
                 ErrorKind.NOT_FOUND, "not issued here, or its outcome is forgotten"
             )
-        entry = self._jobs.open(str(issued), req)
+        entry = self._jobs.open(str(issued), req, remaining_s)
         if entry.finished.done():
             return entry
         try:
@@ -168,3 +238,10 @@
         else:
             self._jobs.run(entry, None, "issued here")
         return entry
+
+
+async def _outcome(known: JobOutcome | JobEntry) -> JobOutcome:
+    """Wait for a running job; leaving this wait does not stop it."""
+    if isinstance(known, JobEntry):
+        return await asyncio.shield(known.finished)
+    return known
--- a/monsoongap/coordination/home_jobs.py
+++ b/monsoongap/coordination/home_jobs.py
@@ -120,6 +120,14 @@
         reason = outcome.error if isinstance(outcome, JobError) else "answered"
         log.info("ended", extra={"submission": entry.submission, "reason": reason})
 
+    def stop(self, submission: str) -> bool:
+        """Cancel a running job; False when it does not run here."""
+        entry = self.table.running(submission)
+        if entry is None:
+            return False
+        entry.request_stop(ErrorKind.CANCELLED)
+        return True
+
     def view(self, submission: str) -> JobView | None:
         """Tell the state of a job that this host remembers."""
         entry = self.table.running(submission)
--- /dev/null
+++ b/monsoongap/coordination/home_route.py
@@ -0,0 +1,202 @@
+"""Passing of jobs to their home on another host, and what follows when it is gone."""
+
+import logging
+
+from monsoongap.coordination.dispatch_verdict import error_outcome
+from monsoongap.coordination.home_messages import (
+    RECOVER,
+    SUBMIT,
+    OutcomeReply,
+    RecoverCall,
+    SubmitCall,
+)
+from monsoongap.coordination.parts import Directory, HostIdentity, PeerStatus
+from monsoongap.coordination.ports import PeerPort
+from monsoongap.coordination.recovery import LostHosts, Recovery
+from monsoongap.errors import DispatchError, ErrorKind, PeerUnreachable
+from monsoongap.protocol.ids import IssuedId
+from monsoongap.protocol.messages import JobError, JobOutcome, JobRequest
+from monsoongap.protocol.peer import PeerHandlers
+from monsoongap.state.claims import ClaimRecord, rendezvous
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+FORWARD_GRACE_S = 5.0
+RETRY_S = 0.1
+MS_PER_S = 1000
+
+
+class Router:
+    """Reaches the home of a job, or its lost home's workers, until a deadline."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        directory: Directory,
+        peers: PeerPort,
+        handlers: PeerHandlers,
+        lost: LostHosts,
+        recovery: Recovery,
+        timers: TimerService,
+    ) -> None:
+        self._identity = identity
+        self._directory = directory
+        self._peers = peers
+        self._lost = lost
+        self._recovery = recovery
+        self._timers = timers
+        self.forwarded = 0
+        handlers.register(RECOVER, self._serve_recover)
+
+    async def to_issuer(
+        self, issued: IssuedId, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        """Pass a job to the host that issued its id.
+
+        An id whose process is gone is never admitted elsewhere: nothing tells
+        which workers its home used, so the outcome is `unknown`.
+        """
+        submission = str(issued)
+        while self._timers.now() < deadline_at:
+            try:
+                return await self.submit(issued.host, submission, req, deadline_at)
+            except PeerUnreachable:
+                if self._lost.gone(issued.host, issued.boot):
+                    return error_outcome(
+                        submission, ErrorKind.HOME_LOST, f"{issued.host} is gone"
+                    )
+            await self._timers.sleep(RETRY_S)
+        return self._unreachable(submission, issued.host)
+
+    async def to_claimant(
+        self, claim: ClaimRecord, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        """Pass a job to the host that claimed its key, or recover it."""
+        while self._timers.now() < deadline_at:
+            try:
+                if claim.home != self._identity.name:
+                    return await self._ask_claimant(claim, req, deadline_at)
+                return await self.recover(claim, deadline_at)
+            except PeerUnreachable:
+                await self._timers.sleep(RETRY_S)
+        return self._unreachable(claim.key, claim.home)
+
+    async def _ask_claimant(
+        self, claim: ClaimRecord, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        try:
+            return await self.submit(claim.home, claim.key, req, deadline_at, claim)
+        except PeerUnreachable:
+            return await self.recover(claim, deadline_at)
+        except DispatchError as exc:
+            if exc.kind is not ErrorKind.HOME_LOST:
+                raise
+            return await self.recover(claim, deadline_at)
+
+    async def to_any_peer(
+        self, key: str, req: JobRequest, deadline_at: float
+    ) -> JobOutcome | None:
+        """Let a live peer of this data centre claim a key; None when none does."""
+        for peer in self._directory.peers():
+            if peer.dc != self._identity.dc or peer.status is not PeerStatus.LIVE:
+                continue
+            try:
+                return await self.submit(peer.name, key, req, deadline_at)
+            except (PeerUnreachable, DispatchError):
+                continue
+        return None
+
+    async def submit(
+        self,
+        host: str,
+        submission: str,
+        req: JobRequest,
+        deadline_at: float,
+        claim: ClaimRecord | None = None,
+    ) -> JobOutcome:
+        """Call one host once; raises `PeerUnreachable` without a good reply."""
+        remaining_s = max(deadline_at - self._timers.now(), 0.001)
+        call = SubmitCall(submission, req, _ms(remaining_s), claim)
+        self.forwarded += 1
+        log.info(
+            "forwarded",
+            extra={"submission": submission, "peer": host, "reason": "home elsewhere"},
+        )
+        reply = await self._peers.call(
+            host, SUBMIT, call, remaining_s + FORWARD_GRACE_S
+        )
+        return _checked(reply, submission)
+
+    async def recover(self, claim: ClaimRecord, deadline_at: float) -> JobOutcome:
+        """Recover a job in its home's data centre, here or at a peer.
+
+        Raises `PeerUnreachable` while its home is not taken for lost.
+        """
+        remaining_s = max(deadline_at - self._timers.now(), 0.0)
+        hosts = self._hosts_of(claim)
+        if not hosts:
+            raise PeerUnreachable(f"no host of {claim.dc} is live")
+        host = rendezvous(claim.key, hosts)
+        if host == self._identity.name:
+            return await self._recover_here(claim, remaining_s)
+        call = RecoverCall(claim, _ms(remaining_s))
+        try:
+            reply = await self._peers.call(
+                host, RECOVER, call, remaining_s + FORWARD_GRACE_S
+            )
+        except (PeerUnreachable, DispatchError) as exc:
+            if claim.dc != self._identity.dc:
+                raise PeerUnreachable(f"no recovery by {host}: {exc}") from exc
+            return await self._recover_here(claim, remaining_s)
+        return _checked(reply, claim.key)
+
+    async def _recover_here(self, claim: ClaimRecord, remaining_s: float) -> JobOutcome:
+        if not self._is_lost(claim):
+            raise PeerUnreachable(f"{claim.home} may still be alive")
+        return await self._recovery.recover(claim, remaining_s)
+
+    async def _serve_recover(self, call: RecoverCall) -> OutcomeReply:
+        if not self._is_lost(call.claim):
+            detail = f"{call.claim.home} may still be alive"
+            raise DispatchError(ErrorKind.HOME_UNREACHABLE, detail)
+        outcome = await self._recovery.recover(call.claim, call.remaining_ms / MS_PER_S)
+        return OutcomeReply.of(outcome)
+
+    def _is_lost(self, claim: ClaimRecord) -> bool:
+        if claim.home == self._identity.name:
+            return claim.boot < self._identity.boot
+        return self._lost.gone(claim.home, claim.boot)
+
+    def _hosts_of(self, claim: ClaimRecord) -> list[str]:
+        """Return the live hosts of a claim's data centre, its home left out.
+
+        Beyond this data centre every listed host counts, since only a few of
+        them exchange heartbeats with this one.
+        """
+        mine = claim.dc == self._identity.dc
+        hosts = [
+            peer.name
+            for peer in self._directory.peers()
+            if peer.dc == claim.dc
+            and (peer.status is PeerStatus.LIVE or not mine)
+            and (peer.name != claim.home or peer.boot > claim.boot)
+        ]
+        return [*hosts, self._identity.name] if mine else hosts
+
+    def _unreachable(self, submission: str, host: str) -> JobError:
+        return error_outcome(
+            submission, ErrorKind.HOME_UNREACHABLE, f"{host} does not answer"
+        )
+
+
+def _checked(reply: OutcomeReply, submission: str) -> JobOutcome:
+    """Return the outcome in a reply; raises when it is not about the submission."""
+    outcome = reply.outcome()
+    if outcome is None or outcome.submission != submission:
+        raise PeerUnreachable("the reply is about another submission")
+    return outcome
+
+
+def _ms(seconds: float) -> int:
+    return max(1, round(seconds * MS_PER_S))
--- a/monsoongap/state/jobs.py
+++ b/monsoongap/state/jobs.py
@@ -34,7 +34,10 @@
 
 @dataclass(slots=True, eq=False)
 class JobEntry:
-    """A job that has no outcome yet; `deadline_at` is on the timer clock."""
+    """A job that has no outcome yet; `deadline_at` is on the timer clock.
+
+    `follows` names the host that runs it, when another host claimed its key.
+    """
 
     submission: str
     digest: bytes
@@ -44,6 +47,7 @@
     phase: JobPhase = JobPhase.QUEUED
     started: int = 0
     done: int = 0
+    follows: str | None = None
     stop: asyncio.Future[ErrorKind] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
--- /dev/null
+++ b/tests/coordination/test_home_own.py
@@ -0,0 +1,177 @@
+"""Callers' own keys: claimed once, whatever host, log or peer fails."""
+
+import asyncio
+
+import pytest
+
+from monsoongap.errors import ErrorKind, LogUnavailable
+from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
+from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
+from tests.clock import run_virtual
+from tests.home_cluster import Cluster, answers, job
+
+TRIO = {"h1": "dc1", "h2": "dc1", "h3": "dc1"}
+TWO_DCS = {"h1": "dc1", "h2": "dc1", "h3": "dc2", "h4": "dc2"}
+
+
+def error(outcome: JobOutcome) -> tuple[str, str]:
+    assert isinstance(outcome, JobError), outcome
+    return outcome.error, outcome.outcome
+
+
+async def at_all(cluster: Cluster, key: str) -> list[JobOutcome]:
+    """Submit one key to every host at once."""
+    homes = [host.home for host in cluster.hosts.values()]
+    return await asyncio.gather(*(home.submit(key, job(8)) for home in homes))
+
+
+@pytest.mark.parametrize("hosts", [TRIO, TWO_DCS], ids=["one dc", "two dcs"])
+@pytest.mark.parametrize(
+    "fault", [None, AppendReplyLost(share=0.5), LogSlow(0.2)], ids=str
+)
+def test_one_key_at_every_host_runs_once(
+    hosts: dict[str, str], fault: AppendReplyLost | LogSlow | None
+) -> None:
+    async def main() -> None:
+        cluster = Cluster(hosts)
+        cluster.platform.apply(*([fault] if fault else []))
+        for number in range(8):
+            key = f"frame-{number}"
+            for outcome in await at_all(cluster, key):
+                assert outcome == JobAnswer(key, answers(key, 8))
+            assert cluster.starts(key) == 8
+        assert not cluster.duplicates()
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_log_outage_is_unknown_and_the_key_runs_when_it_is_back() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        (issued,) = cluster.hosts["h1"].home.issue(1)
+        cluster.platform.apply(LogOutage(10.0))
+        for outcome in await at_all(cluster, "k"):
+            assert error(outcome) == ("log_unavailable", "unknown")
+        assert isinstance(
+            await cluster.hosts["h2"].home.submit(issued, job()), JobAnswer
+        )
+        await asyncio.sleep(10)
+        assert cluster.starts("k") == 0
+        assert await at_all(cluster, "k") == [JobAnswer("k", answers("k", 8))] * 3
+        assert cluster.starts("k") == 8
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_abandoned_claim_that_landed_is_taken_up_by_its_own_process_only() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        for host in cluster.hosts.values():
+            host.log.read = unreadable  # type: ignore[method-assign]
+        first = await cluster.hosts["h1"].home.submit("k", job(8))
+        assert error(first) == ("log_unavailable", "unknown")
+        for host in cluster.hosts.values():
+            del host.log.read
+        again = await cluster.hosts["h2"].home.submit("k", job(8))
+        assert again == JobAnswer("k", answers("k", 8))
+        assert cluster.starts("k") == 8
+        view = await cluster.hosts["h3"].home.view("k")
+        assert view is not None and view.home == "h1"
+        await cluster.close()
+
+    async def unreadable(*args: object) -> None:
+        await asyncio.sleep(2.0)
+        raise LogUnavailable("no reply")
+
+    run_virtual(main())
+
+
+def test_refused_key_is_closed_for_every_host() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        slots = cluster.hosts["h1"].slots
+        slots.refuse_with = ErrorKind.OVERLOADED
+        started = asyncio.get_running_loop().time()
+        refused = await cluster.hosts["h1"].home.submit("k", job())
+        assert asyncio.get_running_loop().time() - started <= 0.05
+        slots.refuse_with = None
+        assert error(refused) == ("overloaded", "not_run")
+        for outcome in await asyncio.gather(
+            *(host.home.submit("k", job()) for host in cluster.hosts.values())
+        ):
+            assert error(outcome) == ("overloaded", "not_run")
+        assert cluster.starts("k") == 0
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_another_body_is_a_conflict_at_any_host() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        await cluster.hosts["h1"].home.submit("k", job())
+        for host in cluster.hosts.values():
+            assert error(await host.home.submit("k", job(3)))[0] == "conflict"
+        assert await cluster.hosts["h3"].home.submit("k", job()) == JobAnswer(
+            "k", answers("k", 2)
+        )
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_dead_batcher_costs_an_append_and_no_answer() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        for name in ("h2", "h3"):
+            cluster.network.cut("h1", name)
+        home = cluster.hosts["h1"].home
+        keys = [f"k{number}" for number in range(20)]
+        outcomes = await asyncio.gather(*(home.submit(key, job(1)) for key in keys))
+        assert outcomes == [JobAnswer(key, answers(key, 1)) for key in keys]
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_leaving_host_lets_a_peer_claim() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        leaving = cluster.hosts["h1"]
+        work = asyncio.create_task(leaving.home.submit("before", job()))
+        await asyncio.sleep(0.08)
+        leaving.drain.begin()
+        after = await leaving.home.submit("after", job())
+        assert after == JobAnswer("after", answers("after", 2))
+        await leaving.home.drained()
+        assert work.done() and isinstance(work.result(), JobAnswer)
+        assert (await cluster.hosts["h2"].home.view("after")).home != "h1"  # type: ignore[union-attr]
+        (issued,) = leaving.home.issue(1)
+        assert error(await leaving.home.submit(issued, job())) == (
+            "draining",
+            "not_run",
+        )
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_job_is_viewed_and_cancelled_from_any_host() -> None:
+    async def main() -> None:
+        cluster = Cluster(TWO_DCS)
+        (issued,) = cluster.hosts["h1"].home.issue(1)
+        for submission in ("k", issued):
+            work = asyncio.create_task(
+                cluster.hosts["h1"].home.submit(submission, job(run_ms=5_000))
+            )
+            await asyncio.sleep(0.5)
+            view = await cluster.hosts["h4"].home.view(submission)
+            assert view is not None and (view.home, view.phase) == ("h1", "running")
+            assert await cluster.hosts["h4"].home.cancel(submission)
+            assert error(await work) == ("cancelled", "failed")
+        assert await cluster.hosts["h2"].home.view("never-seen") is None
+        await cluster.close()
+
+    run_virtual(main())
