Recover jobs of dead and paused homes; take a fenced start for a recovered job

Cause: a caller's resubmission that was forwarded to a paused home waited for the whole deadline, and the woken home sent starts that were fenced again and again.

Change: while a forwarded job waits, its forwarder checks every 2 s whether the home is lost and then recovers the job. A start that a worker of the same boot refuses as fenced ends the task as never started: own revocations always carry lower fences.

Ruled out: reading the tombstone's fence from the refusal, which echoes the start's.

--- a/monsoongap/coordination/dispatch_attempt.py
+++ b/monsoongap/coordination/dispatch_attempt.py
@@ -154,7 +154,8 @@
             self._directory.report_draining(sent.worker)
         result = SlotResult(SlotEnd.REFUSED, report)
         same_boot = report.boot == sent.boot
-        if refusal is Refusal.FENCED and same_boot and report.fence >= RECOVERY_FENCE:
+        if refusal is Refusal.FENCED and same_boot:
+            # Own revocations carry lower fences than the start that follows them.
             detail = "another host recovered this job"
             return Trial(NeverStarted(ErrorKind.HOME_LOST, detail), result)
         unsuitable = refusal is Refusal.TOO_LARGE
--- a/monsoongap/coordination/home_route.py
+++ b/monsoongap/coordination/home_route.py
@@ -1,5 +1,7 @@
 """Passing of jobs to their home on another host, and what follows when it is gone."""
 
+import asyncio
+import contextlib
 import logging
 
 from monsoongap.coordination.dispatch_verdict import error_outcome
@@ -24,6 +26,7 @@
 
 FORWARD_GRACE_S = 5.0
 RETRY_S = 0.1
+LOST_CHECK_S = 2.0
 MS_PER_S = 1000
 
 
@@ -60,9 +63,9 @@
         submission = str(issued)
         while self._timers.now() < deadline_at:
             try:
-                return await self.submit(issued.host, submission, req, deadline_at)
+                return await self._ask_issuer(issued, req, deadline_at)
             except PeerUnreachable:
-                if self._lost.gone(issued.host, issued.boot):
+                if self._issuer_lost(issued):
                     return error_outcome(
                         submission, ErrorKind.HOME_LOST, f"{issued.host} is gone"
                     )
@@ -85,14 +88,52 @@
     async def _ask_claimant(
         self, claim: ClaimRecord, req: JobRequest, deadline_at: float
     ) -> JobOutcome:
+        """Wait for a claimant's reply, and see now and then whether it is lost.
+
+        A paused process keeps its connections, so silence alone tells nothing.
+        """
+        call = asyncio.create_task(
+            self.submit(claim.home, claim.key, req, deadline_at, claim)
+        )
         try:
-            return await self.submit(claim.home, claim.key, req, deadline_at, claim)
+            while not call.done():
+                await asyncio.wait({call}, timeout=LOST_CHECK_S)
+                if not call.done():
+                    with contextlib.suppress(PeerUnreachable):
+                        return await self.recover(claim, deadline_at)
+            return call.result()
         except PeerUnreachable:
             return await self.recover(claim, deadline_at)
         except DispatchError as exc:
             if exc.kind is not ErrorKind.HOME_LOST:
                 raise
             return await self.recover(claim, deadline_at)
+        finally:
+            call.cancel()
+
+    async def _ask_issuer(
+        self, issued: IssuedId, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        """Wait for an issuer's reply, unless this data centre takes it for lost."""
+        call = asyncio.create_task(
+            self.submit(issued.host, str(issued), req, deadline_at)
+        )
+        try:
+            while not call.done():
+                await asyncio.wait({call}, timeout=LOST_CHECK_S)
+                if not call.done() and self._issuer_lost(issued):
+                    raise PeerUnreachable(f"{issued.host} is silent")
+            return call.result()
+        finally:
+            call.cancel()
+
+    def _issuer_lost(self, issued: IssuedId) -> bool:
+        """Tell whether an issuer of this data centre is lost.
+
+        Hosts of other data centres exchange heartbeats with few of this one's.
+        """
+        near = issued.dc == self._identity.dc
+        return near and self._lost.gone(issued.host, issued.boot)
 
     async def to_any_peer(
         self, key: str, req: JobRequest, deadline_at: float
--- a/tests/home_cluster.py
+++ b/tests/home_cluster.py
@@ -149,6 +149,21 @@
         return held
 
 
+class GatedHandlers(PeerHandlers):
+    """Handlers of a process that may be paused."""
+
+    def __init__(self, running: asyncio.Event) -> None:
+        super().__init__()
+        self._running = running
+
+    async def dispatch(self, name: str, body: bytes) -> bytes:
+        await self._running.wait()
+        try:
+            return await super().dispatch(name, body)
+        finally:
+            await self._running.wait()
+
+
 class Host:
     """One entry host: a real home and the parts around it."""
 
@@ -157,7 +172,7 @@
         self.cluster = cluster
         self.running = asyncio.Event()
         self.running.set()
-        self.handlers = PeerHandlers()
+        self.handlers = GatedHandlers(self.running)
         self.peer_port = cluster.network.join(name, dc, self.handlers)
         slots = {n: m.shape.slots for n, m in cluster.platforms[dc].models.items()}
         self.directory = FakeDirectory(slots, dc)
