--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -119,8 +119,11 @@
                     await self._exchange(host)
                     backoff_s = self._cfg.heartbeat_s
                 except PeerUnreachable as exc:
+                    # Only the first failure in a row is worth an operator's time.
+                    is_first = backoff_s == self._cfg.heartbeat_s
+                    level = logging.WARNING if is_first else logging.DEBUG
                     extra = {"peer": host, "reason": str(exc)}
-                    log.debug("heartbeat stream ended", extra=extra)
+                    log.log(level, "heartbeat stream lost", extra=extra)
                     backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
             await self._timers.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
 
--- a/monsoongap/transport/peers.py
+++ b/monsoongap/transport/peers.py
@@ -1,15 +1,16 @@
 """Calls and heartbeat streams between entry hosts over gRPC.
 
-One channel per peer is kept. gRPC's keepalive pings find a connection that has
-gone silent and replace it; they cost nothing while heartbeats flow. A handler
-runs to its end even when its caller has given up, because its effect may be half
-done. Retries belong to the decisions above and never happen here.
+One channel per peer is kept. A channel on which a call or a beat waited in vain
+while nothing else came back is replaced: its connection may have gone silent for
+good. Calls under way on the old channel go on, and gRPC's keepalive pings, which any
+write puts off, then find out whether it is dead. A handler runs to its end even
+when its caller has given up, because its effect may be half done. Retries belong
+to the decisions above and never happen here.
 """
 
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import grpc
@@ -28,21 +29,29 @@
     encode,
 )
 from monsoongap.settings import EntrySettings
+from monsoongap.transport.peer_streams import (
+    CallStream,
+    PeerChannel,
+    ServedStream,
+    is_cancelled,
+)
 
 log = logging.getLogger(__name__)
 
 MAX_MESSAGE_BYTES = 8_000_000
 KEEPALIVE_MS = 2_000
-KEEPALIVE_TIMEOUT_MS = 1_000
+KEEPALIVE_TIMEOUT_MS = 2_000
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2_000
 CONNECT_TIMEOUT_MS = 1_000
+IDLE_CLOSE_MS = 30_000
 
 _COMMON_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES + 4096),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES + 4096),
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
 )
@@ -56,6 +65,7 @@
 _CHANNEL_OPTIONS = (
     *_COMMON_OPTIONS,
     ("grpc.enable_http_proxy", 0),
+    ("grpc.client_idle_timeout_ms", IDLE_CLOSE_MS),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
     # This bounds how long one attempt to connect may take.
@@ -69,7 +79,7 @@
     """Credentials for mutual TLS between peers, reloaded while running."""
 
     def grpc_server_credentials(self) -> Any:
-        """Return `grpc.ServerCredentials` that follow the files."""
+        """Return `grpc.ServerCredentials` that follow the files, None for plain."""
         ...
 
     def grpc_channel_credentials(self) -> Any:
@@ -81,15 +91,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class _Link:
-    """The channel to one peer and the address it was opened for."""
-
-    address: str
-    channel: Any
-    stub: Any
-
-
 class GrpcPeers:
     """Serves this host's handlers and calls those of its peers.
 
@@ -110,7 +111,7 @@
         self._identity = identity
         self._address_of = address_of
         self._tls = tls
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, PeerChannel] = {}
         self._retired: set[asyncio.Task[None]] = set()
         self._servicer = _Servicer(handlers)
         self._server: Any = None
@@ -123,10 +124,11 @@
         self._server = grpc.aio.server(options=_SERVER_OPTIONS)
         peer_pb2_grpc.add_PeerServicer_to_server(self._servicer, self._server)
         try:
-            if self._tls is None:
+            tls = self._tls
+            credentials = tls.grpc_server_credentials() if tls is not None else None
+            if credentials is None:
                 port = self._server.add_insecure_port(address)
             else:
-                credentials = self._tls.grpc_server_credentials()
                 port = self._server.add_secure_port(address, credentials)
         except RuntimeError as exc:
             raise OSError(f"cannot listen on {address}: {exc}") from exc
@@ -166,10 +168,19 @@
         request = peer_pb2.CallRequest(
             method=method.name, sender=self._identity.name, body=data
         )
+        link = self._link(host)
+        sent_at = asyncio.get_running_loop().time()
         try:
-            reply = await self._link(host).stub.Call(request, timeout=timeout_s)
+            reply = await link.stub.Call(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as exc:
+            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._replace_if_silent(link, sent_at)
             raise _unreachable(host, method.name, exc) from exc
+        except asyncio.CancelledError as exc:
+            if is_cancelled():
+                raise
+            raise PeerUnreachable(f"{host}: {method.name}: channel closed") from exc
+        link.note_heard()
         if reply.error:
             raise _dispatch_error(reply)
         try:
@@ -184,7 +195,7 @@
 
     async def open_stream(self, host: str) -> BeatStream:
         """Open a heartbeat stream to `host`; raises `PeerUnreachable`."""
-        return _CallStream(host, self._link(host).stub.Heartbeats())
+        return CallStream(self._link(host), self._replace_if_silent)
 
     def forget(self, host: str) -> None:
         """Close the channel to a host that is gone."""
@@ -192,7 +203,7 @@
         if link is not None:
             self._retire(link, 0.0)
 
-    def _link(self, host: str) -> _Link:
+    def _link(self, host: str) -> PeerChannel:
         """Return the kept channel to `host`, or open one for its address."""
         address = self._address_of(host)
         if address is None:
@@ -203,26 +214,36 @@
         if link is not None:
             self._retire(link, self._cfg.limits.drain_s)
         channel = self._open_channel(host, address)
-        link = _Link(address, channel, peer_pb2_grpc.PeerStub(channel))
+        link = PeerChannel(host, address, channel, peer_pb2_grpc.PeerStub(channel))
         self._links[host] = link
         return link
 
     def _open_channel(self, host: str, address: str) -> Any:
-        if self._tls is None:
+        tls = self._tls
+        credentials = tls.grpc_channel_credentials() if tls is not None else None
+        if credentials is None:
             return grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
         return grpc.aio.secure_channel(
             address,
-            self._tls.grpc_channel_credentials(),
+            credentials,
             options=(*_CHANNEL_OPTIONS, ("grpc.ssl_target_name_override", host)),
         )
 
+    def _replace_if_silent(self, link: PeerChannel, since: float) -> None:
+        """Replace a channel on which nothing came back since the given time."""
+        if link.heard_at >= since or self._links.get(link.host) is not link:
+            return
+        log.info("peer channel replaced", extra={"peer": link.host, "reason": "silent"})
+        del self._links[link.host]
+        self._retire(link, self._cfg.limits.drain_s)
+
     def _replace_channels(self) -> None:
         """Take up new certificates; calls under way end on the old channels."""
         links, self._links = self._links, {}
         for link in links.values():
             self._retire(link, self._cfg.limits.drain_s)
 
-    def _retire(self, link: _Link, grace_s: float) -> None:
+    def _retire(self, link: PeerChannel, grace_s: float) -> None:
         task = asyncio.ensure_future(link.channel.close(grace_s))
         self._retired.add(task)
         task.add_done_callback(self._retired.discard)
@@ -264,7 +285,7 @@
         """Serve one heartbeat stream until either side ends it."""
         if self.accept is None:
             return
-        task = asyncio.ensure_future(self.accept(_ServedStream(context)))
+        task = asyncio.ensure_future(self.accept(ServedStream(context)))
         self._streams.add(task)
         try:
             await task
@@ -281,62 +302,6 @@
             task.cancel()
 
 
-class _CallStream:
-    """The caller's end of a heartbeat stream."""
-
-    def __init__(self, host: str, call: Any) -> None:
-        self._host = host
-        self._call = call
-
-    async def send(self, body: bytes) -> None:
-        """Send one beat; raises `PeerUnreachable`."""
-        try:
-            await self._call.write(peer_pb2.Beat(body=body))
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise PeerUnreachable(f"{self._host}: heartbeat stream broke") from exc
-
-    async def receive(self) -> bytes:
-        """Wait for one beat; raises `PeerUnreachable`."""
-        try:
-            beat = await self._call.read()
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise PeerUnreachable(f"{self._host}: heartbeat stream broke") from exc
-        if beat is grpc.aio.EOF:
-            raise PeerUnreachable(f"{self._host}: heartbeat stream ended")
-        return bytes(beat.body)
-
-    def close(self) -> None:
-        """End the stream."""
-        self._call.cancel()
-
-
-class _ServedStream:
-    """The server's end of a heartbeat stream; it ends with its handler."""
-
-    def __init__(self, context: Any) -> None:
-        self._context = context
-
-    async def send(self, body: bytes) -> None:
-        """Send one beat; raises `PeerUnreachable`."""
-        try:
-            await self._context.write(peer_pb2.Beat(body=body))
-        except (grpc.RpcError, asyncio.InvalidStateError) as exc:
-            raise PeerUnreachable("heartbeat stream broke") from exc
-
-    async def receive(self) -> bytes:
-        """Wait for one beat; raises `PeerUnreachable`."""
-        try:
-            beat = await self._context.read()
-        except (grpc.RpcError, asyncio.InvalidStateError) as exc:
-            raise PeerUnreachable("heartbeat stream broke") from exc
-        if beat is grpc.aio.EOF:
-            raise PeerUnreachable("heartbeat stream ended")
-        return bytes(beat.body)
-
-    def close(self) -> None:
-        """Do nothing: the stream ends when its handler returns."""
-
-
 def _error_reply(exc: DispatchError) -> Any:
     return peer_pb2.CallReply(
         error=exc.kind.value,
