--- a/monsoongap/transport/connections.py
+++ b/monsoongap/transport/connections.py
@@ -30,7 +30,7 @@
     """A request that waits for its decoded reply."""
 
     req: HttpRequest
-    timeout_s: float
+    timeout_s: float | None
     decode: Callable[[HttpReply], Any]
     fut: asyncio.Future[Any] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
@@ -58,7 +58,9 @@
         self._tls = tls
         self._waiting: deque[_Exchange] = deque()
         self._waiting_fresh: deque[_Exchange] = deque()
-        self._idle: list[asyncio.Future[_Exchange | None]] = []
+        # Idle connections with the time since when, the one used last at the end.
+        self._idle: dict[asyncio.Future[_Exchange | None], float] = {}
+        self._sweep_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -69,7 +71,7 @@
     async def exchange(
         self,
         req: HttpRequest,
-        timeout_s: float,
+        timeout_s: float | None,
         decode: Callable[[HttpReply], Any],
         fresh: bool = False,
     ) -> Any:
@@ -89,6 +91,8 @@
 
     def close(self) -> None:
         """Close every connection; exchanges under way are lost."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
         for task in self._tasks:
             task.cancel()
 
@@ -110,7 +114,7 @@
     def _take_idle(self) -> asyncio.Future[_Exchange | None] | None:
         """Return the connection used last that still waits for an exchange."""
         while self._idle:
-            idle = self._idle.pop()
+            idle, _ = self._idle.popitem()
             if not idle.done():
                 return idle
         return None
@@ -154,26 +158,35 @@
 
     async def _next(self, conn: KeepAliveConnection) -> _Exchange | None:
         """Wait for the next exchange; None when idle too long or not needed."""
-        idle: asyncio.Future[_Exchange | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._idle.append(idle)
+        loop = asyncio.get_running_loop()
+        idle: asyncio.Future[_Exchange | None] = loop.create_future()
+        self._idle[idle] = loop.time()
         self._assign()
+        self._schedule_sweep()
         try:
-            async with asyncio.timeout(IDLE_CLOSE_S):
-                exchange = await idle
-        except TimeoutError:
-            # An exchange may have been handed over in the same loop turn.
-            handed_over = idle.done() and not idle.cancelled()
-            exchange = idle.result() if handed_over else None
+            exchange = await idle
         finally:
-            if idle in self._idle:
-                self._idle.remove(idle)
+            self._idle.pop(idle, None)
         if exchange is not None and conn.closed:
             self._waiting.appendleft(exchange)
             return None
         return exchange
 
+    def _schedule_sweep(self) -> None:
+        """See to it that connections idle for too long are closed."""
+        if self._idle and self._sweep_timer is None:
+            loop = asyncio.get_running_loop()
+            self._sweep_timer = loop.call_later(IDLE_CLOSE_S, self._sweep)
+
+    def _sweep(self) -> None:
+        self._sweep_timer = None
+        oldest = asyncio.get_running_loop().time() - IDLE_CLOSE_S
+        for idle, since in list(self._idle.items()):
+            if since <= oldest and not idle.done():
+                del self._idle[idle]
+                idle.set_result(None)
+        self._schedule_sweep()
+
 
 async def _carry(conn: KeepAliveConnection, exchange: _Exchange) -> None:
     fut = exchange.fut
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -33,7 +33,6 @@
     method: str
     path: str
     body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,17 +109,20 @@
         """Close the connection at once."""
         self._stream.close()
 
-    async def exchange(self, req: HttpRequest, timeout_s: float) -> HttpReply:
+    async def exchange(self, req: HttpRequest, timeout_s: float | None) -> HttpReply:
         """Send a request and read the whole reply; raises `ExchangeLost`.
 
-        A failed, cancelled or late exchange closes the connection, so that its
-        reply can never be taken for the reply of a later request.
+        Without `timeout_s` it waits until the reply or a cancellation. A failed,
+        cancelled or late exchange closes the connection, so that its reply can
+        never be taken for the reply of a later request.
         """
         collector = _Collector()
         try:
-            async with asyncio.timeout(timeout_s):
-                await self._send(req)
-                reusable = await self._http.read_response(collector)
+            if timeout_s is None:
+                reusable = await self._send_and_read(req, collector)
+            else:
+                async with asyncio.timeout(timeout_s):
+                    reusable = await self._send_and_read(req, collector)
         except (StreamClosedError, OSError) as exc:
             self.close()
             raise ExchangeLost(f"{self._address}: connection closed") from exc
@@ -137,16 +139,17 @@
             self.close()
         return HttpReply(collector.status, b"".join(collector.chunks))
 
-    async def _send(self, req: HttpRequest) -> None:
-        headers = HTTPHeaders({"Host": self._address})
-        headers["Content-Length"] = str(len(req.body))
+    async def _send_and_read(self, req: HttpRequest, collector: _Collector) -> bool:
+        """Tell whether the connection can carry another exchange."""
+        headers = HTTPHeaders()
+        headers.add("Host", self._address)
+        headers.add("Content-Length", str(len(req.body)))
         if req.body:
-            headers["Content-Type"] = "application/json"
-        for name, value in req.headers:
-            headers.add(name, value)
+            headers.add("Content-Type", "application/json")
         line = RequestStartLine(req.method, req.path, "HTTP/1.1")
         await self._http.write_headers(line, headers, req.body)
         self._http.finish()
+        return await self._http.read_response(collector)
 
 
 def _enable_tcp_keepalive(sock: socket.socket) -> None:
--- a/monsoongap/transport/workers.py
+++ b/monsoongap/transport/workers.py
@@ -19,7 +19,6 @@
     NotConnected,
 )
 
-START_TIMEOUT_S = 86_400.0
 MS_PER_S = 1000
 
 
@@ -56,7 +55,7 @@
         """Send a start and wait until the task ends or is refused."""
         self.counts.starts += 1
         req = HttpRequest("PUT", _task_path(start.task), msgspec.json.encode(start))
-        return await self._ask(worker, req, START_TIMEOUT_S, start.task, fresh=False)
+        return await self._ask(worker, req, None, start.task, fresh=False)
 
     async def inspect(self, worker: str, task: str, wait_ms: int) -> TaskReport:
         """Ask for a task's state on a connection of its own."""
@@ -107,7 +106,12 @@
         return connections.open_count if connections else 0
 
     async def _ask(
-        self, worker: str, req: HttpRequest, timeout_s: float, task: str, fresh: bool
+        self,
+        worker: str,
+        req: HttpRequest,
+        timeout_s: float | None,
+        task: str,
+        fresh: bool,
     ) -> TaskReport:
         """Exchange and check that the report speaks of the task asked for."""
 
@@ -124,7 +128,7 @@
         self,
         worker: str,
         req: HttpRequest,
-        timeout_s: float,
+        timeout_s: float | None,
         decode: Callable[[HttpReply], Any],
         fresh: bool,
     ) -> Any:
