--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -92,9 +92,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementSection:
-    """Queueing, shares, credits, ejection of bad workers."""
+    """Queueing, shares, credits, ejection of bad workers.
+
+    `short_s` parts short from long tasks until the gap between them has been
+    measured. A job is refused when it would wait longer than `queue_wait_s` and
+    longer than `queue_wait_runs` times its longest task.
+    """
 
     short_s: Seconds = 1.0
+    queue_tasks: Count = 10_000
+    queue_wait_s: Seconds = 0.5
+    queue_wait_runs: Annotated[float, Meta(ge=0, le=1000)] = 3.0
+    credit_lease_s: Seconds = 2.0
+    suspect_grace_s: Seconds = 5.0
+    probe_s: Seconds = 1.0
+    probe_max_s: Seconds = 30.0
+    ejected_share: Share = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,12 +126,14 @@
     `open` says whether teams that the tree does not name may submit.
     `admin_token_hash` (`sha256:` and 64 hexadecimal digits) lets a first operator
     change any subtree; empty means that only operators named in the tree may.
-    `snapshot_s` must lie well below the log's retention.
+    `snapshot_s` must lie well below the log's retention. `start_empty` lets a host
+    that finds neither a snapshot nor a peer begin with an empty tree.
     """
 
     digest_s: Seconds = 1.0
     snapshot_s: Seconds = 300.0
     open: bool = True
+    start_empty: bool = False
     admin_token_hash: Annotated[str, Meta(pattern=r"^(sha256:[0-9a-f]{64})?\Z")] = ""
 
 
