Place by urgency, lend credits, admit by measured drain, eject bad workers

Cause: the first-come queue with a static division lets short jobs wait behind long tasks, leaves a host's idle slots to nobody and takes in more than it can answer. Ruled out: a fixed share for short work (trades one class for the other), a shared queue per data centre (one host to lose), believing declared sizes. Change: queues by level, team and job; run times learned per team, kind and octave of the declared size; the share of long work follows the measured load; idle credits lent between hosts under leases; admission by the measured drain rate; workers that fail what succeeds elsewhere are ejected and probed.

--- /dev/null
+++ b/monsoongap/coordination/quotas.py
@@ -0,0 +1,144 @@
+"""Fair shares of teams: who is served next and how much room each may reserve.
+
+Shares are by weight: a team's quota in slots, or the mean of the others' quotas
+where it has none. A share that its team leaves unused goes to the others.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from monsoongap.coordination.parts import TeamDirectory, TeamLimits
+from monsoongap.errors import DispatchError, ErrorKind
+
+OVER_QUOTA_RETRY_MS = 1000
+
+
+@dataclass(slots=True)
+class _Account:
+    """Slot-seconds given to a team, divided by its weight."""
+
+    weight: float
+    service: float = 0.0
+    waiting: int = 0
+
+
+class TeamShares:
+    """Weighted fair service among the teams that have tasks waiting.
+
+    A team that comes back after a pause starts level with the least served of the
+    waiting teams: it neither pays for its pause nor saves up for a burst.
+    """
+
+    def __init__(self, teams: TeamDirectory) -> None:
+        self._teams = teams
+        self._accounts: dict[str, _Account] = {}
+        self._floor = 0.0
+        self._waiting_weight = 0.0
+
+    def refresh(self) -> None:
+        """Take over the weights in force and forget idle teams."""
+        weights = team_weights(self._teams.all())
+        for team, account in list(self._accounts.items()):
+            if account.waiting:
+                account.weight = weights.get(team, account.weight)
+            else:
+                del self._accounts[team]
+        waiting = (a.weight for a in self._accounts.values() if a.waiting)
+        self._waiting_weight = sum(waiting)
+
+    def service(self, team: str) -> float:
+        """Return the service a team has had, for comparing teams."""
+        return self._account(team).service
+
+    def enter(self, team: str) -> None:
+        """Count one more waiting task."""
+        account = self._account(team)
+        if not account.waiting:
+            account.service = max(account.service, self._floor)
+            self._waiting_weight += account.weight
+        account.waiting += 1
+
+    def leave(self, team: str) -> None:
+        """Count one waiting task less."""
+        account = self._account(team)
+        account.waiting -= 1
+        if not account.waiting:
+            self._waiting_weight -= account.weight
+
+    def charge(self, team: str, slot_s: float, started: bool = False) -> None:
+        """Add slot-seconds to a team's service; negative ones correct it."""
+        account = self._account(team)
+        if started:
+            self._floor = max(self._floor, account.service)
+        account.service += slot_s / account.weight
+
+    def share(self, team: str) -> float:
+        """Return the part of the drain a team gets if it queues now."""
+        account = self._account(team)
+        weight = self._waiting_weight
+        if not account.waiting:
+            weight += account.weight
+        return min(1.0, account.weight / weight) if weight > 0.0 else 1.0
+
+    def _account(self, team: str) -> _Account:
+        account = self._accounts.get(team)
+        if account is None:
+            weight = team_weights(self._teams.all()).get(team, 1.0)
+            account = self._accounts[team] = _Account(weight, self._floor)
+        return account
+
+
+class Reservations:
+    """Room for admitted tasks: each team's own part, and the unused rest lent.
+
+    A team within its part is always let in, so a flood of another team that has
+    borrowed the rest does not shut it out. The total is therefore bounded by
+    twice `total_tasks`.
+    """
+
+    def __init__(self, teams: TeamDirectory, total_tasks: int) -> None:
+        self._teams = teams
+        self._total_tasks = total_tasks
+        self._tasks: Counter[str] = Counter()
+        self.total = 0
+
+    def of(self, team: str) -> int:
+        """Return how many tasks a team has admitted."""
+        return self._tasks[team]
+
+    def reserve(self, limits: TeamLimits, tasks: int) -> None:
+        """Reserve room or raise `over_quota` or `overloaded`."""
+        wanted = self._tasks[limits.team] + tasks
+        if wanted > limits.max_tasks:
+            raise DispatchError(
+                ErrorKind.OVER_QUOTA,
+                f"team {limits.team!r} may have {limits.max_tasks} tasks",
+                OVER_QUOTA_RETRY_MS,
+            )
+        over_total = self.total + tasks > self._total_tasks
+        if over_total and wanted > self._own_part(limits.team):
+            raise DispatchError(
+                ErrorKind.OVERLOADED, "the queue is full", OVER_QUOTA_RETRY_MS
+            )
+        self._tasks[limits.team] = wanted
+        self.total += tasks
+
+    def give_back(self, team: str, tasks: int) -> None:
+        """Give room back; never below zero."""
+        tasks = min(tasks, self._tasks[team])
+        self._tasks[team] -= tasks
+        self.total -= tasks
+        if not self._tasks[team]:
+            del self._tasks[team]
+
+    def _own_part(self, team: str) -> int:
+        weights = team_weights(self._teams.all())
+        part = weights.get(team, 0.0) / (sum(weights.values()) or 1.0)
+        return int(part * self._total_tasks)
+
+
+def team_weights(limits: tuple[TeamLimits, ...]) -> dict[str, float]:
+    """Return each team's weight: its quota, or the mean quota without one."""
+    quotas = [team.quota_slots for team in limits if team.quota_slots]
+    mean = sum(quotas) / len(quotas) if quotas else 1.0
+    return {team.team: float(team.quota_slots or mean) for team in limits}
--- /dev/null
+++ b/monsoongap/coordination/scheduler_order.py
@@ -0,0 +1,108 @@
+"""The order in which waiting tasks may have the free slots.
+
+Short jobs come first. Long work is held to a share that follows the load, and
+leaves some free slots to the next burst of short jobs. Work that has waited too
+long goes ahead, so no class starves.
+"""
+
+from collections.abc import Iterator
+
+from monsoongap.coordination.admission import Admission
+from monsoongap.coordination.credits_book import CreditBook
+from monsoongap.coordination.credits_lending import Lending, Need, Wants
+from monsoongap.coordination.queues import Level, TaskQueues, Waiting
+from monsoongap.coordination.scheduler_jobs import JobTable
+from monsoongap.coordination.shares import LATE_AFTER_RUNS, LongShare
+
+
+class TaskOrder:
+    """Chooses the next task, and tells what this host wants and can spare."""
+
+    def __init__(
+        self,
+        book: CreditBook,
+        queues: TaskQueues,
+        jobs: JobTable,
+        long_share: LongShare,
+    ) -> None:
+        self._book = book
+        self._queues = queues
+        self._jobs = jobs
+        self._long_share = long_share
+        self._fill_turn = False
+
+    def long_limit(self, now: float) -> int:
+        """Return how many slots long work may hold."""
+        lateness = self._lateness(Level.LONG, now)
+        return self._long_share.limit(now, self._book.pool, lateness)
+
+    def reserve(self, now: float) -> int:
+        """Return how many free slots are kept for short jobs."""
+        return self._long_share.reserve(now, self._book.pool)
+
+    def next_tasks(self, now: float, lending: Lending) -> Iterator[Waiting]:
+        """Yield waiting tasks while there is a free slot that they may have."""
+        reserve = self.reserve(now)
+        limit = self.long_limit(now)
+        long_late = self._lateness(Level.LONG, now) >= 1.0
+        fill_late = self._lateness(Level.FILL, now) >= 1.0
+        kept = lending.kept_for_peers(now)
+        while self._book.free > 0:
+            may_long = self._jobs.long_busy < limit
+            waiting = None
+            if long_late and may_long:
+                waiting = self._queues.pop(Level.LONG, now)
+            if waiting is None and fill_late and self._take_fill_turn():
+                waiting = self._queues.pop(Level.FILL, now)
+            waiting = waiting or self._queues.pop(Level.FRESH, now)
+            if waiting is None and self._book.free > kept:
+                waiting = self._queues.pop(Level.LATE, now)
+            if waiting is None and self._book.free > kept + reserve:
+                waiting = self._next_normal(may_long, now)
+            if waiting is None:
+                return
+            yield waiting
+
+    def need(self, now: float) -> Need:
+        """Return what this host wants to borrow and could lend."""
+        lengths, free = self._queues.length, self._book.free
+        fresh, late = lengths[Level.FRESH], lengths[Level.LATE]
+        reserve = self.reserve(now)
+        rest = max(0, self.long_limit(now) - self._jobs.long_busy)
+        normal = late + min(lengths[Level.LONG], rest) + lengths[Level.FILL]
+        overdue = max(self._lateness(level, now) for level in (Level.LONG, Level.FILL))
+        urgent = fresh if overdue < 1.0 else fresh + normal
+        wants = Wants(
+            urgent=max(0, urgent - free),
+            normal=max(0, normal - max(0, free - reserve)) if urgent == fresh else 0,
+        )
+        spare = Wants(
+            urgent=max(0, free - fresh),
+            normal=max(0, free - fresh - normal - reserve),
+        )
+        return Need(wants, spare)
+
+    def note_drain(self, now: float, admission: Admission) -> None:
+        """Tell admission whether work of either class is left waiting."""
+        lengths = self._queues.length
+        urgent = lengths[Level.FRESH] + lengths[Level.LATE] > 0
+        normal = lengths[Level.LONG] + lengths[Level.FILL] > 0
+        admission.urgent_drain.note(now, urgent)
+        admission.normal_drain.note(now, normal)
+
+    def _next_normal(self, may_long: bool, now: float) -> Waiting | None:
+        waiting = None
+        if may_long:
+            waiting = self._queues.pop(Level.LONG, now)
+        return waiting or self._queues.pop(Level.FILL, now)
+
+    def _take_fill_turn(self) -> bool:
+        self._fill_turn = not self._fill_turn
+        return self._fill_turn
+
+    def _lateness(self, level: Level, now: float) -> float:
+        """Return the longest wait at a level over what it may be."""
+        oldest = self._queues.oldest(level)
+        if oldest is None:
+            return 0.0
+        return (now - oldest.since) / (LATE_AFTER_RUNS * oldest.job.run_s)
