Put the parts together: the entry daemon serves the whole path

Cause: the parts existed, no process joined them. Conclusion: the thin path runs end to end; leaving in full and TLS come next.

--- /dev/null
+++ b/monsoongap/entry.py
@@ -0,0 +1,177 @@
+"""The program `monsoongap-entry`: the daemon on each entry host."""
+
+import asyncio
+import logging
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+import monsoongap
+from monsoongap.coordination.node import Node, Ports
+from monsoongap.coordination.parts import HostIdentity
+from monsoongap.errors import UserError
+from monsoongap.logs import configure_logging
+from monsoongap.metrics import Metrics
+from monsoongap.protocol.peer import PeerHandlers
+from monsoongap.settings import EntrySettings, load_settings
+from monsoongap.timers import TimerService
+from monsoongap.transport.app import build_app
+from monsoongap.transport.http_base import LimitedServer, listen
+from monsoongap.transport.node_view import MeteredJobs, ServedNode
+from monsoongap.transport.peers import GrpcPeers
+from monsoongap.transport.platform_client import HostListClient, LogClient
+from monsoongap.transport.workers import HttpWorkers
+from monsoongap.util.ini import SettingsErrors
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+LISTEN_CLOSE_S = 0.2
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+class Daemon:
+    """Owns the sockets and the node of one process."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self._cfg = cfg
+        self._timers = TimerService()
+        self._identity = HostIdentity(
+            cfg.host.name, cfg.host.dc, int(time.time() * MS_PER_S), cfg.host.region
+        )
+        handlers = PeerHandlers()
+        self._peers = GrpcPeers(cfg, self._identity, handlers, self._peer_address)
+        self._workers = HttpWorkers(cfg.workers, self._worker_address)
+        self._log = LogClient(cfg)
+        self._host_list = HostListClient(cfg)
+        ports = Ports(self._workers, self._log, self._host_list, self._peers)
+        self.node = Node(cfg, self._identity, ports, handlers, self._timers)
+        self._metrics = Metrics(cfg.host.name, cfg.host.dc)
+        self._server: LimitedServer | None = None
+        self._signals = 0
+        self._leave = asyncio.Event()
+        self._abort = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal, then leave in good order."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        await self._peers.start()
+        view = ServedNode(self.node, self._workers, self._metrics, self._leave.set)
+        jobs = MeteredJobs(self.node.home, self._metrics)
+        application = build_app(
+            self._cfg.limits, jobs, self.node.tokens, view, self.node.config
+        )
+        self._server = listen(application, self._cfg.listen.caller, self._cfg.limits)
+        log.info("listening", extra={"address": self._cfg.listen.caller})
+        await self.node.start()
+        await self._leave.wait()
+        await self._drain()
+        await self._close()
+
+    def _on_signal(self) -> None:
+        self._signals += 1
+        if self._signals == 1:
+            self._leave.set()
+        else:
+            self._abort.set()
+
+    async def _drain(self) -> None:
+        """Refuse new jobs and wait for those in flight, within the limit."""
+        self.node.drain.begin()
+        log.info("draining", extra={"in_flight": self.node.home.in_flight()})
+        drained = asyncio.ensure_future(self.node.home.drained())
+        aborted = asyncio.ensure_future(self._abort.wait())
+        await asyncio.wait(
+            {drained, aborted},
+            timeout=self._cfg.limits.drain_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        drained.cancel()
+        aborted.cancel()
+
+    async def _close(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+            await asyncio.sleep(LISTEN_CLOSE_S)
+            await self._server.close_all_connections()
+        await self.node.close()
+        self._workers.close()
+        await self._peers.stop()
+        log.info("stopped", extra={"host": self._identity.name})
+
+    def _peer_address(self, host: str) -> str | None:
+        return self.node.membership.address_of(host)
+
+    def _worker_address(self, worker: str) -> str | None:
+        info = self.node.membership.worker(worker)
+        return info.address if info else None
+
+
+async def _serve(cfg: EntrySettings) -> None:
+    await Daemon(cfg).run()
+
+
+def parse_overrides(pairs: list[str]) -> dict[str, str]:
+    """Turn `section.key=value` texts into overrides; raises `UserError`."""
+    overrides = {}
+    for pair in pairs:
+        dotted, equals, value = pair.partition("=")
+        if not equals or "." not in dotted:
+            raise UserError(f"--set wants section.key=value, not {pair!r}")
+        overrides[dotted] = value
+    return overrides
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        print(monsoongap.__version__)
+        raise typer.Exit
+
+
+@app.command()
+def serve(
+    config: Annotated[
+        Path, typer.Option("--config", help="INI file with the settings.")
+    ],
+    set_: Annotated[
+        list[str], typer.Option("--set", help="section.key=value over the file.")
+    ] = [],  # noqa: B006
+    check_config: Annotated[
+        bool, typer.Option("--check-config", help="Check the settings and exit.")
+    ] = False,
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=_print_version, is_eager=True),
+    ] = False,
+) -> None:
+    """Run an entry host: callers in front, upstreams behind."""
+    cfg = load_settings(config, parse_overrides(set_))
+    if check_config:
+        print(f"{config}: no fault found")
+        return
+    configure_logging(cfg.log)
+    asyncio.run(_serve(cfg))
+
+
+def main() -> None:
+    """Run the program; every fault of the settings is printed on a line."""
+    try:
+        app()
+    except SettingsErrors as exc:
+        for fault in exc.exceptions:
+            print(f"monsoongap-entry: {fault}", file=sys.stderr)
+        sys.exit(2)
+    except UserError as exc:
+        print(f"monsoongap-entry: {exc}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- a/monsoongap/metrics.py
+++ b/monsoongap/metrics.py
@@ -4,11 +4,13 @@
 a scrape asks, so counting costs nothing on the path of a request.
 """
 
+import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
 
 from monsoongap.protocol.messages import JobAnswer, JobOutcome
 
@@ -44,22 +46,30 @@
         )
         self._gauges.append((gauge, source))
 
-    def observe_response(self, seconds: float, outcome: JobOutcome) -> None:
-        """Count one job's response time under its outcome."""
+    async def timed(self, work: Awaitable[JobOutcome]) -> JobOutcome:
+        """Await a job's outcome and count its response time under it."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        outcome = await work
         match outcome:
             case JobAnswer():
                 label = "answered"
             case error:
                 label = error.outcome
-        self._responses.observe({"outcome": label}, seconds)
+        self._responses.observe({"outcome": label}, loop.time() - began)
+        return outcome
+
+    def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the current metrics in a form that the reader accepts."""
+        self.refresh()
+        content, headers = render(self.registry, accepts)
+        return content, headers
 
     def refresh(self) -> None:
         """Copy the parts' counters and values into the registry."""
         for part, source in self._sources:
-            counters = source()
-            for field in dataclasses.fields(counters):
-                value = getattr(counters, field.name)
-                self._counter(part, field.name).set({}, value)
+            for name, value in _pairs(source()):
+                self._counter(part, name).set({}, value)
         for gauge, read in self._gauges:
             gauge.set({}, read())
 
@@ -71,3 +81,12 @@
                 full, doc, const_labels=self._labels, registry=self.registry
             )
         return self._counters[full]
+
+
+def _pairs(counters: Any) -> Iterator[tuple[str, int]]:
+    """Yield name and value of each counter."""
+    if isinstance(counters, Mapping):
+        yield from counters.items()
+        return
+    for field in dataclasses.fields(counters):
+        yield field.name, getattr(counters, field.name)
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -3,9 +3,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from aioprometheus.collectors import Registry
-from aioprometheus.renderer import render
-
 from monsoongap.coordination.parts import DrainState, PeerInfo
 from monsoongap.protocol.messages import JobView
 from monsoongap.transport.http_base import JsonHandler
@@ -52,7 +49,10 @@
     """What the operators' handlers read of the node."""
 
     drain: DrainState
-    registry: Registry
+
+    def metrics_text(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics and their headers."""
+        ...
 
     def ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
@@ -111,7 +111,7 @@
     async def get(self) -> None:
         """Render the registry in the form that the reader accepts."""
         accepts = self.request.headers.get_list("Accept")
-        content, headers = render(self.node.registry, accepts)
+        content, headers = self.node.metrics_text(accepts)
         for name, value in headers.items():
             self.set_header(name, value)
         self.finish(content)
