--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -146,6 +146,11 @@
         """Return the number of callers that wait here, or of running jobs."""
         return max(self._callers, len(self._jobs.table.all_running()))
 
+    async def end_all(self) -> None:
+        """Stop every running job, so that each caller is told its true outcome."""
+        for entry in self._jobs.table.all_running():
+            entry.request_stop(ErrorKind.DRAINING)
+
     async def drained(self) -> None:
         """Wait until no caller waits and no job runs."""
         while self.in_flight():
--- a/monsoongap/entry.py
+++ b/monsoongap/entry.py
@@ -11,6 +11,7 @@
 import typer
 
 import monsoongap
+from monsoongap.coordination.leaving import LeaveHooks, Leaving
 from monsoongap.coordination.node import Node, Ports
 from monsoongap.coordination.parts import HostIdentity
 from monsoongap.errors import UserError
@@ -24,6 +25,7 @@
 from monsoongap.transport.node_view import MeteredJobs, ServedNode
 from monsoongap.transport.peers import GrpcPeers
 from monsoongap.transport.platform_client import HostListClient, LogClient
+from monsoongap.transport.tls import TlsFault, TlsFiles
 from monsoongap.transport.workers import HttpWorkers
 from monsoongap.util.ini import SettingsErrors
 
@@ -44,8 +46,15 @@
         self._identity = HostIdentity(
             cfg.host.name, cfg.host.dc, int(time.time() * MS_PER_S), cfg.host.region
         )
+        self._tls = TlsFiles(cfg.tls, self._timers)
         handlers = PeerHandlers()
-        self._peers = GrpcPeers(cfg, self._identity, handlers, self._peer_address)
+        self._peers = GrpcPeers(
+            cfg,
+            self._identity,
+            handlers,
+            self._peer_address,
+            self._tls if self._tls.enabled else None,
+        )
         self._workers = HttpWorkers(cfg.workers, self._worker_address)
         self._log = LogClient(cfg)
         self._host_list = HostListClient(cfg)
@@ -53,15 +62,24 @@
         self.node = Node(cfg, self._identity, ports, handlers, self._timers)
         self._metrics = Metrics(cfg.host.name, cfg.host.dc)
         self._server: LimitedServer | None = None
-        self._signals = 0
         self._leave = asyncio.Event()
-        self._abort = asyncio.Event()
+        self._leaving = Leaving(
+            cfg.limits,
+            self.node.drain,
+            LeaveHooks(
+                return_credits=self._return_credits,
+                in_flight=self.node.home.in_flight,
+                end_all=self.node.home.end_all,
+            ),
+            self._timers,
+        )
 
     async def run(self) -> None:
         """Serve until a signal, then leave in good order."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        self._tls.start()
         await self._peers.start()
         view = ServedNode(self.node, self._workers, self._metrics, self._leave.set)
         jobs = MeteredJobs(self.node.home, self._metrics)
@@ -72,29 +90,16 @@
         log.info("listening", extra={"address": self._cfg.listen.caller})
         await self.node.start()
         await self._leave.wait()
-        await self._drain()
+        await self._leaving.leave()
         await self._close()
 
     def _on_signal(self) -> None:
-        self._signals += 1
-        if self._signals == 1:
-            self._leave.set()
-        else:
-            self._abort.set()
-
-    async def _drain(self) -> None:
-        """Refuse new jobs and wait for those in flight, within the limit."""
-        self.node.drain.begin()
-        log.info("draining", extra={"in_flight": self.node.home.in_flight()})
-        drained = asyncio.ensure_future(self.node.home.drained())
-        aborted = asyncio.ensure_future(self._abort.wait())
-        await asyncio.wait(
-            {drained, aborted},
-            timeout=self._cfg.limits.drain_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        drained.cancel()
-        aborted.cancel()
+        if self._leave.is_set():
+            self._leaving.hurry()
+        self._leave.set()
+
+    async def _return_credits(self) -> None:
+        """Leave idle credits to the scheduler, which gives them back unasked."""
 
     async def _close(self) -> None:
         if self._server is not None:
@@ -168,7 +173,7 @@
         for fault in exc.exceptions:
             print(f"monsoongap-entry: {fault}", file=sys.stderr)
         sys.exit(2)
-    except UserError as exc:
+    except (UserError, TlsFault) as exc:
         print(f"monsoongap-entry: {exc}", file=sys.stderr)
         sys.exit(2)
 
