--- a/bench/demo.py
+++ b/bench/demo.py
@@ -176,9 +176,10 @@
     table.add_row("not-run", f"{summary.outcomes.get('not_run', 0)}")
     table.add_row("promises broken", f"{len(summary.violations or ())}")
     console.print(table)
-    others = set(summary.outcomes) - {"answered", "not_run"}
-    for outcome in sorted(others):
-        console.print(f"{outcome}: {summary.outcomes[outcome]}")
+    for outcome in sorted(set(summary.outcomes) - {"answered", "not_run"}):
+        console.print(f"jobs with outcome {outcome}: {summary.outcomes[outcome]}")
+    for error, count in summary.errors.items():
+        console.print(f"calls with error {error}: {count}")
 
 
 def demo(
@@ -188,12 +189,16 @@
     report: Annotated[
         Path | None, typer.Option(help="Write an HTML page with plots.")
     ] = None,
+    keep: Annotated[
+        Path | None, typer.Option(help="Keep settings and logs in this folder.")
+    ] = None,
 ) -> None:
     """Run a deployment on loopback under load and check every promise."""
     console = Console()
     cfg = load_profile(profile) if profile else DEMO
     with tempfile.TemporaryDirectory(prefix="monsoongap-demo-") as name:
-        folder = Path(name)
+        folder = keep or Path(name)
+        folder.mkdir(parents=True, exist_ok=True)
         deployment = write_deployment(folder, cfg.deployment)
         cfg = aim_at(cfg, deployment)
         try:
--- a/monsoongap/load/report.py
+++ b/monsoongap/load/report.py
@@ -75,6 +75,7 @@
     rows = [
         Row("jobs", str(summary.jobs)),
         *(Row(f"outcome {name}", str(n)) for name, n in summary.outcomes.items()),
+        *(Row(f"error {kind}", str(n)) for kind, n in summary.errors.items()),
         Row("offered, jobs/s", _number(summary.offered_per_s)),
         Row("capacity, jobs/s", _number(summary.capacity_per_s)),
         Row("goodput, jobs/s", _number(summary.goodput_per_s)),
--- a/monsoongap/load/summary.py
+++ b/monsoongap/load/summary.py
@@ -1,7 +1,7 @@
 """Turns what a load run measured into the figures of the report."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from monsoongap.load.checker import check
@@ -20,16 +20,25 @@
     """One job: its class, when it was due, its ideal and what came of it.
 
     Times are milliseconds, `due_ms` since the start of the run. `response_ms` is
-    from the due time to the first outcome, None when there was none.
+    from the due time to the first outcome, None when there was none. `work_ms` is
+    the run time of all its tasks together.
     """
 
     job_class: JobClass
     due_ms: float
     ideal_ms: float
+    work_ms: float
     response_ms: float | None
     outcome: str
     in_deadline: bool
 
+    @property
+    def ended_ms(self) -> float:
+        """Return when the outcome came, infinity when none did."""
+        if self.response_ms is None:
+            return float("inf")
+        return self.due_ms + self.response_ms
+
     @property
     def ratio(self) -> float | None:
         """Return response over ideal, None for a job without an answer."""
@@ -52,7 +61,9 @@
 class CrestFigures:
     """Service at the crest of a swing.
 
-    `goodput_share` is goodput over the smaller of offered load and capacity.
+    `goodput_share` is the work of the jobs answered in deadline during the crest,
+    over the smaller of the work offered and the work that all slots can do then.
+    The other figures are of the jobs that arrived during the crest.
     """
 
     jobs: int
@@ -67,13 +78,15 @@
 class Summary:
     """The figures of one run.
 
-    Rates are jobs per second. `blocked_short_share` is the share of answered short
+    Rates are jobs per second. `outcomes` counts jobs and `errors` counts calls by
+    error kind. `blocked_short_share` is the share of answered short
     jobs whose response was over `BLOCKED_RATIO` times the ideal. `messages` are
     requests to workers per start; None where no entry host tells.
     """
 
     jobs: int
     outcomes: dict[str, int]
+    errors: dict[str, int]
     classes: dict[str, ClassFigures]
     offered_per_s: float
     capacity_per_s: float
@@ -89,7 +102,7 @@
 
 def summarize(cfg: LoadProfile, result: LoadResult) -> Summary:
     """Compute the figures of a run and check its promises."""
-    samples = tuple(_samples(cfg, result))
+    samples = samples_of(cfg, result)
     span_s = cfg.arrivals.duration_s
     good = [sample for sample in samples if sample.in_deadline]
     short = [sample for sample in samples if sample.job_class is JobClass.SHORT]
@@ -97,12 +110,13 @@
     return Summary(
         jobs=len(samples),
         outcomes=dict(Counter(sample.outcome for sample in samples)),
+        errors=dict(_error_kinds(result)),
         classes={kind: _class_figures(samples, kind) for kind in JobClass},
         offered_per_s=len(samples) / span_s,
         capacity_per_s=capacity_jobs_per_s(cfg),
         goodput_per_s=len(good) / span_s,
         blocked_short_share=_blocked_share(short),
-        crest=_crest(cfg, samples),
+        crest=crest_figures(cfg, samples),
         messages_per_start=_messages_per_start(result.messages),
         wasted_message_share=_wasted_share(result.messages),
         starts=len(ledger.entries) if ledger else None,
@@ -134,6 +148,7 @@
             job_class=job.planned.job.job_class,
             due_ms=job.planned.at_s * MS_PER_S,
             ideal_ms=ideal_ms,
+            work_ms=job.planned.job.work_ms,
             response_ms=response_ms,
             outcome=outcome,
             in_deadline=good,
@@ -168,6 +183,15 @@
             return name
 
 
+def _error_kinds(result: LoadResult) -> Counter[str]:
+    return Counter(
+        reception.outcome.error
+        for call in result.run.calls
+        for reception in call.received
+        if isinstance(reception.outcome, JobError)
+    )
+
+
 def _ratios(samples: Iterable[Sample]) -> list[float]:
     return [sample.ratio for sample in samples if sample.ratio is not None]
 
@@ -187,22 +211,27 @@
     return sum(ratio > BLOCKED_RATIO for ratio in ratios) / len(ratios)
 
 
-def _crest(cfg: LoadProfile, samples: Iterable[Sample]) -> CrestFigures | None:
+def crest_figures(cfg: LoadProfile, samples: Sequence[Sample]) -> CrestFigures | None:
     """Return the figures of the jobs that arrived at the crest, if there is one."""
     window = crest_window_ms(cfg.arrivals)
     if window is None:
         return None
     begin_ms, end_ms = window
     inside = [sample for sample in samples if begin_ms <= sample.due_ms < end_ms]
-    good = sum(sample.in_deadline for sample in inside)
-    span_s = (end_ms - begin_ms) / MS_PER_S
-    possible = min(len(inside), capacity_jobs_per_s(cfg) * span_s)
+    done_ms = sum(
+        sample.work_ms
+        for sample in samples
+        if sample.in_deadline and begin_ms <= sample.ended_ms < end_ms
+    )
+    slots = cfg.deployment.workers * cfg.deployment.slots
+    offered_ms = sum(sample.work_ms for sample in inside)
+    possible_ms = min(offered_ms, slots * (end_ms - begin_ms))
     refused = [sample for sample in inside if sample.outcome == "not_run"]
     waits_ms = [sample.response_ms for sample in refused if sample.response_ms]
     return CrestFigures(
         jobs=len(inside),
-        answered_in_deadline=good,
-        goodput_share=good / possible if possible else 1.0,
+        answered_in_deadline=sum(sample.in_deadline for sample in inside),
+        goodput_share=done_ms / possible_ms if possible_ms else 1.0,
         ratio_p99=quantile(_ratios(inside), 0.99),
         refused=len(refused),
         refusal_p99_ms=quantile(waits_ms, 0.99),
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -26,7 +26,7 @@
     TargetSection,
     load_profile,
 )
-from monsoongap.load.summary import samples_of, summarize
+from monsoongap.load.summary import Sample, crest_figures, samples_of, summarize
 from monsoongap.load.violations import FalseNotRun, MissingOutcome, WrongAnswer
 from monsoongap.platform.ledger import StartLedger
 from monsoongap.protocol.ids import task_id
@@ -192,6 +192,28 @@
     assert set(summary.outcomes) == {outcome}
 
 
+def make_sample(due_s: float, response_s: float | None) -> Sample:
+    outcome = "not_run" if response_s is None else "answered"
+    response_ms = 20.0 if response_s is None else response_s * 1000
+    good = response_s is not None and response_s <= 2
+    return Sample(JobClass.SHORT, due_s * 1000, 500, 8000, response_ms, outcome, good)
+
+
+def test_crest_goodput_is_the_work_answered_in_its_window_and_deadline() -> None:
+    cfg = replace(
+        PROFILE,
+        deployment=DeploymentSection(workers=1, slots=8),
+        arrivals=ArrivalsSection("step", peak_from_s=5, peak_for_s=5),
+    )
+    in_time = [make_sample(due_s, 1) for due_s in (4.5, 5, 6, 7)]
+    other = [make_sample(5, 3), make_sample(9.5, 1), make_sample(8, None)]
+    crest = crest_figures(cfg, [*in_time, *other])
+    assert crest is not None
+    assert (crest.jobs, crest.answered_in_deadline, crest.refused) == (6, 4, 1)
+    assert crest.goodput_share == pytest.approx(4 * 8000 / (8 * 5000))
+    assert crest.refusal_p99_ms == 20
+
+
 def test_program_refuses_a_faulty_profile_with_every_fault(tmp_path: Path) -> None:
     path = tmp_path / "load.ini"
     path.write_text("[mix]\nlong_share = 2\n[arivals]\nload = 1\n")
