--- a/monsoongap/coordination/claim_batch.py
+++ b/monsoongap/coordination/claim_batch.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -58,8 +60,12 @@
         port: LogPort,
         table: ClaimTable,
         timers: TimerService,
+        min_period_s: Callable[[], float],
     ) -> None:
+        """Create the batcher; two appends lie at least `min_period_s` apart."""
         self._cfg = cfg
+        self._min_period_s = min_period_s
+        self._appended_at = -math.inf
         self._stream = f"claims-{bucket}"
         self._port = port
         self._table = table
@@ -102,8 +108,8 @@
                     return
 
     async def _commit_all(self) -> None:
-        await self._timers.sleep(self._cfg.batch_s)
         while self._waiting:
+            await self._gather()
             batch = self._waiting[:MAX_BATCH]
             del self._waiting[:MAX_BATCH]
             batch = [item for item in batch if not item.winner.done()]
@@ -120,6 +126,11 @@
                         _fail(item, log_out("internal error"))
                     batch = []
 
+    async def _gather(self) -> None:
+        """Wait for more claims, and for this bucket's turn at the log."""
+        turn = self._appended_at + self._min_period_s()
+        await self._timers.sleep(max(self._cfg.batch_s, turn - self._timers.now()))
+
     async def _commit(self, batch: list[_Waiting]) -> list[_Waiting]:
         """Append the claims of unclaimed keys, read back and tell the winners."""
         now = self._timers.now()
@@ -127,6 +138,7 @@
         if new:
             texts = tuple(msgspec.json.encode(i.record).decode() for i in new)
             self.appends += 1
+            self._appended_at = self._timers.now()
             offset = await self._port.append(self._stream, texts)
             while self._cursor < offset + len(texts):
                 await self.catch_up()
--- a/monsoongap/coordination/claims.py
+++ b/monsoongap/coordination/claims.py
@@ -237,11 +237,24 @@
         batcher = self._batchers.get(bucket)
         if batcher is None:
             batcher = BucketBatcher(
-                self._cfg, bucket, self._port, self._table, self._timers
+                self._cfg,
+                bucket,
+                self._port,
+                self._table,
+                self._timers,
+                self._min_period_s,
             )
             self._batchers[bucket] = batcher
         return batcher
 
+    def _min_period_s(self) -> float:
+        """Return how far apart appends to one bucket must be.
+
+        Each data centre appends to each bucket, and all share one log.
+        """
+        dcs = {peer.dc for peer in self._directory.peers()} | {self._identity.dc}
+        return len(dcs) * self._cfg.buckets / self._cfg.appends_per_s
+
     def _choose(self, key: str) -> str:
         return self._choose_for(self._bucket(key))
 
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -39,6 +39,16 @@
 MS_PER_S = 1000
 RETRY_MS = 1000
 
+# These refuse a call, not its key: another call under the same key may be right.
+CALL_REFUSALS = frozenset(
+    {
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.CONFLICT,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.UNAUTHORIZED,
+    }
+)
+
 
 class OwnKeys:
     """Claims keys and runs, follows or recovers their jobs."""
@@ -116,6 +126,8 @@
     async def _claimed_outcome(self, entry: JobEntry) -> JobOutcome | None:
         """Return the outcome, or None when the job now runs here."""
         refused = await self._admit(entry)
+        if refused is not None and refused.kind in CALL_REFUSALS:
+            raise refused
         claim = self._claim_record(entry, refused)
         remaining_s = max(entry.deadline_at - self._timers.now(), 0.0)
         mine = (*self._abandoned.get(claim.key, ()), claim)
@@ -222,12 +234,11 @@
 def is_final(outcome: JobOutcome) -> bool:
     """Tell whether an outcome can be replayed for good.
 
-    `unknown` may later turn out as something else, and a `conflict` concerns one
-    body only.
+    `unknown` may later turn out as something else.
     """
     if not isinstance(outcome, JobError):
         return True
-    return outcome.outcome != Outcome.UNKNOWN and outcome.error != ErrorKind.CONFLICT
+    return outcome.outcome != Outcome.UNKNOWN and outcome.error not in CALL_REFUSALS
 
 
 def _not_run(key: str, refused: DispatchError) -> JobError:
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -112,11 +112,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsSection:
-    """How callers' own keys are claimed in the log."""
+    """How callers' own keys are claimed in the log.
 
-    buckets: Annotated[int, Meta(ge=1, le=4096)] = 16
+    `buckets` is the number of claims streams and must be equal on every host, as
+    must `keep_s`, which must lie below the log's retention. Claims gather for
+    `batch_s`. `appends_per_s` is the part of the log's rate that the claims of
+    all hosts together may take.
+    """
+
+    buckets: Annotated[int, Meta(ge=1, le=4096)] = 4
     batch_s: Seconds = 0.01
     keep_s: Seconds = 600.0
+    appends_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 200.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -108,6 +108,23 @@
     run_virtual(main())
 
 
+def test_call_without_permission_does_not_close_the_key() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        slots = cluster.hosts["h1"].slots
+        slots.refuse_with = ErrorKind.FORBIDDEN
+        assert (
+            error(await cluster.hosts["h1"].home.submit("k", job()))[0] == "forbidden"
+        )
+        slots.refuse_with = None
+        assert await cluster.hosts["h1"].home.submit("k", job()) == JobAnswer(
+            "k", answers("k", 2)
+        )
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_another_body_is_a_conflict_at_any_host() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
--- a/tests/home_cluster.py
+++ b/tests/home_cluster.py
@@ -112,20 +112,23 @@
 
     def _pump(self) -> None:
         now = asyncio.get_running_loop().time()
+        free = {
+            info.name: info.slots // self._share - self._busy[info.name]
+            for info in self._directory.workers()
+        }
         for ticket, fut in tuple(self._waiting):
-            free = [
-                info.name
-                for info in self._directory.workers()
-                if info.name not in ticket.avoid
-                and self._busy[info.name] < info.slots // self._share
-            ]
-            if fut.done() or free:
+            if not any(count > 0 for count in free.values()):
+                return
+            best = min(
+                free.keys() - ticket.avoid, key=lambda w: (-free[w], w), default=""
+            )
+            if fut.done() or free.get(best, 0) > 0:
                 self._waiting.remove((ticket, fut))
-            if not fut.done() and free:
-                worker = min(free, key=lambda name: self._busy[name])
-                self._busy[worker] += 1
+            if not fut.done() and free.get(best, 0) > 0:
+                free[best] -= 1
+                self._busy[best] += 1
                 self._serial += 1
-                fut.set_result(Slot(self._serial, worker, now + SLOT_CREDIT_S))
+                fut.set_result(Slot(self._serial, best, now + SLOT_CREDIT_S))
 
 
 class Gate:
