--- a/monsoongap/transport/tls.py
+++ b/monsoongap/transport/tls.py
@@ -33,6 +33,15 @@
     ca: bytes
 
 
+@dataclass(frozen=True, slots=True, repr=False)
+class _Loaded:
+    """Files that fit each other, with the contexts made from them."""
+
+    material: _Material
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
 class TlsFiles:
     """The certificates named by the settings, and contexts that follow them.
 
@@ -46,13 +55,13 @@
         self._changed: list[Callable[[], None]] = []
         self._refused: _Material | None = None
         self._reported = ""
-        self._material: _Material | None = None
-        self._server: ssl.SSLContext | None = None
+        self._loaded: _Loaded | None = None
+        self._listening: ssl.SSLContext | None = None
         self._subscription: Subscription | None = None
         if self.enabled:
-            self._material = _read(cfg)
-            _check(cfg, self._material)
-            self._server = _server_context(cfg)
+            self._loaded = _load(cfg, _read(cfg))
+            self._listening = self._loaded.server
+            self._listening.sni_callback = self._choose_context
 
     @property
     def enabled(self) -> bool:
@@ -81,18 +90,14 @@
 
         It takes up new files by itself, for connections that come after.
         """
-        return self._server
+        return self._listening
 
     def client_context(self) -> ssl.SSLContext | None:
         """Return a context to connect with the files as they are now.
 
         It trusts the settings' CA alone and shows this host's certificate.
         """
-        if self._material is None:
-            return None
-        context = ssl.create_default_context(cadata=self._material.ca.decode())
-        context.load_cert_chain(self._cfg.certificate, self._cfg.key)
-        return context
+        return self._loaded.client if self._loaded else None
 
     def grpc_server_credentials(self) -> Any:
         """Return `grpc.ServerCredentials` that follow the files.
@@ -100,10 +105,10 @@
         A peer must show a certificate that the CA signed. gRPC asks at each
         handshake, from a thread of its own, whether there are new files.
         """
-        if self._material is None:
+        if self._loaded is None:
             return None
         return grpc.dynamic_ssl_server_credentials(
-            _grpc_configuration(self._material),
+            self._fetch_configuration(),
             self._fetch_configuration,
             require_client_authentication=True,
         )
@@ -113,29 +118,27 @@
 
         A channel keeps what it was opened with: open a new one after a change.
         """
-        held = self._material
-        if held is None:
+        if self._loaded is None:
             return None
+        held = self._loaded.material
         return grpc.ssl_channel_credentials(held.ca, held.key, held.certificate)
 
     def reload(self) -> None:
         """Take up the files if they changed and fit each other."""
+        held = self._loaded.material if self._loaded else None
         try:
             found = _read(self._cfg)
-            if found in (self._material, self._refused):
-                return
-            self._refused = found
-            _check(self._cfg, found)
+            if found == held:
+                self._refused = None
+                self._reported = ""
+            elif found != self._refused:
+                self._refused = found
+                self._take(_load(self._cfg, found))
         except TlsFault as exc:
             self._report(str(exc))
-            return
-        self._take(found)
-
-    def _take(self, found: _Material) -> None:
-        context = self._server
-        if context is not None:
-            context.load_cert_chain(self._cfg.certificate, self._cfg.key)
-        self._material = found
+
+    def _take(self, loaded: _Loaded) -> None:
+        self._loaded = loaded
         self._refused = None
         self._reported = ""
         log.info("certificates taken up", extra={"certificate": self._cfg.certificate})
@@ -151,13 +154,19 @@
             log.error("certificates not taken up", extra={"reason": reason})
         self._reported = reason
 
-    def _fetch_configuration(self) -> Any:
-        return _grpc_configuration(self._material) if self._material else None
-
+    def _choose_context(
+        self, conn: ssl.SSLObject | ssl.SSLSocket, _name: str, _: ssl.SSLContext
+    ) -> None:
+        """Let a handshake that begins now use the files that were read last."""
+        if self._loaded is not None:
+            conn.context = self._loaded.server
 
-def _grpc_configuration(held: _Material) -> Any:
-    pairs = [(held.key, held.certificate)]
-    return grpc.ssl_server_certificate_configuration(pairs, held.ca)
+    def _fetch_configuration(self) -> Any:
+        if self._loaded is None:
+            return None
+        held = self._loaded.material
+        pairs = [(held.key, held.certificate)]
+        return grpc.ssl_server_certificate_configuration(pairs, held.ca)
 
 
 def _server_context(cfg: TlsSection) -> ssl.SSLContext:
@@ -167,6 +176,12 @@
     return context
 
 
+def _client_context(cfg: TlsSection, ca: str) -> ssl.SSLContext:
+    context = ssl.create_default_context(cadata=ca)
+    context.load_cert_chain(cfg.certificate, cfg.key)
+    return context
+
+
 def _read(cfg: TlsSection) -> _Material:
     return _Material(
         certificate=_read_file("certificate", cfg.certificate),
@@ -186,12 +201,13 @@
         raise TlsFault(f"[tls] {name}: {exc}") from exc
 
 
-def _check(cfg: TlsSection, found: _Material) -> None:
-    """Try the files in contexts of their own; raises `TlsFault`."""
+def _load(cfg: TlsSection, found: _Material) -> _Loaded:
+    """Make contexts of the files, which held `found`; raises `TlsFault`."""
     try:
-        _server_context(cfg)
-        ssl.create_default_context(cadata=found.ca.decode("ascii"))
+        server = _server_context(cfg)
+        client = _client_context(cfg, found.ca.decode("ascii"))
     except (OSError, ValueError) as exc:
         raise TlsFault(f"[tls] the files do not fit: {exc}") from exc
     if _read(cfg) != found:
         raise TlsFault("[tls] the files are being replaced")
+    return _Loaded(found, server, client)
