--- a/monsoongap/coordination/dispatch_verdict.py
+++ b/monsoongap/coordination/dispatch_verdict.py
@@ -6,6 +6,7 @@
     NeverStarted,
     TaskEnd,
     Unsettled,
+    never_answers,
 )
 from monsoongap.errors import ANSWERS, DispatchError, ErrorKind, Outcome
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
@@ -43,8 +44,9 @@
 def job_verdict(entry: JobEntry, ends: tuple[TaskEnd, ...]) -> JobOutcome:
     """Return the complete answer, or the error with what can be promised.
 
-    `not_run` needs every task proved never started; `failed` needs one known
-    start; anything else is `unknown`.
+    `not_run` needs every task proved never started. `failed` needs one that
+    started and one that can never give its answer: a job whose unsettled tasks may
+    all have answers could still be recovered whole, so it is `unknown`.
     """
     if all(isinstance(end, Answered) for end in ends):
         answers = tuple(end.value for end in ends if isinstance(end, Answered))
@@ -59,7 +61,8 @@
             Outcome.NOT_RUN,
             cause.retry_after_ms,
         )
-    if any(isinstance(end, Answered | Broken) for end in ends):
+    started = any(isinstance(end, Answered | Broken) for end in ends)
+    if started and any(never_answers(end) for end in ends):
         kind = _AFTER_START.get(cause.kind, cause.kind)
         return error_outcome(entry.submission, kind, cause.detail, Outcome.FAILED)
     return error_outcome(
--- a/monsoongap/coordination/recovery.py
+++ b/monsoongap/coordination/recovery.py
@@ -23,6 +23,7 @@
     Settler,
     TaskEnd,
     Unsettled,
+    never_answers,
 )
 from monsoongap.errors import ErrorKind, Outcome
 from monsoongap.protocol.ids import task_id
@@ -139,9 +140,9 @@
         finally:
             for task in asked:
                 task.cancel()
-        for end in ends:
-            if isinstance(end, Unsettled):
-                return end
+        unsettled = [end for end in ends if isinstance(end, Unsettled)]
+        if unsettled:
+            return min(unsettled, key=lambda end: end.lost)
         return NeverStarted(ErrorKind.HOME_LOST, "barred at every worker")
 
     async def _ask(
@@ -168,7 +169,7 @@
         values = tuple(end.value for end in ends if isinstance(end, Answered))
         return JobAnswer(submission, values)
     started = any(isinstance(end, Answered | Broken) for end in ends)
-    dead = any(isinstance(end, Broken | NeverStarted) for end in ends)
+    dead = any(never_answers(end) for end in ends)
     if all(isinstance(end, NeverStarted) for end in ends):
         detail, outcome = "its home was lost before any task started", Outcome.NOT_RUN
     elif started and dead:
--- a/monsoongap/coordination/settle.py
+++ b/monsoongap/coordination/settle.py
@@ -54,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsettled:
-    """It can't be proved whether the task started."""
+    """It can't be proved whether the task started.
+
+    `lost` says that if it did, its answer is gone for good.
+    """
 
     detail: str
+    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +73,16 @@
 TaskEnd = Answered | Broken | NeverStarted | Unsettled
 
 
+def never_answers(end: TaskEnd) -> bool:
+    """Tell whether no host can ever get this task's answer."""
+    match end:
+        case Broken() | NeverStarted():
+            return True
+        case Unsettled(lost=lost):
+            return lost
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One start that was sent. `boot` is the worker's, as its lease names it."""
@@ -150,7 +164,7 @@
                 failures += 1
                 continue
             if report.boot != attempt.boot:
-                return self._end(attempt, Unsettled("the worker restarted"))
+                return self._end(attempt, Unsettled("the worker restarted", True))
             end = read_report(report)
             if end is not None:
                 return self._end(attempt, end)
--- a/tests/coordination/test_home_issued.py
+++ b/tests/coordination/test_home_issued.py
@@ -98,6 +98,21 @@
         return outcome
 
     assert run_virtual(main(1)).outcome == "unknown"
+
+    async def cut(tasks: int) -> JobError:
+        cluster = Cluster({"h1": "dc1"}, workers=2)
+        host = cluster.hosts["h1"]
+        (submission,) = host.home.issue(1)
+        work = asyncio.create_task(host.home.submit(submission, job(tasks)))
+        await asyncio.sleep(0.05)
+        host.workers.link("dc1-w1").silence(new_works=False)
+        outcome = await work
+        assert isinstance(outcome, JobError)
+        await cluster.close()
+        return outcome
+
+    # The cut-off worker may still hold the one missing answer.
+    assert run_virtual(cut(2)).outcome == "unknown"
     both = run_virtual(main(2))
     assert (both.error, both.outcome) == ("start_unsettled", "failed")
 
