Collect the answers that workers keep for lost issued ids and unsettled jobs

Cause: a caller that came back with an issued id of a dead host was told `unknown` although the workers had every answer; an unsettled outcome was replayed as it was after its worker could be reached again. Running bodies had no bound in bytes, and a dead host's jobs could be recovered all at once, each with tasks times workers questions under way.

Change: `Collector` asks the workers of the issuer's data centre without touching what runs, and answers only if every task is done. Running bodies are bounded by 64 MB; at most 32 recoveries and 8 of a job's tasks at a time ask workers.

Ruled out: proving `not_run` for issued ids. Their home's workers are not recorded anywhere, and a record per change of workers would make issued ids need the log.

--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -19,11 +19,12 @@
 from monsoongap.coordination.parts import Directory, DrainState, HostIdentity, Slots
 from monsoongap.coordination.ports import LogPort, PeerPort, WorkerPort
 from monsoongap.coordination.recovery import LostHosts, Recovery
+from monsoongap.coordination.recovery_collect import Collector
 from monsoongap.coordination.retries import RetryBudget
 from monsoongap.coordination.settle import Settler
-from monsoongap.errors import DispatchError, ErrorKind
+from monsoongap.errors import DispatchError, ErrorKind, Outcome
 from monsoongap.protocol.ids import IssuedId, parse_issued
-from monsoongap.protocol.messages import JobOutcome, JobRequest, JobView
+from monsoongap.protocol.messages import JobError, JobOutcome, JobRequest, JobView
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.settings import EntrySettings
 from monsoongap.state.jobs import IssuedWindow, JobEntry
@@ -73,6 +74,7 @@
             cfg.claims, identity, directory, log, peers, handlers, timers
         )
         self._recovery = Recovery(self._settler, timers)
+        self._collector = Collector(self._settler, directory, timers)
         self._router = Router(
             identity,
             directory,
@@ -80,6 +82,7 @@
             handlers,
             LostHosts(cfg.peers, directory, timers),
             self._recovery,
+            self._collector,
             timers,
         )
         self._own = OwnKeys(
@@ -177,17 +180,39 @@
         return tuple(self._jobs.view_of(job) for job in self._jobs.table.all_running())
 
     async def _submit(self, submission: str, req: JobRequest) -> JobOutcome:
+        deadline_at = self._timers.now() + req.deadline_ms / MS_PER_S
         known = self._jobs.join(submission, req)
         if known is None:
             issued = parse_issued(submission)
             if issued is None:
                 known = await self._submit_own(submission, req)
-            elif self._is_here(issued):
-                known = self._admit_issued(issued, req, None)
-            else:
-                deadline_at = self._timers.now() + req.deadline_ms / MS_PER_S
+            elif not self._is_here(issued):
                 return await self._router.to_issuer(issued, req, deadline_at)
-        return await _outcome(known)
+            elif issued.boot != self._identity.boot:
+                return await self._router.collect(issued, req, deadline_at)
+            else:
+                known = self._admit_issued(issued, req, None)
+        return await self._outcome(known, req, deadline_at)
+
+    async def _outcome(
+        self, known: JobOutcome | JobEntry, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        """Wait for a running job; leaving this wait does not stop it.
+
+        An unsettled outcome of before is worth another look: a worker that was cut
+        off may have the answers now.
+        """
+        if isinstance(known, JobEntry):
+            return await asyncio.shield(known.finished)
+        if not _is_unsettled(known) or known.submission is None:
+            return known
+        answer = await self._collector.collect(
+            known.submission, len(req.tasks), deadline_at
+        )
+        if answer is None:
+            return known
+        self._jobs.table.improve(answer)
+        return answer
 
     async def _submit_own(self, key: str, req: JobRequest) -> JobOutcome | JobEntry:
         """Claim a key here, or at a peer while this host is leaving."""
@@ -205,7 +230,8 @@
             known = self._jobs.join(call.submission, call.req)
             if known is None:
                 known = self._admit_passed(call)
-            return OutcomeReply.of(await _outcome(known))
+            deadline_at = self._timers.now() + call.remaining_ms / MS_PER_S
+            return OutcomeReply.of(await self._outcome(known, call.req, deadline_at))
         finally:
             self._callers -= 1
 
@@ -245,8 +271,10 @@
         return entry
 
 
-async def _outcome(known: JobOutcome | JobEntry) -> JobOutcome:
-    """Wait for a running job; leaving this wait does not stop it."""
-    if isinstance(known, JobEntry):
-        return await asyncio.shield(known.finished)
-    return known
+def _is_unsettled(outcome: JobOutcome) -> bool:
+    """Tell whether the workers may know more by now."""
+    return (
+        isinstance(outcome, JobError)
+        and outcome.error == ErrorKind.START_UNSETTLED
+        and outcome.outcome == Outcome.UNKNOWN
+    )
--- a/monsoongap/coordination/home_jobs.py
+++ b/monsoongap/coordination/home_jobs.py
@@ -23,7 +23,7 @@
     JobView,
 )
 from monsoongap.settings import EntrySettings
-from monsoongap.state.jobs import JobEntry, JobTable, body_digest
+from monsoongap.state.jobs import JobEntry, JobTable, body_digest, digest_and_size
 from monsoongap.timers import TimerService
 
 log = logging.getLogger(__name__)
@@ -76,9 +76,11 @@
         allowed_s = req.deadline_ms / 1000
         if remaining_s is not None:
             allowed_s = min(allowed_s, remaining_s)
+        digest, body_bytes = digest_and_size(req)
         entry = JobEntry(
             submission=submission,
-            digest=body_digest(req),
+            digest=digest,
+            body_bytes=body_bytes,
             req=req,
             deadline_at=self._timers.now() + allowed_s,
             finished=asyncio.get_running_loop().create_future(),
--- a/monsoongap/coordination/home_messages.py
+++ b/monsoongap/coordination/home_messages.py
@@ -31,6 +31,22 @@
     remaining_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CollectCall:
+    """Asks a host of a lost issuer's data centre for the answers workers kept."""
+
+    submission: str
+    tasks: int
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CollectReply:
+    """The complete answer, or None."""
+
+    answer: JobAnswer | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class OutcomeReply:
     """A job's outcome: just one of the two is set."""
@@ -73,5 +89,6 @@
 
 SUBMIT = PeerMethod("home.submit", SubmitCall, OutcomeReply)
 RECOVER = PeerMethod("home.recover", RecoverCall, OutcomeReply)
+COLLECT = PeerMethod("home.collect", CollectCall, CollectReply)
 VIEW = PeerMethod("home.view", JobCall, ViewReply)
 CANCEL = PeerMethod("home.cancel", JobCall, CancelReply)
--- a/monsoongap/coordination/home_route.py
+++ b/monsoongap/coordination/home_route.py
@@ -6,8 +6,11 @@
 
 from monsoongap.coordination.dispatch_verdict import error_outcome
 from monsoongap.coordination.home_messages import (
+    COLLECT,
     RECOVER,
     SUBMIT,
+    CollectCall,
+    CollectReply,
     OutcomeReply,
     RecoverCall,
     SubmitCall,
@@ -15,6 +18,7 @@
 from monsoongap.coordination.parts import Directory, HostIdentity, PeerStatus
 from monsoongap.coordination.ports import PeerPort
 from monsoongap.coordination.recovery import LostHosts, Recovery
+from monsoongap.coordination.recovery_collect import Collector
 from monsoongap.errors import DispatchError, ErrorKind, PeerUnreachable
 from monsoongap.protocol.ids import IssuedId
 from monsoongap.protocol.messages import JobError, JobOutcome, JobRequest
@@ -26,6 +30,7 @@
 
 FORWARD_GRACE_S = 5.0
 RETRY_S = 0.1
+COLLECT_TRIES = 3
 LOST_CHECK_S = 2.0
 MS_PER_S = 1000
 
@@ -41,6 +46,7 @@
         handlers: PeerHandlers,
         lost: LostHosts,
         recovery: Recovery,
+        collector: Collector,
         timers: TimerService,
     ) -> None:
         self._identity = identity
@@ -48,17 +54,20 @@
         self._peers = peers
         self._lost = lost
         self._recovery = recovery
+        self._collector = collector
         self._timers = timers
         self.forwarded = 0
         handlers.register(RECOVER, self._serve_recover)
+        handlers.register(COLLECT, self._serve_collect)
 
     async def to_issuer(
         self, issued: IssuedId, req: JobRequest, deadline_at: float
     ) -> JobOutcome:
         """Pass a job to the host that issued its id.
 
-        An id whose process is gone is never admitted elsewhere: nothing tells
-        which workers its home used, so the outcome is `unknown`.
+        An id whose process is gone is never admitted elsewhere. Nothing tells
+        which workers its home used, so unless the workers have every answer the
+        outcome is `unknown`.
         """
         submission = str(issued)
         while self._timers.now() < deadline_at:
@@ -66,12 +75,49 @@
                 return await self._ask_issuer(issued, req, deadline_at)
             except PeerUnreachable:
                 if self._issuer_lost(issued):
-                    return error_outcome(
-                        submission, ErrorKind.HOME_LOST, f"{issued.host} is gone"
-                    )
+                    return await self.collect(issued, req, deadline_at)
+            except DispatchError as exc:
+                if exc.kind is not ErrorKind.HOME_LOST:
+                    raise
+                return await self.collect(issued, req, deadline_at)
             await self._timers.sleep(RETRY_S)
         return self._unreachable(submission, issued.host)
 
+    async def collect(
+        self, issued: IssuedId, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        """Return the answers that the workers of a lost issuer kept, if all."""
+        submission, tasks = str(issued), len(req.tasks)
+        answer = None
+        if issued.dc == self._identity.dc:
+            answer = await self._collector.collect(submission, tasks, deadline_at)
+        else:
+            remaining_s = max(deadline_at - self._timers.now(), 0.0)
+            call = CollectCall(submission, tasks, _ms(remaining_s))
+            for host in self._hosts_of_dc(issued.dc)[:COLLECT_TRIES]:
+                with contextlib.suppress(PeerUnreachable, DispatchError):
+                    reply = await self._peers.call(
+                        host, COLLECT, call, remaining_s + FORWARD_GRACE_S
+                    )
+                    answer = reply.answer
+                    break
+        if answer is not None and answer.submission == submission:
+            return answer
+        detail = f"{issued.host} lost its memory of this id"
+        return error_outcome(submission, ErrorKind.HOME_LOST, detail)
+
+    async def _serve_collect(self, call: CollectCall) -> CollectReply:
+        deadline_at = self._timers.now() + call.remaining_ms / MS_PER_S
+        return CollectReply(
+            await self._collector.collect(call.submission, call.tasks, deadline_at)
+        )
+
+    def _hosts_of_dc(self, dc: str) -> list[str]:
+        """Return the hosts of another data centre, those that answer first."""
+        peers = [peer for peer in self._directory.peers() if peer.dc == dc]
+        peers.sort(key=lambda peer: peer.status is not PeerStatus.LIVE)
+        return [peer.name for peer in peers]
+
     async def to_claimant(
         self, claim: ClaimRecord, req: JobRequest, deadline_at: float
     ) -> JobOutcome:
--- a/monsoongap/coordination/recovery.py
+++ b/monsoongap/coordination/recovery.py
@@ -27,7 +27,7 @@
 )
 from monsoongap.errors import ErrorKind, Outcome
 from monsoongap.protocol.ids import task_id
-from monsoongap.protocol.messages import JobAnswer, JobOutcome
+from monsoongap.protocol.messages import JobAnswer, JobOutcome, TaskState
 from monsoongap.settings import PeersSection
 from monsoongap.state.claims import ClaimRecord
 from monsoongap.timers import TimerService
@@ -35,6 +35,8 @@
 log = logging.getLogger(__name__)
 
 MAX_QUESTIONS = 32
+MAX_RECOVERIES = 32
+MAX_TASKS_AT_ONCE = 8
 SUSPECT_PERIODS = 2
 MAX_AWAY = 1_000
 
@@ -83,6 +85,7 @@
         self._settler = settler
         self._timers = timers
         self._questions = asyncio.Semaphore(MAX_QUESTIONS)
+        self._recoveries = asyncio.Semaphore(MAX_RECOVERIES)
         self._running: dict[str, asyncio.Task[JobOutcome]] = {}
         self.recovered = 0
 
@@ -110,10 +113,15 @@
         timer = loop.call_later(
             max(remaining_s, 0.0), late.set_result, ErrorKind.DEADLINE
         )
+        some = asyncio.Semaphore(MAX_TASKS_AT_ONCE)
+
+        async def end_of(index: int) -> TaskEnd:
+            async with some:
+                return await self._task_end(claim, index, late)
+
         try:
-            ends = await asyncio.gather(
-                *(self._task_end(claim, index, late) for index in range(claim.tasks))
-            )
+            async with self._recoveries:
+                ends = await asyncio.gather(*map(end_of, range(claim.tasks)))
         finally:
             timer.cancel()
         outcome = recovery_verdict(claim.key, tuple(ends))
@@ -156,7 +164,10 @@
         task = task_id(claim.key, index)
         attempt = Attempt(worker, claim.key, task, RECOVERY_FENCE, boot)
         async with self._questions:
-            return await self._settler.settle(attempt, late)
+            report = await self._settler.inspect(attempt, 0)
+            if report is None or report.state is not TaskState.RUNNING:
+                return await self._settler.settle(attempt, late)
+        return await self._settler.settle(attempt, late)
 
 
 def recovery_verdict(submission: str, ends: tuple[TaskEnd, ...]) -> JobOutcome:
--- a/monsoongap/state/jobs.py
+++ b/monsoongap/state/jobs.py
@@ -1,15 +1,16 @@
 """Bounded memory of jobs: those that run and the outcomes kept for replay.
 
-Bounds: `limits.jobs` running jobs; as many finished outcomes, at most
-`OUTCOME_BYTES` of encoded outcomes, each for at most `claims.keep_s`. A finished
-entry takes about 450 bytes beside its encoded outcome, so 5,000 of them with
-4 MB of outcomes take about 6.3 MB. The issued ids take one byte each.
+Bounds: `limits.jobs` running jobs with `BODY_BYTES` of encoded bodies together; as
+many finished outcomes, at most `OUTCOME_BYTES` of them encoded, each for at most
+`claims.keep_s`. A finished entry takes about 450 bytes beside its encoded outcome,
+so 5,000 of them with 4 MB of outcomes take about 6.3 MB. The issued ids take one
+byte each.
 """
 
 import asyncio
 import hashlib
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -23,13 +24,19 @@
 )
 
 OUTCOME_BYTES = 4_000_000
+BODY_BYTES = 64_000_000
 DIGEST_BYTES = 16
 
 
 def body_digest(req: JobRequest) -> bytes:
     """Return a digest of a job's body that does not depend on key order."""
+    return digest_and_size(req)[0]
+
+
+def digest_and_size(req: JobRequest) -> tuple[bytes, int]:
+    """Return a body's digest and its encoded size in bytes."""
     body = msgspec.json.encode(req, order="deterministic")
-    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
+    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest(), len(body)
 
 
 @dataclass(slots=True, eq=False)
@@ -44,6 +51,7 @@
     req: JobRequest
     deadline_at: float
     finished: asyncio.Future[JobOutcome]
+    body_bytes: int = 0
     phase: JobPhase = JobPhase.QUEUED
     started: int = 0
     done: int = 0
@@ -88,6 +96,7 @@
         self._running: dict[str, JobEntry] = {}
         self._finished: OrderedDict[str, FinishedJob] = OrderedDict()
         self._outcome_bytes = 0
+        self._body_bytes = 0
 
     def running(self, submission: str) -> JobEntry | None:
         """Return a job that has no outcome yet."""
@@ -107,8 +116,10 @@
 
     def add(self, entry: JobEntry) -> None:
         """Remember a running job; raises `overloaded` when the table is full."""
-        if len(self._running) >= self._limit:
+        crowded = len(self._running) >= self._limit
+        if crowded or self._body_bytes + entry.body_bytes > BODY_BYTES:
             raise DispatchError(ErrorKind.OVERLOADED, "too many jobs on this host")
+        self._body_bytes += entry.body_bytes
         self.forget(entry.submission)
         self._running[entry.submission] = entry
 
@@ -120,7 +131,8 @@
 
     def finish(self, entry: JobEntry, outcome: JobOutcome, now: float) -> None:
         """Keep a job's outcome for replay and tell those who wait for it."""
-        self._running.pop(entry.submission, None)
+        if self._running.pop(entry.submission, None) is not None:
+            self._body_bytes -= entry.body_bytes
         self.forget(entry.submission)
         encoded = msgspec.json.encode(outcome)
         self._finished[entry.submission] = FinishedJob(
@@ -139,6 +151,15 @@
         if not entry.finished.done():
             entry.finished.set_result(outcome)
 
+    def improve(self, answer: JobAnswer) -> None:
+        """Put the complete answer in the place of an unsettled outcome."""
+        job = self._finished.get(answer.submission)
+        if job is None:
+            return
+        encoded = msgspec.json.encode(answer)
+        self._outcome_bytes += len(encoded) - len(job.encoded)
+        self._finished[answer.submission] = replace(job, answered=True, encoded=encoded)
+
     def prune(self, now: float) -> None:
         """Drop outcomes beyond the bounds of time, count and bytes."""
         while self._finished:
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import msgspec
@@ -144,3 +145,27 @@
     share = run_virtual(main())
     print(f"{fault}: retries per start {share:.2%}")
     assert share <= MAX_RETRY_SHARE
+
+
+def test_two_whole_hosts_send_few_messages_that_are_not_starts() -> None:
+    """80 % load on 48 slots, offered to two whole hosts alike."""
+
+    async def main() -> tuple[float, int]:
+        cluster = Cluster({"h1": "dc1", "h2": "dc1"}, workers=6, whole=True)
+        await asyncio.sleep(5)
+        hosts = list(cluster.hosts.values())
+        for host in hosts:
+            host.workers.counts.clear()
+        loads = [offer(host, 20, 8.3, seed) for seed, host in enumerate(hosts)]
+        outcomes = [o for some in await asyncio.gather(*loads) for o in some]
+        assert all(isinstance(outcome, JobAnswer) for outcome in outcomes)
+        counts = sum((host.workers.counts for host in hosts), Counter())
+        print(dict(counts))
+        duplicates = len(cluster.duplicates())
+        await cluster.close()
+        return (counts.total() - counts["start"]) / counts.total(), duplicates
+
+    wasted, duplicates = run_virtual(main())
+    print(f"two whole hosts, messages that are not starts: {wasted:.2%}")
+    assert wasted <= MAX_WASTED_SHARE
+    assert not duplicates
