Print settings history and status in tables that fit a terminal

Cause: the tables showed every field of the messages; on 80 columns no word was left whole. Change: rows made for people in cli/config_view.py; the log's age is rounded. Conclusion: history tells who changed what; status who has it and since when.

--- a/monsoongap/cli/config.py
+++ b/monsoongap/cli/config.py
@@ -14,6 +14,13 @@
 from monsoongap.cli import config_calls
 from monsoongap.cli.client import EXIT_REJECTED, Endpoint, Rejected, call
 from monsoongap.cli.config_edit import Edit, format_ini, keep_edit, read_edit
+from monsoongap.cli.config_view import (
+    HistoryRow,
+    StatusRow,
+    history_rows,
+    shown,
+    status_rows,
+)
 from monsoongap.cli.options import (
     DEFAULT_ENTRY,
     CaOption,
@@ -32,7 +39,6 @@
     DiffReply,
     Entry,
     HistoryReply,
-    HostStatus,
     ListReply,
     StatusReply,
     SubtreeReply,
@@ -203,7 +209,8 @@
     if as_json:
         print_json(reply)
     else:
-        print_rows(f"history of {subtree}", Verdict, reply.verdicts)
+        rows = history_rows(reply.verdicts)
+        print_rows(f"history of {subtree}", HistoryRow, rows)
 
 
 @app.command()
@@ -220,7 +227,7 @@
     if as_json:
         print_json(reply)
     else:
-        print_rows(f"{subtree} on each host", HostStatus, reply.hosts)
+        print_rows(f"{subtree} on each host", StatusRow, status_rows(reply.hosts))
 
 
 @app.command()
@@ -254,8 +261,8 @@
     command = keep_edit(subtree, body, held.revision, where.url)
     print(f"{winner} changed {subtree} first: revision {revision}", file=sys.stderr)
     for item in differences:
-        line = f"  {item.key}: {_shown(item.before)} is in force, yours was"
-        print(f"{line} {_shown(item.after)}", file=sys.stderr)
+        line = f"  {item.key}: {shown(item.before)} is in force, yours was"
+        print(f"{line} {shown(item.after)}", file=sys.stderr)
     print(f"to set yours against revision {held.revision}:", file=sys.stderr)
     print(f"  {command}", file=sys.stderr)
 
@@ -280,7 +287,3 @@
         for key in sorted({*before, *after})
         if before.get(key) != after.get(key)
     )
-
-
-def _shown(value: str | None) -> str:
-    return "not set" if value is None else value
--- a/monsoongap/coordination/tree_gossip.py
+++ b/monsoongap/coordination/tree_gossip.py
@@ -108,6 +108,7 @@
     def own_status(self, subtree: str) -> HostStatus:
         """Return what this host has in force for a subtree."""
         digest = self._replica.digest()
+        log_age_s = self._follower.log_age_s()
         return HostStatus(
             host=self._identity.name,
             dc=self._identity.dc,
@@ -115,7 +116,7 @@
             digest=digest.digest,
             revision=self._replica.tree.subtree(subtree).revision,
             in_force_s=round(self._replica.in_force_s(subtree), 3),
-            log_age_s=self._follower.log_age_s(),
+            log_age_s=None if log_age_s is None else round(log_age_s, 3),
             loaded=digest.loaded,
         )
 
--- a/tests/cli/test_config.py
+++ b/tests/cli/test_config.py
@@ -125,9 +125,15 @@
     assert [item["key"] for item in json.loads(out)["subtree"]["values"]] == [
         "quota_slots"
     ]
-    for words in (["list"], ["history", subtree], ["status"], ["diff", subtree]):
+    seen = {
+        ("list",): "teams/bolts",
+        ("history", subtree): "quota_slots: 30 -> 20",
+        ("status", subtree): "ago",
+        ("diff", subtree): "quota_slots",
+    }
+    for words, expected in seen.items():
         code, out, _ = run("config", *words)
-        assert code == 0 and out
+        assert code == 0 and expected in out
 
 
 def test_lost_reply_is_sent_again_under_the_same_change_id(
