--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -38,6 +38,7 @@
 MAX_KEY_LENGTH = 200
 MS_PER_S = 1000
 RETRY_MS = 1000
+MAX_DEADLINE_SHARE = 0.2  # of the time that claims and tombstones are kept
 
 # These refuse a call, not its key: another call under the same key may be right.
 CALL_REFUSALS = frozenset(
@@ -71,7 +72,7 @@
         self._jobs = jobs
         self._router = router
         self._timers = timers
-        self._max_deadline_ms = round(cfg.claims.keep_s / 2 * MS_PER_S)
+        self._max_deadline_ms = round(cfg.claims.keep_s * MAX_DEADLINE_SHARE * MS_PER_S)
         self._max_abandoned = cfg.limits.jobs
         self._abandoned: OrderedDict[str, tuple[ClaimRecord, ...]] = OrderedDict()
         self._serial = 0
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -125,6 +125,21 @@
     run_virtual(main())
 
 
+def test_job_of_an_own_key_cannot_outlive_its_claim() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        home = cluster.hosts["h1"].home
+        keep_ms = round(cluster.cfg.claims.keep_s * 1000)
+        too_long = job(deadline_ms=keep_ms // 5 + 1)
+        assert error(await home.submit("k", too_long)) == ("bad_request", "not_run")
+        assert isinstance(await home.submit("k", job()), JobAnswer)
+        (issued,) = home.issue(1)
+        assert isinstance(await home.submit(issued, too_long), JobAnswer)
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_another_body_is_a_conflict_at_any_host() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
--- a/tests/home_cluster.py
+++ b/tests/home_cluster.py
@@ -179,6 +179,12 @@
         await self._running.wait()
         try:
             return await super().dispatch(name, body)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # Ends with its process; the cancellation must not reach the caller.
+            raise ConnectionResetError("the host was killed") from None
         finally:
             await self._running.wait()
 
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -340,10 +340,12 @@
     )
 
 
+KILLED_TWICE = ((0.2, KillHost("h3", 0.2)), (1.0, KillHost("h3", 0.2)))
 LATE_ANSWERS = ((0.0, SilenceWorker("dc1-w1", True)), (1.0, PauseHost("h3", 7.0)))
 
 
 @orders(150)
+@example(KILLED_TWICE)
 @example(LATE_ANSWERS)
 @given(plans)
 def test_promises_hold_under_two_faults(
