Keep teams' typed settings instead of parsing them at each question

Cause: a change of a root bound parsed all 190 teams at once and held up the event loop; so did every refused operator token, which is looked up in all subtrees. Ruled out: a faster parser; the values change rarely and are asked for often. Change: the replica keeps each team's typed settings, made when its subtree changes.

--- a/bench/tree.py
+++ b/bench/tree.py
@@ -15,6 +15,7 @@
 from monsoongap.protocol.messages import LogRecord
 from monsoongap.protocol.peer import encode
 from monsoongap.protocol.tree import (
+    ROOT,
     TEAM_PREFIX,
     Change,
     Entry,
@@ -92,6 +93,12 @@
     fresh = TreeReplica(TimerService(), unnamed_teams=True)
     assert fresh.install(snapshot, "bench") and tree_digest(fresh.tree) == digest
     install_s = time.perf_counter() - started
+    bound = Change("bound-change", "anna", ROOT, 0, (Entry("max_team_tasks", "900"),))
+    record = LogRecord(fresh.offset, encode_record(bound))
+    started = time.perf_counter()
+    fresh.apply(record)
+    root_s = time.perf_counter() - started
+    assert fresh.all_limits()[0].max_tasks == 900
     started = time.perf_counter()
     load_snapshot(snapshot)
     load_s = time.perf_counter() - started
@@ -109,6 +116,7 @@
     print(f"replay of {CHANGES} changes: {replay_s * 1e3:.0f} ms")
     print(f"digest of the tree: {digest_s * 1e3:.2f} ms")
     print(f"load of a snapshot: {load_s * 1e3:.2f} ms, in force {install_s * 1e3:.1f}")
+    print(f"change of a bound for {TEAMS} teams: {root_s * 1e3:.2f} ms")
     print(f"memory of a replica of {TEAMS} teams: {memory / 1e6:.2f} MB")
 
 
--- a/monsoongap/coordination/tree.py
+++ b/monsoongap/coordination/tree.py
@@ -17,11 +17,7 @@
     SnapshotPublisher,
 )
 from monsoongap.coordination.tree_gossip import TreeGossip
-from monsoongap.coordination.tree_replica import (
-    TreeCounters,
-    TreeReplica,
-    operator_hashes,
-)
+from monsoongap.coordination.tree_replica import TreeCounters, TreeReplica
 from monsoongap.errors import DispatchError, ErrorKind, LogUnavailable, Outcome
 from monsoongap.protocol.peer import PeerHandlers, decode, encode
 from monsoongap.protocol.tree import (
@@ -114,7 +110,7 @@
 
     def operator_hashes(self, subtree: str) -> tuple[str, ...]:
         """Return the token hashes of the operators that may change a subtree."""
-        return operator_hashes(self._replica, subtree)
+        return self._replica.operator_hashes(subtree)
 
     def view(self) -> Tree:
         """Return the tree that is in force here."""
--- a/monsoongap/coordination/tree_replica.py
+++ b/monsoongap/coordination/tree_replica.py
@@ -62,6 +62,7 @@
         self._unnamed_teams = unnamed_teams
         self._subscribers: list[Callable[[], None]] = []
         self._tail = RecordTail()
+        self._own: dict[str, TeamSettings] = {}
         self._limits: dict[str, TeamLimits] = {}
         self._changed_at: dict[str, float] = {}
         self._digest = TreeDigest(-1, "", False)
@@ -174,20 +175,25 @@
 
     def team_settings(self, subtree: str) -> TeamSettings:
         """Return what is in force for a team's subtree."""
-        own = parse_team(subtree, self.tree.subtree(subtree).values)
-        return clamp(own, self.root)
+        return clamp(self._own.get(subtree, TeamSettings()), self.root)
+
+    def operator_hashes(self, subtree: str) -> tuple[str, ...]:
+        """Return the token hashes of the operators that may change a subtree."""
+        own = self._own.get(subtree)
+        return self.root.operator_hashes + (own.operator_hashes if own else ())
 
     def _put_in_force(self, subtree: str) -> None:
         self._changed_at[subtree] = self._timers.now()
+        values = self.tree.subtree(subtree).values
         if subtree != ROOT:
-            self._refresh_team(subtree)
+            self._own[subtree] = parse_team(subtree, values)
+            self._refresh_limits(subtree)
             return
-        self.root = parse_root(self.tree.subtree(ROOT).values)
-        for name in self.tree.subtrees:
-            if name != ROOT:
-                self._refresh_team(name)
+        self.root = parse_root(values)
+        for name in self._own:
+            self._refresh_limits(name)
 
-    def _refresh_team(self, subtree: str) -> None:
+    def _refresh_limits(self, subtree: str) -> None:
         team = subtree.removeprefix(TEAM_PREFIX)
         if self.tree.subtree(subtree).values:
             self._limits[team] = _limits_of(team, self.team_settings(subtree))
@@ -256,9 +262,3 @@
         max_deadline_ms=settings.max_deadline_ms,
         token_hashes=settings.token_hashes,
     )
-
-
-def operator_hashes(replica: TreeReplica, subtree: str) -> tuple[str, ...]:
-    """Return the token hashes of the operators that may change a subtree."""
-    own = () if subtree == ROOT else replica.team_settings(subtree).operator_hashes
-    return (*replica.root.operator_hashes, *own)
