Lend at once to hosts that wait, share by team only in a standing queue

Cause: a host that waited for a credit asked again by the clock, short jobs of two hosts therefore waited beside free slots, and team shares reordered jobs even where nobody was short of slots; a flooding team could hold three quarters of two shares. Ruled out: a long poll per wait (two calls in flight per peer, so that the books of credits could not be put right by one serial), a shorter retry period. Change: a lender calls as soon as it has a credit to spare; the lease of such a loan counts from the borrower's last call that the lender had heard; free slots are kept for short jobs in the data centre as a whole; late short jobs make way inside their queue; team ranks count only in a standing queue; long groups of declared sizes start from what all tasks of that size did.

--- a/monsoongap/coordination/admission.py
+++ b/monsoongap/coordination/admission.py
@@ -82,13 +82,15 @@
         self,
         cfg: PlacementSection,
         teams: TeamDirectory,
-        shares: TeamShares,
+        urgent_shares: TeamShares,
+        normal_shares: TeamShares,
         queues: TaskQueues,
         estimator: Estimator,
     ) -> None:
         self._cfg = cfg
         self._teams = teams
-        self._shares = shares
+        self._urgent_shares = urgent_shares
+        self._normal_shares = normal_shares
         self._queues = queues
         self._estimator = estimator
         self._pending_work_s: dict[str, float] = {}
@@ -121,7 +123,7 @@
 
     def note_start(self, waiting: Waiting) -> None:
         """Count work that leaves the queue for a slot."""
-        urgent = waiting.level <= Level.LATE
+        urgent = waiting.level is Level.SHORT
         meter = self.urgent_drain if urgent else self.normal_drain
         meter.started(waiting.work_s)
 
@@ -172,12 +174,14 @@
         ahead_s = waiting.get((team, True), 0.0)
         ahead_s += self._pending_work_s.get(team, 0.0)
         drain = self.urgent_drain.rate(pool)
+        share = self._urgent_shares.share(team)
         if not job.urgent:
             ahead_s += waiting.get((team, False), 0.0)
             drain += self.normal_drain.rate(0.0)
+            share = self._normal_shares.share(team)
         if ahead_s <= 0.0:
             return 0.0
-        return ahead_s / (drain * self._shares.share(team))
+        return ahead_s / (drain * share)
 
 
 def check_fit(tasks: tuple[TaskSpec, ...], shapes: frozenset[WorkerShape]) -> None:
--- a/monsoongap/coordination/credits_lending.py
+++ b/monsoongap/coordination/credits_lending.py
@@ -1,18 +1,19 @@
 """Lending of idle credits between the entry hosts of a data centre.
 
 One task per peer sends at most one call at a time. A call carries what this host
-gives back, what it wants and, where the two books may differ, all that it holds;
-the reply carries credits. A host that wants and gets nothing is remembered
-by the peer, which calls back as soon as it has credits to spare, so nobody polls
-in a tight loop and there is no call per task.
-
-A loan is a lease: its holder counts the lease from before it sent the call, the
-lender from when it got it, so the lender's end is never the earlier one.
+wants, gives back and lends and, from time to time, all that it holds, which puts
+right what lost messages left different in the two books. A host that wants and
+gets nothing is remembered by the peer, which lends by a call of its own as soon as
+it can, so nobody polls in a tight loop and there is no call per task.
+
+A loan is a lease: its holder counts the lease from before it sent its latest call
+that the lender had heard, the lender from when it heard that call, so the lender's
+end is never the earlier one.
 """
 
 import asyncio
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,11 +28,14 @@
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 0.5
-CALL_GAP_S = 0.004
+CALL_GAP_S = 0.003
 ASK_AGAIN_S = 0.05
-WANT_KEPT_S = 0.15
+ASK_NORMAL_AGAIN_S = 0.2
+WANT_KEPT_S = 0.3
+LACK_KEPT_S = 0.3
 IDLE_BEFORE_RETURN_S = 0.05
 RENEW_AFTER = 0.4
+CALLS_REMEMBERED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,16 +59,21 @@
     """What one host tells a peer about credits.
 
     `serial` grows within a boot; the peer ignores a call that was overtaken.
-    `held` is present when the caller's whole holding is to replace the peer's
-    record of it. `spare` invites the peer to ask.
+    `heard` is the serial of the peer's latest call that this host has processed.
+    `lent` are loans whose lease counts from that call. `held` is present when the
+    caller's whole holding is to replace the peer's record of it. `spare` is how many
+    credits the caller could lend, `lacks` how many it is short of its reserve.
     """
 
     holder: str
     boot: int
     serial: int
+    heard: int
     wants: Wants
     spare: int
+    lacks: int = 0
     returned: tuple[WorkerCredits, ...] = ()
+    lent: tuple[WorkerCredits, ...] = ()
     held: tuple[WorkerCredits, ...] | None = None
 
 
@@ -78,6 +87,7 @@
 
     lease_ms: int
     spare: int
+    lacks: int = 0
     wants: Wants = Wants()
     returned: tuple[WorkerCredits, ...] = ()
     lent: tuple[WorkerCredits, ...] = ()
@@ -88,16 +98,24 @@
 
 @dataclass(slots=True)
 class _Loans:
-    """What one peer holds of this host's credits, and what it still wants."""
+    """What one peer holds of this host's credits, and what it still wants.
+
+    `pushed` is the serial of this host's latest call that lent credits.
+    """
 
     boot: int
     serial: int = 0
+    pushed: int = 0
     until: float = 0.0
     resyncs: int = 0
     wants: Wants = Wants()
     wants_until: float = 0.0
 
 
+def _recent_calls() -> deque[tuple[int, float]]:
+    return deque(maxlen=CALLS_REMEMBERED)
+
+
 @dataclass(slots=True)
 class _Link:
     """This host's side of the talk with one peer.
@@ -109,19 +127,23 @@
     task: asyncio.Task[None] | None
     wake: asyncio.Event
     spare: int = 0
+    lacks: int = 0
+    heard_at: float = 0.0
     asked_at: float = -1.0
     asked: Wants = Wants()
     sent_at: float = 0.0
+    sent: deque[tuple[int, float]] = field(default_factory=_recent_calls)
     resync: bool = False
     returning: Counter[str] = field(default_factory=Counter)
 
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What the scheduler wants and could spare right now."""
+    """What the scheduler wants, could spare and lacks of its reserve right now."""
 
     wants: Wants
     spare: Wants
+    lacks: int = 0
 
 
 class Lending:
@@ -181,8 +203,7 @@
         for name, link in self._links.items():
             if self._should_ask(link, need, now):
                 link.wake.set()
-            loans = self._loans.get(name)
-            if loans is not None and not wanted and self._may_give(loans, need, now):
+            if self._may_give(name, need, now):
                 link.wake.set()
             until = self._book.lease_ends.get(name)
             if until is None:
@@ -221,24 +242,39 @@
             if now < loans.wants_until
         )
 
+    def lacked_by_peers(self, now: float) -> int:
+        """Return this host's part of what peers are short of their reserves.
+
+        Free slots are kept for short jobs in the data centre as a whole, wherever
+        the free slots happen to be.
+        """
+        lacks = sum(
+            link.lacks
+            for link in self._links.values()
+            if now - link.heard_at < LACK_KEPT_S
+        )
+        return -(-lacks // max(1, len(self._links)))
+
     def lent(self) -> dict[str, int]:
         """Return how many credits each peer holds."""
         return {name: lent.total() for name, lent in self._lent.items()}
 
     def _should_ask(self, link: _Link, need: Need, now: float) -> bool:
         wants = need.wants
-        if not wants.urgent and not wants.normal:
-            return False
-        if link.spare > 0 or now - link.asked_at >= ASK_AGAIN_S:
+        since_s = now - link.asked_at
+        if wants.urgent and (link.spare > 0 or not link.asked.urgent):
             return True
-        return wants.urgent > 0 and link.asked.urgent == 0
+        if wants.urgent or (wants.normal and link.spare > 0):
+            return since_s >= ASK_AGAIN_S
+        return wants.normal > 0 and since_s >= ASK_NORMAL_AGAIN_S
 
-    def _may_give(self, loans: _Loans, need: Need, now: float) -> bool:
-        if now >= loans.wants_until:
-            return False
-        return min(loans.wants.urgent, need.spare.urgent) > 0 or (
-            min(loans.wants.normal, need.spare.normal) > 0
-        )
+    def _may_give(self, name: str, need: Need, now: float) -> int:
+        """Return how many credits a peer that waits for some can have now."""
+        loans = self._loans.get(name)
+        if loans is None or now >= loans.wants_until:
+            return 0
+        wants, spare = loans.wants, need.spare
+        return max(min(wants.urgent, spare.urgent), min(sum_wants(wants), spare.normal))
 
     def _is_idle(self, now: float, need: Need) -> bool:
         if need.wants.urgent or need.wants.normal:
@@ -273,7 +309,8 @@
         resyncs = loans.resyncs if loans is not None else 0
         self.calls += 1
         reply = await self._peers.call(name, EXCHANGE, call, CALL_TIMEOUT_S)
-        link.spare = reply.spare
+        link.spare, link.lacks = reply.spare, reply.lacks
+        link.heard_at = self._timers.now()
         if not reply.lease_ms:
             link.resync = True
             return
@@ -287,8 +324,7 @@
             self._take_back(name, _counter(reply.returned))
         lent = _counter(reply.lent)
         self.borrowed += lent.total()
-        if lent or name in self._book.lease_ends:
-            self._book.borrow(name, lent, now + reply.lease_ms / 1000.0)
+        self._book.borrow(name, lent, now + reply.lease_ms / 1000.0)
         self._changed()
 
     def _build_call(self, name: str, link: _Link, need: Need, now: float) -> CreditCall:
@@ -300,16 +336,47 @@
         link.sent_at = link.asked_at = now
         link.asked = need.wants
         self._serial += 1
+        link.sent.append((self._serial, now))
+        lent = self._push(name, need, now, returned)
+        loans = self._loans.get(name)
         return CreditCall(
             holder=self._identity.name,
             boot=self._identity.boot,
             serial=self._serial,
+            heard=loans.serial if loans is not None else 0,
             wants=need.wants,
             spare=need.spare.urgent,
+            lacks=need.lacks,
             returned=_listed(returned),
+            lent=_listed(lent),
             held=_listed(self._book.held(name)) if full else None,
         )
 
+    def _push(
+        self, name: str, need: Need, now: float, returned: Counter[str]
+    ) -> Counter[str]:
+        """Lend to a peer that waits for credits, with the call that is being built.
+
+        Adds what it gets back of its own to `returned`.
+        """
+        count = self._may_give(name, need, now)
+        if not count:
+            return Counter()
+        own, lent = self._book.lend(name, count)
+        returned.update(own)
+        loans = self._loans[name]
+        loans.pushed = self._serial
+        self._note_lent(name, loans, own.total() + lent.total(), lent)
+        return lent
+
+    def _note_lent(
+        self, name: str, loans: _Loans, count: int, lent: Counter[str]
+    ) -> None:
+        self._lent.setdefault(name, Counter()).update(lent)
+        urgent = max(0, loans.wants.urgent - count)
+        normal = max(0, sum_wants(loans.wants) - count - urgent)
+        loans.wants = Wants(urgent, normal)
+
     async def _handle(self, call: CreditCall) -> CreditReply:
         now = self._timers.now()
         loans = self._loans.get(call.holder)
@@ -318,21 +385,21 @@
         if call.boot < loans.boot or call.serial <= loans.serial:
             return CreditReply(0, 0)
         loans.serial = call.serial
+        loans.until = now + self._cfg.credit_lease_s
         self._settle_returns(call, loans)
-        self._renew(call, loans, now)
-        self._heed_invitation(call, now)
+        self._take_loan(call)
+        loans.wants = call.wants
+        loans.wants_until = now + WANT_KEPT_S if sum_wants(call.wants) else 0.0
         need = self._need()
-        count = min(call.wants.urgent, need.spare.urgent)
-        count = max(count, min(sum_wants(call.wants), need.spare.normal))
+        count = self._may_give(call.holder, need, now)
         returned, lent = self._book.lend(call.holder, count)
-        self._lent.setdefault(call.holder, Counter()).update(lent)
-        rest = sum_wants(call.wants) - returned.total() - lent.total()
-        loans.wants = Wants(max(0, call.wants.urgent - count), max(0, rest))
-        loans.wants_until = now + WANT_KEPT_S if rest > 0 else 0.0
+        self._note_lent(call.holder, loans, returned.total() + lent.total(), lent)
+        self._heed_spare(call, need)
         self._changed()
         return CreditReply(
             lease_ms=int(self._cfg.credit_lease_s * 1000),
             spare=max(0, need.spare.urgent - count),
+            lacks=need.lacks,
             wants=need.wants,
             returned=_listed(returned),
             lent=_listed(lent),
@@ -351,7 +418,7 @@
 
     def _settle_returns(self, call: CreditCall, loans: _Loans) -> None:
         lent = self._lent.setdefault(call.holder, Counter())
-        if call.held is not None:
+        if call.held is not None and call.heard >= loans.pushed:
             loans.resyncs += 1
             freed = lent - _counter(call.held)
         else:
@@ -366,15 +433,28 @@
         if freed:
             self._book.unlend(freed)
 
-    def _renew(self, call: CreditCall, loans: _Loans, now: float) -> None:
-        loans.until = now + self._cfg.credit_lease_s
+    def _take_loan(self, call: CreditCall) -> None:
+        """Take credits lent by a call; the lease counts from what it had heard."""
+        link = self._links.get(call.holder)
+        if not call.lent or link is None:
+            return
+        sent_at = dict(link.sent).get(call.heard)
+        if sent_at is None:
+            link.resync = True
+            return
+        lent = _counter(call.lent)
+        self.borrowed += lent.total()
+        until = sent_at + self._cfg.credit_lease_s
+        until = max(until, self._book.lease_ends.get(call.holder, 0.0))
+        self._book.borrow(call.holder, lent, until)
 
-    def _heed_invitation(self, call: CreditCall, now: float) -> None:
+    def _heed_spare(self, call: CreditCall, need: Need) -> None:
         link = self._links.get(call.holder)
         if link is None:
             return
-        link.spare = call.spare
-        if call.spare and sum_wants(self._need().wants):
+        link.spare, link.lacks = call.spare, call.lacks
+        link.heard_at = self._timers.now()
+        if call.spare and need.wants.urgent:
             link.wake.set()
 
     async def _give_all_back(self, name: str, link: _Link) -> None:
@@ -382,7 +462,13 @@
             return
         self._serial += 1
         call = CreditCall(
-            self._identity.name, self._identity.boot, self._serial, Wants(), 0, held=()
+            holder=self._identity.name,
+            boot=self._identity.boot,
+            serial=self._serial,
+            heard=self._loans[name].serial if name in self._loans else 0,
+            wants=Wants(),
+            spare=0,
+            held=(),
         )
         await self._peers.call(name, EXCHANGE, call, CALL_TIMEOUT_S)
 
--- a/monsoongap/coordination/estimates.py
+++ b/monsoongap/coordination/estimates.py
@@ -2,11 +2,11 @@
 
 Declared sizes are off by ten times either way, so a declared size is never
 believed. It still tells tasks of one kind apart: tasks of a kind are grouped by
-the octave of their declared size and each group is measured on its own.
+the half octave of their declared size and each group is measured on its own.
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from monsoongap.settings import PlacementSection
 from monsoongap.state.estimates import (
@@ -17,6 +17,9 @@
 )
 
 MIN_GROUP_WEIGHT = 4.0
+PRIOR_WEIGHT = 4.0
+MIXED_SHARE = 0.02
+BUCKETS_PER_OCTAVE = 2.0
 LONG_SHARE = 0.5
 HISTOGRAM_STEP = 2.0
 HISTOGRAM_BINS = 48
@@ -74,9 +77,8 @@
         if of_kind is None:
             return self._unknown(bucket, expected_ms)
         group = self._table.find(RunTimeKey(team, kind, bucket))
-        if group is None or group.weight < MIN_GROUP_WEIGHT:
-            group = of_kind
-        return self._from_record(group, of_kind, known=True)
+        prior = self._prior_share(of_kind, bucket)
+        return self._from_record(group or of_kind, of_kind, prior)
 
     def learn(self, team: str, kind: str, expected_ms: int, run_s: float) -> None:
         """Count a task that ran to its end."""
@@ -93,10 +95,25 @@
         if self._table.find(key) is None:
             self._table.add(key, 2.0 * run_s, True)
 
+    def _prior_share(self, of_kind: RunTimes, bucket: int) -> float:
+        """Return the share of long tasks to assume before a group has its own.
+
+        A kind with both short and long tasks is taken to be like all tasks of the
+        declared size, one with a single class to stay with it.
+        """
+        share = of_kind.long_share
+        if not MIXED_SHARE < share < 1.0 - MIXED_SHARE:
+            return share
+        of_size = self._table.find(RunTimeKey("", "", bucket))
+        if of_size is None or of_size.weight < MIN_GROUP_WEIGHT:
+            return share
+        return of_size.long_share
+
     def _unknown(self, bucket: int, expected_ms: int) -> Estimate:
         record = self._table.find(RunTimeKey("", "", bucket))
         if record is not None and record.weight >= MIN_GROUP_WEIGHT:
-            return self._from_record(record, record, known=False)
+            estimate = self._from_record(record, record, record.long_share)
+            return replace(estimate, known=False)
         declared_s = expected_ms / 1000.0
         return Estimate(
             short_s=min(declared_s, self.split_s),
@@ -106,11 +123,13 @@
         )
 
     def _from_record(
-        self, record: RunTimes, fallback: RunTimes, known: bool
+        self, record: RunTimes, of_kind: RunTimes, prior_share: float
     ) -> Estimate:
-        short_s = record.short_mean_s or fallback.short_mean_s or self.split_s / 2.0
-        long_s = record.long_mean_s or fallback.long_mean_s or 2.0 * self.split_s
-        return Estimate(short_s, long_s, record.long_share, known)
+        short_s = record.short_mean_s or of_kind.short_mean_s or self.split_s / 2.0
+        long_s = record.long_mean_s or of_kind.long_mean_s or 2.0 * self.split_s
+        long_weight = record.long_weight + PRIOR_WEIGHT * prior_share
+        share = long_weight / (record.weight + PRIOR_WEIGHT)
+        return Estimate(short_s, long_s, share, known=True)
 
     def _move_split(self, run_s: float) -> None:
         """Look for the gap between short and long from time to time."""
@@ -158,4 +177,4 @@
 
 
 def _bucket(expected_ms: int) -> int:
-    return expected_ms.bit_length()
+    return int(math.log2(max(1, expected_ms)) * BUCKETS_PER_OCTAVE)
--- a/monsoongap/coordination/queues.py
+++ b/monsoongap/coordination/queues.py
@@ -1,8 +1,8 @@
 """The queues of waiting tasks, by level, team and job.
 
-A level holds the jobs of one urgency. In a level the team with the least service
-for its weight goes first, and in a team the job that has started, then the one
-with the least work left, where waiting outweighs work.
+A level holds the jobs of one urgency. In a level teams within their shares go
+before teams above theirs; then jobs that have started go first, then the ones with
+the least work left, where waiting makes up for work.
 """
 
 import asyncio
@@ -24,33 +24,38 @@
 class Level(IntEnum):
     """How urgent waiting tasks are.
 
-    `FRESH`: short jobs that can still be answered within twice their ideal time.
-    `LATE`: short jobs that can't; they make way so that others still can, for a
-    bounded time. `LONG`: long tasks. `FILL`: short tasks of jobs with a long task,
-    which have time, and tasks of kinds not seen before.
+    `SHORT`: tasks of short jobs. `LONG`: long tasks. `FILL`: short tasks of jobs
+    with a long task, which have time, and tasks of kinds not seen before.
     """
 
-    FRESH = 0
-    LATE = 1
-    LONG = 2
-    FILL = 3
+    SHORT = 0
+    LONG = 1
+    FILL = 2
+
+
+STANDING_QUEUE_S = {Level.SHORT: 0.2, Level.LONG: 2.0}
 
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """A job with tasks in the scheduler. `left_s` is its unfinished work."""
+    """A job with tasks in the scheduler.
+
+    `left_s` is its unfinished work, `run_s` its longest task. A late job can't be
+    answered within twice its ideal time any more: it makes way so that others still
+    can, until it has aged.
+    """
 
     submission: str
     team: str
     arrived: float
     is_long: bool = False
+    late: bool = False
     aged: bool = False
     running: int = 0
     started: bool = False
     left_s: float = 0.0
     run_s: float = 0.0
     waiting: int = 0
-    level: Level = Level.FRESH
     tasks: dict[Level, deque["Waiting"]] = field(default_factory=dict)
     queued: set[Level] = field(default_factory=set)
 
@@ -64,7 +69,7 @@
     estimate: Estimate
     job: Job
     since: float
-    level: Level = Level.FRESH
+    level: Level = Level.SHORT
     gone: bool = False
 
     @property
@@ -75,38 +80,61 @@
         return self.estimate.short_s
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class _Order:
+    """The place of a job among its team's jobs, lowest first."""
+
+    late: bool
+    fresh: bool
+    due: float
+
+    @staticmethod
+    def of(job: Job) -> "_Order":
+        due = job.arrived + WORK_WEIGHT * job.left_s
+        return _Order(job.late, not job.started, due)
+
+
 class _LevelQueue:
-    """Jobs of one level: a heap of teams, each with a heap of jobs."""
+    """Jobs of one level: a heap of teams, each with a heap of jobs.
+
+    An entry of a team tells its rank and its first job when it was pushed; one that
+    has become wrong is put right when it comes up.
+    """
 
     def __init__(self, shares: TeamShares) -> None:
         self._shares = shares
-        self._teams: list[tuple[float, str]] = []
-        self._jobs: dict[str, list[tuple[bool, float, int, Job]]] = {}
+        self._teams: list[tuple[int, _Order, str]] = []
+        self._jobs: dict[str, list[tuple[_Order, int, Job]]] = {}
         self._count = 0
 
-    def push(self, job: Job, started: bool) -> None:
+    def push(self, job: Job, now: float) -> None:
         """Queue a job that has tasks at this level."""
-        jobs = self._jobs.get(job.team)
-        if jobs is None:
-            jobs = self._jobs[job.team] = []
-            heapq.heappush(self._teams, (self._shares.service(job.team), job.team))
+        jobs = self._jobs.setdefault(job.team, [])
         self._count += 1
-        order = job.arrived + WORK_WEIGHT * job.left_s
-        heapq.heappush(jobs, (not started, order, self._count, job))
-
-    def pop(self) -> Job | None:
-        """Remove and return the next job of the least served team."""
+        entry = (_Order.of(job), self._count, job)
+        heapq.heappush(jobs, entry)
+        if jobs[0] is entry:
+            rank = self._shares.rank(job.team, now)
+            heapq.heappush(self._teams, (rank, entry[0], job.team))
+
+    def pop(self, now: float) -> Job | None:
+        """Remove and return the next job."""
         while self._teams:
-            service, team = self._teams[0]
-            current = self._shares.service(team)
-            if current > service:
-                heapq.heapreplace(self._teams, (current, team))
-                continue
-            jobs = self._jobs[team]
-            job = heapq.heappop(jobs)[3]
+            team = self._teams[0][2]
+            jobs = self._jobs.get(team)
             if not jobs:
-                del self._jobs[team]
                 heapq.heappop(self._teams)
+                continue
+            current = (self._shares.rank(team, now), jobs[0][0], team)
+            if self._teams[0] < current:
+                heapq.heapreplace(self._teams, current)
+                continue
+            job = heapq.heappop(jobs)[2]
+            if jobs:
+                heapq.heapreplace(self._teams, (current[0], jobs[0][0], team))
+            else:
+                heapq.heappop(self._teams)
+                del self._jobs[team]
             return job
         return None
 
@@ -114,7 +142,7 @@
         """Drop entries that were left when their last task went."""
         for jobs in self._jobs.values():
             for entry in jobs:
-                entry[3].queued.discard(level)
+                entry[2].queued.discard(level)
         self._jobs.clear()
         self._teams.clear()
 
@@ -125,40 +153,46 @@
     Entries of tasks whose caller gave up are skipped when they come up.
     """
 
-    def __init__(self, shares: TeamShares) -> None:
-        self._shares = shares
-        self._levels = {level: _LevelQueue(shares) for level in Level}
+    def __init__(self, urgent: TeamShares, normal: TeamShares) -> None:
+        self._shares = {
+            Level.SHORT: urgent,
+            Level.LONG: normal,
+            Level.FILL: normal,
+        }
+        self._levels = {level: _LevelQueue(self._shares[level]) for level in Level}
         self._late: deque[Job] = deque()
         self._oldest: dict[Level, deque[Waiting]] = {
             Level.LONG: deque(),
             Level.FILL: deque(),
         }
         self.length: Counter[Level] = Counter()
+        self.work_s = dict.fromkeys(Level, 0.0)
         self.by_team: Counter[tuple[str, bool]] = Counter()
         self.team_work_s: dict[tuple[str, bool], float] = {}
 
     def __len__(self) -> int:
         return self.length.total()
 
-    def push(self, waiting: Waiting) -> None:
+    def push(self, waiting: Waiting, now: float) -> None:
         """Queue a task at its level."""
-        self._shares.enter(waiting.job.team)
         waiting.job.waiting += 1
-        self._place(waiting)
+        self._place(waiting, now)
 
     def pop(self, level: Level, now: float) -> Waiting | None:
         """Remove and return the next task of a level."""
-        if level is Level.FRESH:
+        if level is Level.SHORT:
             self._promote_aged(now)
         while self.length[level]:
-            job = self._levels[level].pop()
+            job = self._levels[level].pop(now)
             if job is None:
                 return None
             job.queued.discard(level)
-            if level is Level.FRESH and _is_late(job, now):
-                self._demote(job)
+            if level is Level.SHORT and _turns_late(job, now):
+                job.late = True
+                self._late.append(job)
+                self._enqueue(job, level, now)
                 continue
-            waiting = self._take(job, level)
+            waiting = self._take(job, level, now)
             if waiting is not None:
                 self.remove(waiting)
                 return waiting
@@ -171,15 +205,20 @@
             waiting.gone = True
             self._leave(waiting)
 
-    def make_long(self, job: Job) -> None:
+    def make_long(self, job: Job, now: float) -> None:
         """Re-class a job that has turned out to have a long task."""
         if job.is_long:
             return
         job.is_long = True
-        for level in (Level.FRESH, Level.LATE):
-            self._move(job, level, Level.FILL)
+        for waiting in job.tasks.pop(Level.SHORT, ()):
+            if not waiting.gone:
+                self._uncount(waiting)
+                waiting.level = Level.FILL
+                self._place(waiting, now)
 
-    def reclass(self, waiting: Waiting, estimate: Estimate, level: Level) -> None:
+    def reclass(
+        self, waiting: Waiting, estimate: Estimate, level: Level, now: float
+    ) -> None:
         """Move one waiting task to another level with a new estimate."""
         self._uncount(waiting)
         tasks = waiting.job.tasks.get(waiting.level)
@@ -187,12 +226,12 @@
             tasks.remove(waiting)
         waiting.estimate = estimate
         waiting.level = level
-        self._place(waiting)
+        self._place(waiting, now)
 
-    def push_back(self, waiting: Waiting) -> None:
+    def push_back(self, waiting: Waiting, now: float) -> None:
         """Queue again a task for which no free worker was large enough."""
         waiting.gone = False
-        self.push(waiting)
+        self.push(waiting, now)
 
     def oldest(self, level: Level) -> Waiting | None:
         """Return the task that has waited longest at a level, or None."""
@@ -201,49 +240,64 @@
             order.popleft()
         return order[0] if order else None
 
+    def note_contention(self, pool: int) -> None:
+        """Let team shares count where there is a standing queue for `pool` slots.
+
+        In a passing one the order of the jobs serves every team best.
+        """
+        for level in (Level.SHORT, Level.LONG):
+            standing_s = STANDING_QUEUE_S[level] * pool
+            self._shares[level].contended = self.work_s[level] > standing_s
+
     def waiting_tasks(self, job: Job) -> Iterator[Waiting]:
         """Yield a job's waiting tasks."""
         for tasks in job.tasks.values():
             yield from (waiting for waiting in tasks if not waiting.gone)
 
-    def _place(self, waiting: Waiting) -> None:
+    def _place(self, waiting: Waiting, now: float) -> None:
         job, level = waiting.job, waiting.level
         job.tasks.setdefault(level, deque()).append(waiting)
         if level in self._oldest:
             self._oldest[level].append(waiting)
         self._count(waiting)
-        self._enqueue(job, level, job.started)
+        self._enqueue(job, level, now)
 
-    def _enqueue(self, job: Job, level: Level, started: bool) -> None:
+    def _enqueue(self, job: Job, level: Level, now: float) -> None:
         if level not in job.queued:
             job.queued.add(level)
-            self._levels[level].push(job, started)
+            self._levels[level].push(job, now)
 
-    def _take(self, job: Job, level: Level) -> Waiting | None:
+    def _take(self, job: Job, level: Level, now: float) -> Waiting | None:
         tasks = job.tasks.get(level)
         while tasks:
             waiting = tasks.popleft()
             if waiting.gone or waiting.level is not level:
                 continue
+            job.started = True
             if tasks:
-                self._enqueue(job, level, started=True)
+                self._enqueue(job, level, now)
             return waiting
         return None
 
     def _leave(self, waiting: Waiting) -> None:
-        self._shares.leave(waiting.job.team)
         waiting.job.waiting -= 1
         self._uncount(waiting)
 
     def _count(self, waiting: Waiting) -> None:
+        self._shares[waiting.level].enter(waiting.job.team)
         self._tally(waiting, 1)
 
     def _uncount(self, waiting: Waiting) -> None:
+        self._shares[waiting.level].leave(waiting.job.team)
         self._tally(waiting, -1)
 
     def _tally(self, waiting: Waiting, sign: int) -> None:
-        key = (waiting.job.team, waiting.level <= Level.LATE)
+        key = (waiting.job.team, waiting.level is Level.SHORT)
         self.length[waiting.level] += sign
+        if self.length[waiting.level]:
+            self.work_s[waiting.level] += sign * waiting.work_s
+        else:
+            self.work_s[waiting.level] = 0.0
         self.by_team[key] += sign
         if self.by_team[key]:
             work_s = self.team_work_s.get(key, 0.0) + sign * waiting.work_s
@@ -253,30 +307,19 @@
             self.team_work_s.pop(key, None)
 
     def _promote_aged(self, now: float) -> None:
+        """Let late jobs that have waited long enough go ahead again."""
         while self._late:
             job = self._late[0]
             if now - job.arrived < AGED_AFTER_RUNS * job.run_s and job.waiting:
                 return
             self._late.popleft()
-            if job.waiting and job.level is Level.LATE:
-                job.aged = True
-                self._move(job, Level.LATE, Level.FRESH)
-
-    def _demote(self, job: Job) -> None:
-        self._late.append(job)
-        self._move(job, Level.FRESH, Level.LATE)
-
-    def _move(self, job: Job, source: Level, target: Level) -> None:
-        tasks = job.tasks.pop(source, None)
-        job.level = target
-        for waiting in tasks or ():
-            if not waiting.gone:
-                self._uncount(waiting)
-                waiting.level = target
-                self._place(waiting)
+            job.late, job.aged = False, True
+            if job.tasks.get(Level.SHORT):
+                job.queued.discard(Level.SHORT)
+                self._enqueue(job, Level.SHORT, now)
 
 
-def _is_late(job: Job, now: float) -> bool:
-    if job.aged or job.started:
+def _turns_late(job: Job, now: float) -> bool:
+    if job.late or job.aged or job.started:
         return False
     return now - job.arrived > LATE_AFTER_RUNS * job.run_s
--- a/monsoongap/coordination/quotas.py
+++ b/monsoongap/coordination/quotas.py
@@ -4,6 +4,7 @@
 where it has none. A share that its team leaves unused goes to the others.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
@@ -13,27 +14,42 @@
 OVER_QUOTA_RETRY_MS = 1000
 
 
+SERVICE_FADE_S = 2.0
+OVER_SERVED = 1.05
+MAX_RANK = 8
+
+
 @dataclass(slots=True)
 class _Account:
-    """Slot-seconds given to a team, divided by its weight."""
+    """Slot-seconds given to a team of late, fading over `SERVICE_FADE_S`."""
 
     weight: float
-    service: float = 0.0
+    service_s: float = 0.0
+    at: float = 0.0
     waiting: int = 0
 
+    def current(self, now: float) -> float:
+        """Return the faded service."""
+        if now > self.at:
+            self.service_s *= math.exp((self.at - now) / SERVICE_FADE_S)
+            self.at = now
+        return self.service_s
+
 
 class TeamShares:
-    """Weighted fair service among the teams that have tasks waiting.
+    """Who of the teams with tasks waiting has had more than its share of late.
 
-    A team that comes back after a pause starts level with the least served of the
-    waiting teams: it neither pays for its pause nor saves up for a burst.
+    Teams within their shares are equal, so their jobs are served in the order of
+    the jobs. A team above its share comes after them, the further above the later:
+    it has what the others leave.
     """
 
     def __init__(self, teams: TeamDirectory) -> None:
         self._teams = teams
         self._accounts: dict[str, _Account] = {}
-        self._floor = 0.0
+        self._total = _Account(0.0)
         self._waiting_weight = 0.0
+        self.contended = False
 
     def refresh(self) -> None:
         """Take over the weights in force and forget idle teams."""
@@ -46,15 +62,18 @@
         waiting = (a.weight for a in self._accounts.values() if a.waiting)
         self._waiting_weight = sum(waiting)
 
-    def service(self, team: str) -> float:
-        """Return the service a team has had, for comparing teams."""
-        return self._account(team).service
+    def rank(self, team: str, now: float) -> int:
+        """Return 0 within the share and more the further a team is above it."""
+        total = self._total.current(now)
+        if total <= 0.0 or not self.contended:
+            return 0
+        part = self._account(team).current(now) / total
+        return min(MAX_RANK, int(part / (OVER_SERVED * self.share(team))))
 
     def enter(self, team: str) -> None:
         """Count one more waiting task."""
         account = self._account(team)
         if not account.waiting:
-            account.service = max(account.service, self._floor)
             self._waiting_weight += account.weight
         account.waiting += 1
 
@@ -65,12 +84,10 @@
         if not account.waiting:
             self._waiting_weight -= account.weight
 
-    def charge(self, team: str, slot_s: float, started: bool = False) -> None:
+    def charge(self, team: str, slot_s: float, now: float) -> None:
         """Add slot-seconds to a team's service; negative ones correct it."""
-        account = self._account(team)
-        if started:
-            self._floor = max(self._floor, account.service)
-        account.service += slot_s / account.weight
+        for account in (self._account(team), self._total):
+            account.service_s = max(0.0, account.current(now) + slot_s)
 
     def share(self, team: str) -> float:
         """Return the part of the drain a team gets if it queues now."""
@@ -84,7 +101,7 @@
         account = self._accounts.get(team)
         if account is None:
             weight = team_weights(self._teams.all()).get(team, 1.0)
-            account = self._accounts[team] = _Account(weight, self._floor)
+            account = self._accounts[team] = _Account(weight)
         return account
 
 
--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -67,16 +67,26 @@
         self._book = CreditBook()
         self._health = WorkerHealth(cfg)
         self._pool = WorkerPool(cfg, identity, directory, self._book, self._health)
-        self._shares = TeamShares(teams)
-        self._queues = TaskQueues(self._shares)
+        self._urgent_shares = TeamShares(teams)
+        self._normal_shares = TeamShares(teams)
+        self._queues = TaskQueues(self._urgent_shares, self._normal_shares)
         self._estimator = Estimator(cfg)
         self._long_share = LongShare()
         self._jobs = JobTable(
-            self._queues, self._shares, self._long_share, self._estimator
+            self._queues,
+            self._urgent_shares,
+            self._normal_shares,
+            self._long_share,
+            self._estimator,
         )
         self._order = TaskOrder(self._book, self._queues, self._jobs, self._long_share)
         self._admission = Admission(
-            cfg, teams, self._shares, self._queues, self._estimator
+            cfg,
+            teams,
+            self._urgent_shares,
+            self._normal_shares,
+            self._queues,
+            self._estimator,
         )
         self._lending = Lending(
             cfg,
@@ -261,7 +271,7 @@
             if len(passed_over) >= MAX_PASSED_OVER:
                 break
         for waiting in passed_over:
-            self._queues.push_back(waiting)
+            self._queues.push_back(waiting, now)
         self._order.note_drain(now, self._admission)
         self._lending.review(now)
 
@@ -310,13 +320,15 @@
         )
 
     def _need(self) -> Need:
-        return self._order.need(self._timers.now())
+        now = self._timers.now()
+        return self._order.need(now, self._lending.lacked_by_peers(now))
 
     def _directory_changed(self) -> None:
         if not self._started or self._closed:
             return
         self._pool.refresh(self._timers.now())
-        self._shares.refresh()
+        self._urgent_shares.refresh()
+        self._normal_shares.refresh()
         self._lending.follow(self._pool.peers)
         self._wake()
 
--- a/monsoongap/coordination/scheduler_jobs.py
+++ b/monsoongap/coordination/scheduler_jobs.py
@@ -41,12 +41,14 @@
     def __init__(
         self,
         queues: TaskQueues,
-        shares: TeamShares,
+        urgent_shares: TeamShares,
+        normal_shares: TeamShares,
         long_share: LongShare,
         estimator: Estimator,
     ) -> None:
         self._queues = queues
-        self._shares = shares
+        self._urgent_shares = urgent_shares
+        self._normal_shares = normal_shares
         self._long_share = long_share
         self._estimator = estimator
         self._jobs: dict[str, Job] = {}
@@ -71,12 +73,12 @@
         )
         fut: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
         waiting = Waiting(ticket, fut, estimate, job, now)
-        waiting.level = self._level(waiting)
+        waiting.level = self._level(waiting, now)
         job.left_s += estimate.run_s
         job.run_s = max(job.run_s, estimate.run_s)
         if not ticket.avoid:
             self._count_offered(waiting, now)
-        self._queues.push(waiting)
+        self._queues.push(waiting, now)
         return waiting
 
     def place(self, waiting: Waiting, slot: Slot, now: float) -> Running:
@@ -95,7 +97,9 @@
         job.started = True
         job.running += 1
         self.running[slot.serial] = running
-        self._shares.charge(job.team, running.work_s, started=True)
+        urgent = waiting.level is Level.SHORT
+        shares = self._urgent_shares if urgent else self._normal_shares
+        shares.charge(job.team, running.work_s, now)
         if counted_long:
             self.long_busy += 1
         else:
@@ -117,11 +121,12 @@
         job.left_s = max(0.0, job.left_s - running.estimate.run_s)
         if running.counted_long:
             self.long_busy -= 1
-        self._shares.charge(job.team, now - running.placed_at - running.work_s)
+        excess_s = now - running.placed_at - running.work_s
+        self._normal_shares.charge(job.team, excess_s, now)
         if run_s is not None:
             ticket = running.ticket
             self._estimator.learn(ticket.team, ticket.kind, ticket.expected_ms, run_s)
-            self._release_held(KindName(ticket.team, ticket.kind))
+            self._release_held(KindName(ticket.team, ticket.kind), now)
         return running
 
     def give_up(self, waiting: Waiting) -> None:
@@ -150,22 +155,22 @@
             self.overrun_count += 1
             ticket, estimate = running.ticket, running.estimate
             self._long_share.long.add(now, estimate.long_s)
-            self._queues.make_long(running.job)
+            self._queues.make_long(running.job, now)
             if not estimate.known:
                 elapsed_s = now - running.placed_at
                 self._estimator.learn_overrun(ticket.team, ticket.kind, elapsed_s)
-                self._release_held(KindName(ticket.team, ticket.kind))
+                self._release_held(KindName(ticket.team, ticket.kind), now)
 
-    def _level(self, waiting: Waiting) -> Level:
+    def _level(self, waiting: Waiting, now: float) -> Level:
         job, estimate = waiting.job, waiting.estimate
         if estimate.is_long:
-            self._queues.make_long(job)
+            self._queues.make_long(job, now)
             return Level.LONG
         if job.is_long:
             return Level.FILL
         if not estimate.known and not self._may_probe(waiting):
             return Level.FILL
-        return job.level if job.level is Level.LATE else Level.FRESH
+        return Level.SHORT
 
     def _may_probe(self, waiting: Waiting) -> bool:
         """Let the first tasks of a kind never seen before go ahead.
@@ -182,7 +187,7 @@
         self._held_back.setdefault(kind, []).append(waiting)
         return False
 
-    def _release_held(self, kind: KindName) -> None:
+    def _release_held(self, kind: KindName, now: float) -> None:
         """Class the tasks of a kind that has just become known."""
         self._unknown.pop(kind, None)
         for waiting in self._held_back.pop(kind, ()):
@@ -194,8 +199,8 @@
             )
             if waiting.job.is_long and not estimate.is_long:
                 continue
-            level = Level.LONG if estimate.is_long else Level.FRESH
-            self._queues.reclass(waiting, estimate, level)
+            level = Level.LONG if estimate.is_long else Level.SHORT
+            self._queues.reclass(waiting, estimate, level, now)
 
     def _count_offered(self, waiting: Waiting, now: float) -> None:
         meters = self._long_share
@@ -203,5 +208,5 @@
             meters.long.add(now, waiting.estimate.run_s)
             return
         meters.short.add(now, waiting.estimate.short_s)
-        if waiting.level is Level.FRESH:
+        if waiting.level is Level.SHORT:
             meters.urgent.add(now, waiting.estimate.short_s)
--- a/monsoongap/coordination/scheduler_order.py
+++ b/monsoongap/coordination/scheduler_order.py
@@ -42,7 +42,8 @@
 
     def next_tasks(self, now: float, lending: Lending) -> Iterator[Waiting]:
         """Yield waiting tasks while there is a free slot that they may have."""
-        reserve = self.reserve(now)
+        self._queues.note_contention(self._book.pool)
+        reserve = self.reserve(now) + lending.lacked_by_peers(now)
         limit = self.long_limit(now)
         long_late = self._lateness(Level.LONG, now) >= 1.0
         fill_late = self._lateness(Level.FILL, now) >= 1.0
@@ -54,38 +55,40 @@
                 waiting = self._queues.pop(Level.LONG, now)
             if waiting is None and fill_late and self._take_fill_turn():
                 waiting = self._queues.pop(Level.FILL, now)
-            waiting = waiting or self._queues.pop(Level.FRESH, now)
-            if waiting is None and self._book.free > kept:
-                waiting = self._queues.pop(Level.LATE, now)
+            waiting = waiting or self._queues.pop(Level.SHORT, now)
             if waiting is None and self._book.free > kept + reserve:
                 waiting = self._next_normal(may_long, now)
             if waiting is None:
                 return
             yield waiting
 
-    def need(self, now: float) -> Need:
-        """Return what this host wants to borrow and could lend."""
+    def need(self, now: float, lacked: int) -> Need:
+        """Return what this host wants to borrow and could lend.
+
+        `lacked` is what peers are short of their reserves.
+        """
         lengths, free = self._queues.length, self._book.free
-        fresh, late = lengths[Level.FRESH], lengths[Level.LATE]
-        reserve = self.reserve(now)
+        short = lengths[Level.SHORT]
+        own_reserve = self.reserve(now)
+        reserve = own_reserve + lacked
         rest = max(0, self.long_limit(now) - self._jobs.long_busy)
-        normal = late + min(lengths[Level.LONG], rest) + lengths[Level.FILL]
+        normal = min(lengths[Level.LONG], rest) + lengths[Level.FILL]
         overdue = max(self._lateness(level, now) for level in (Level.LONG, Level.FILL))
-        urgent = fresh if overdue < 1.0 else fresh + normal
+        urgent = short if overdue < 1.0 else short + normal
         wants = Wants(
             urgent=max(0, urgent - free),
-            normal=max(0, normal - max(0, free - reserve)) if urgent == fresh else 0,
+            normal=max(0, normal - max(0, free - reserve)) if urgent == short else 0,
         )
         spare = Wants(
-            urgent=max(0, free - fresh),
-            normal=max(0, free - fresh - normal - reserve),
+            urgent=max(0, free - short),
+            normal=max(0, free - short - normal - reserve),
         )
-        return Need(wants, spare)
+        return Need(wants, spare, lacks=max(0, own_reserve - free))
 
     def note_drain(self, now: float, admission: Admission) -> None:
         """Tell admission whether work of either class is left waiting."""
         lengths = self._queues.length
-        urgent = lengths[Level.FRESH] + lengths[Level.LATE] > 0
+        urgent = lengths[Level.SHORT] > 0
         normal = lengths[Level.LONG] + lengths[Level.FILL] > 0
         admission.urgent_drain.note(now, urgent)
         admission.normal_drain.note(now, normal)
--- a/monsoongap/coordination/shares.py
+++ b/monsoongap/coordination/shares.py
@@ -7,12 +7,12 @@
 
 import math
 
-FADE_S = 20.0
+FADE_S = 30.0
 WARM_UP_S = 1.0
-LONG_FACTOR_IDLE = 0.75
-LONG_FACTOR_LATE = 1.35
-SHORT_FACTOR = 2.5
-RESERVE_FACTOR = 1.4
+LONG_FACTOR_IDLE = 0.5
+LONG_FACTOR_LATE = 1.5
+SHORT_FACTOR = 3.5
+RESERVE_FACTOR = 1.0
 MAX_RESERVE_SHARE = 0.25
 LATE_AFTER_RUNS = 3.0
 
--- a/monsoongap/state/estimates.py
+++ b/monsoongap/state/estimates.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunTimeKey:
-    """What a record is about; `bucket` is the octave of the declared size.
+    """What a record is about; `bucket` is the half octave of the declared size.
 
     An empty kind or a bucket of `ANY_BUCKET` stands for all of them.
     """
