--- a/monsoongap/coordination/tree.py
+++ b/monsoongap/coordination/tree.py
@@ -10,14 +10,10 @@
 
 from monsoongap.coordination.parts import Directory, HostIdentity, TeamLimits
 from monsoongap.coordination.ports import LogPort, PeerPort
-from monsoongap.coordination.tree_follow import (
-    RETRY_S,
-    SNAPSHOT_CHECKS,
-    LogFollower,
-    SnapshotPublisher,
-)
+from monsoongap.coordination.tree_follow import RETRY_S, LogFollower
 from monsoongap.coordination.tree_gossip import TreeGossip
 from monsoongap.coordination.tree_replica import TreeCounters, TreeReplica
+from monsoongap.coordination.tree_snapshots import SNAPSHOT_CHECKS, SnapshotPublisher
 from monsoongap.errors import DispatchError, ErrorKind, LogUnavailable, Outcome
 from monsoongap.protocol.peer import PeerHandlers, decode, encode
 from monsoongap.protocol.tree import (
