Bring control within its bounds: slower common beats, no bandwidth probes

Change: bandwidth probes off; beats every second and every other second across data centres, news stay immediate; the beats that a host starts leave at one common phase of its own. A first whole host list no longer delays the next poll. suspect_after_s is 2.5 s, twice that across data centres.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -57,16 +58,25 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Time between beats with a peer, and how long one may be late, in seconds."""
+
+    period_s: float
+    patience_s: float
+
+
 Compose = Callable[[str], Heartbeat]
 Learn = Callable[[Heartbeat], bool]
+PaceOf = Callable[[str], Pace]
 
 
 class Heartbeats:
     """Keeps a heartbeat stream with each followed peer and serves theirs.
 
-    `compose(host)` returns this host's heartbeat for a peer. `learn(beat)` is
-    called for each beat that arrives and returns False to refuse it, which ends
-    the stream.
+    `compose(host)` returns this host's heartbeat for a peer and `pace_of(host)` how
+    often it is due. `learn(beat)` is called for each beat that arrives and returns
+    False to refuse it, which ends the stream.
     """
 
     def __init__(
@@ -76,6 +86,7 @@
         link: PeerLink,
         compose: Compose,
         learn: Learn,
+        pace_of: PaceOf,
         timers: TimerService,
         rng: random.Random,
     ) -> None:
@@ -84,6 +95,8 @@
         self._link = link
         self._compose = compose
         self._learn = learn
+        self._pace_of = pace_of
+        self._phase_s = rng.uniform(0, cfg.heartbeat_s)
         self._timers = timers
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -127,36 +140,54 @@
                     backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
             await self._timers.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
 
+    def _until_next_beat(self, host: str) -> float:
+        """Return the time to the common beat of all streams, in seconds.
+
+        Beats that leave together wake the process once instead of one by one. The
+        phase differs from host to host.
+        """
+        period_s = self._pace_of(host).period_s
+        return period_s - (self._timers.now() + self._phase_s) % period_s
+
+    @asynccontextmanager
+    async def _bounded(self, host: str) -> AsyncIterator[None]:
+        """Bound a step in time; a step that takes longer is `PeerUnreachable`."""
+        try:
+            async with asyncio.timeout(self._pace_of(host).patience_s):
+                yield
+        except TimeoutError as exc:
+            raise PeerUnreachable(f"{host}: no heartbeat in time") from exc
+
     def _yields_to(self, host: str) -> bool:
         """Tell whether the peer's own stream makes one from here needless."""
         return self._name > host and self._served[host] > 0
 
     async def _exchange(self, host: str) -> None:
         """Open a stream and exchange beats until it breaks or is not needed."""
-        async with _bounded(self._cfg.suspect_after_s, host):
+        async with self._bounded(host):
             stream = await self._link.open_stream(host)
         talk = _Talk(stream)
         try:
             while not self._yields_to(host):
-                async with _bounded(self._cfg.suspect_after_s, host):
+                async with self._bounded(host):
                     await talk.tell(self._compose(host))
                     beat = await talk.hear()
                 self._take(beat, host)
-                await self._timers.sleep(self._cfg.heartbeat_s)
+                await self._timers.sleep(self._until_next_beat(host))
         finally:
             stream.close()
 
     async def _accept(self, stream: BeatStream) -> None:
         """Serve a peer's stream: reply to each of its beats with one."""
         talk = _Talk(stream)
-        async with _bounded(self._cfg.suspect_after_s, "new stream"):
+        async with self._bounded(""):
             beat = await talk.hear()
         host = beat.sender
         self._served[host] += 1
         try:
             while True:
                 self._take(beat, host)
-                async with _bounded(self._cfg.suspect_after_s, host):
+                async with self._bounded(host):
                     await talk.tell(self._compose(host))
                     beat = await talk.hear()
         finally:
@@ -195,13 +226,3 @@
         if self._heard is None:
             raise PeerUnreachable("stream does not begin with a whole heartbeat")
         return self._heard
-
-
-@asynccontextmanager
-async def _bounded(limit_s: float, host: str) -> AsyncIterator[None]:
-    """Bound a step in time; a step that takes longer is `PeerUnreachable`."""
-    try:
-        async with asyncio.timeout(limit_s):
-            yield
-    except TimeoutError as exc:
-        raise PeerUnreachable(f"{host}: no heartbeat in time") from exc
--- a/monsoongap/coordination/host_list.py
+++ b/monsoongap/coordination/host_list.py
@@ -6,9 +6,9 @@
 version looks like. What becomes of hosts that a list no longer names is decided
 by the tables that take it.
 
-The polls of the hosts fall at random phases. A list that arrives whole is paced to
-`LIST_BYTES_PER_S`; leaving workers do not wait for it, because the first host that
-reads of one tells the others.
+The polls of the hosts fall at random phases. A platform that sends the whole list
+each time is asked less often, so that `LIST_BYTES_PER_S` holds; leaving workers do
+not wait for it, because the first host that reads of one tells the others.
 """
 
 import logging
@@ -48,7 +48,7 @@
         self._timers = timers
         self._rng = rng
         self._last: HostList | None = None
-        self._unchanged = True
+        self._whole_in_row = 0
         self._older_since: float | None = None
         self._out = False
 
@@ -63,13 +63,13 @@
 
     async def refresh(self) -> bool:
         """Fetch once; True when a list was taken."""
-        self._unchanged = True
         try:
             fetched = await self._port.fetch()
         except LogUnavailable as exc:
             self._note_outage(str(exc))
             return False
-        self._unchanged = fetched is self._last
+        is_whole = fetched is not self._last
+        self._whole_in_row = self._whole_in_row + 1 if is_whole else 0
         self._last = fetched
         if not fetched.hosts:
             self._note_outage("list is empty")
@@ -83,8 +83,8 @@
         return True
 
     def _pause_s(self) -> float:
-        """Pace whole lists by their size; an unchanged one costs next to nothing."""
-        if self._last is None or self._unchanged:
+        """Pace by size where each fetch brings the whole list, changed or not."""
+        if self._last is None or self._whole_in_row < 2:
             return self._cfg.hosts_poll_s
         size = len(self._last.hosts) * ENTRY_BYTES
         return max(self._cfg.hosts_poll_s, size / LIST_BYTES_PER_S)
--- a/monsoongap/coordination/membership.py
+++ b/monsoongap/coordination/membership.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from monsoongap.coordination.digests import Digests, OnPeer, Supplier
-from monsoongap.coordination.heartbeats import Heartbeats, PeerLink
+from monsoongap.coordination.heartbeats import Heartbeats, Pace, PeerLink
 from monsoongap.coordination.host_list import HostListWatch
 from monsoongap.coordination.membership_messages import (
     MEMBERS,
@@ -29,7 +29,7 @@
     SnapshotRequest,
     WorkerLeaving,
 )
-from monsoongap.coordination.membership_peers import Peers
+from monsoongap.coordination.membership_peers import REMOTE_PERIOD_FACTOR, Peers
 from monsoongap.coordination.membership_probes import Probe, WorkerProbes
 from monsoongap.coordination.membership_workers import WorkerTable
 from monsoongap.coordination.parts import (
@@ -95,7 +95,14 @@
         self._digests = Digests()
         self._watch = HostListWatch(self._cfg, host_list, self._take_list, timers, rng)
         self._beats = Heartbeats(
-            self._cfg, identity, peers, self._compose, self._learn, timers, rng
+            self._cfg,
+            identity,
+            peers,
+            self._compose,
+            self._learn,
+            self._pace_of,
+            timers,
+            rng,
         )
         self._probes = WorkerProbes(
             self._probe_answered, self._probe_failed, timers, rng
@@ -224,8 +231,7 @@
 
     def _compose(self, host: str) -> Heartbeat:
         """Return this host's heartbeat for a peer, made anew at every tick."""
-        info = self._peers.get(host)
-        local = info is not None and info.dc == self._own.dc
+        local = self._is_local(host)
         if local not in self._composed:
             self._composed[local] = Heartbeat(
                 sender=self._own.name,
@@ -240,6 +246,15 @@
             )
         return self._composed[local]
 
+    def _pace_of(self, host: str) -> Pace:
+        """Return the pace of heartbeats with a peer, slower across dcs."""
+        factor = 1 if self._is_local(host) else REMOTE_PERIOD_FACTOR
+        return Pace(factor * self._cfg.heartbeat_s, factor * self._cfg.suspect_after_s)
+
+    def _is_local(self, host: str) -> bool:
+        info = self._peers.get(host)
+        return info is not None and info.dc == self._own.dc
+
     def _learn(self, beat: Heartbeat) -> bool:
         """Take up a peer's heartbeat; False when it is from an older boot."""
         heard = self._peers.learn(beat)
@@ -381,9 +396,8 @@
         differing: dict[str, bytes] = {}
         for host in self._peers.reachable():
             theirs = self._heard_members.get(host, b"")
-            info = self._peers.get(host)
-            local = info is not None and info.dc == self._own.dc
-            if theirs == self._pulled.get(host) or (local and theirs == own):
+            same = self._is_local(host) and theirs == own
+            if same or theirs == self._pulled.get(host):
                 continue
             if self._differing.get(host) == theirs:
                 self._spawn(self._pull_members(host, theirs), f"members:{host}")
--- a/monsoongap/coordination/membership_peers.py
+++ b/monsoongap/coordination/membership_peers.py
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 PEER_FORGET_S = 60.0
+REMOTE_PERIOD_FACTOR = 2
 
 
 class Peers:
@@ -192,7 +193,8 @@
         return PeerStatus.LIVE
 
     def _is_fresh(self, record: PeerRecord, now: float) -> bool:
-        return now - record.heard_at <= self._cfg.suspect_after_s
+        factor = 1 if record.dc == self._own.dc else REMOTE_PERIOD_FACTOR
+        return now - record.heard_at <= factor * self._cfg.suspect_after_s
 
     def _is_vouched_for(self, record: PeerRecord, now: float) -> bool:
         """Tell whether a host of its data centre that answers says it does too."""
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -52,14 +52,14 @@
     """Peers known before the host list is, as `name=dc=address`, and heartbeats.
 
     `cross_dc` is the number of hosts of each other data centre that this host
-    exchanges heartbeats with.
+    exchanges heartbeats with; both times are doubled there.
     """
 
     bootstrap: tuple[
         Annotated[str, Meta(pattern=r"^[\w-]+=[\w-]+=[0-9a-fA-F.:\[\]]+:\d{1,5}$")], ...
     ] = ()
-    heartbeat_s: Seconds = 0.5
-    suspect_after_s: Seconds = 2.0
+    heartbeat_s: Seconds = 1.0
+    suspect_after_s: Seconds = 2.5
     hosts_poll_s: Seconds = 2.0
     cross_dc: Annotated[int, Meta(ge=1, le=16)] = 2
 
--- a/monsoongap/transport/peers.py
+++ b/monsoongap/transport/peers.py
@@ -54,6 +54,7 @@
     ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.bdp_probe", 0),
 )
 _SERVER_OPTIONS = (
     *_COMMON_OPTIONS,
