Tell callers of jobs at other hosts when this host must end; promise nothing unclaimed

Cause: a host that reached its drain limit cut off callers whose job another host runs. A key refused because the table of jobs was full was told `not_run`, though no claim closed it and another host could run it.

Change: ending a host ends the wait for other hosts with `unknown`; a full table refuses own keys with `unknown`.

Ruled out: a closing claim when the table is full, which needs an entry itself.

Conclusion: two tests, one with a running, a queued, a forwarded and a followed job.

--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -14,7 +14,7 @@
 from monsoongap.coordination.home_jobs import HomeJobs
 from monsoongap.coordination.home_locate import Locator
 from monsoongap.coordination.home_messages import SUBMIT, OutcomeReply, SubmitCall
-from monsoongap.coordination.home_own import OwnKeys
+from monsoongap.coordination.home_own import OwnKeys, until_ended
 from monsoongap.coordination.home_route import Router
 from monsoongap.coordination.parts import Directory, DrainState, HostIdentity, Slots
 from monsoongap.coordination.ports import LogPort, PeerPort, WorkerPort
@@ -97,10 +97,12 @@
         )
         self._locator = Locator(identity, self._claims, self._jobs, peers, handlers)
         self._callers = 0
+        self._ended: asyncio.Future[ErrorKind] | None = None
         handlers.register(SUBMIT, self._serve_submit)
 
     def start(self) -> None:
         """Begin to watch workers and claims."""
+        self._ended = asyncio.get_running_loop().create_future()
         self._leases.start()
         self._claims.start()
 
@@ -150,7 +152,12 @@
         return max(self._callers, len(self._jobs.table.all_running()))
 
     async def end_all(self) -> None:
-        """Stop every running job, so that each caller is told its true outcome."""
+        """Stop every running job, so that each caller is told its true outcome.
+
+        Callers whose job runs at another host are told `unknown`: it goes on there.
+        """
+        if self._ended is not None and not self._ended.done():
+            self._ended.set_result(ErrorKind.DRAINING)
         for entry in self._jobs.table.all_running():
             entry.request_stop(ErrorKind.DRAINING)
 
@@ -187,13 +194,21 @@
             if issued is None:
                 known = await self._submit_own(submission, req)
             elif not self._is_here(issued):
-                return await self._router.to_issuer(issued, req, deadline_at)
+                return await self._forward(issued, req, deadline_at)
             elif issued.boot != self._identity.boot:
                 return await self._router.collect(issued, req, deadline_at)
             else:
                 known = self._admit_issued(issued, req, None)
         return await self._outcome(known, req, deadline_at)
 
+    async def _forward(
+        self, issued: IssuedId, req: JobRequest, deadline_at: float
+    ) -> JobOutcome:
+        work = self._router.to_issuer(issued, req, deadline_at)
+        if self._ended is None:
+            return await work
+        return await until_ended(work, self._ended, str(issued))
+
     async def _outcome(
         self, known: JobOutcome | JobEntry, req: JobRequest, deadline_at: float
     ) -> JobOutcome:
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -5,8 +5,11 @@
 winner a resubmission takes it up; no other process ever acts on it.
 """
 
+import asyncio
 import logging
 from collections import OrderedDict
+from collections.abc import Coroutine
+from typing import Any
 
 from monsoongap.coordination.claims import ClaimDesk
 from monsoongap.coordination.dispatch import Bound
@@ -20,6 +23,7 @@
     WorkerInfo,
     WorkerStatus,
 )
+from monsoongap.coordination.settle import run_until
 from monsoongap.errors import DispatchError, ErrorKind, Outcome
 from monsoongap.protocol.messages import (
     JobError,
@@ -91,9 +95,17 @@
                 f"deadline_ms is at most {self._max_deadline_ms} for own keys",
             )
         entry = self._jobs.open(key, req, remaining_s)
-        if not entry.finished.done():
-            entry.phase = JobPhase.CLAIMING
-            self._jobs.spawn(self._claim(entry))
+        if entry.finished.done():
+            # Without a claim another host may run the key, so nothing is promised.
+            self._jobs.table.forget(key)
+            raise DispatchError(
+                ErrorKind.OVERLOADED,
+                "too many jobs on this host",
+                RETRY_MS,
+                Outcome.UNKNOWN,
+            )
+        entry.phase = JobPhase.CLAIMING
+        self._jobs.spawn(self._claim(entry))
         return entry
 
     def resubmitted(self, claim: ClaimRecord, req: JobRequest) -> JobEntry:
@@ -183,7 +195,8 @@
         if (winner.home, winner.boot) == (me.name, me.boot):
             raise DispatchError(ErrorKind.NOT_FOUND, "its outcome is forgotten")
         entry.follows = winner.home
-        return await self._router.to_claimant(winner, entry.req, entry.deadline_at)
+        work = self._router.to_claimant(winner, entry.req, entry.deadline_at)
+        return await until_ended(work, entry.stop, entry.submission)
 
     def _claim_record(
         self, entry: JobEntry, refused: DispatchError | None
@@ -232,6 +245,17 @@
         return any(claim.same_claim(own) for own in self._abandoned.get(claim.key, ()))
 
 
+async def until_ended(
+    work: Coroutine[Any, Any, JobOutcome], ended: asyncio.Future[Any], submission: str
+) -> JobOutcome:
+    """Wait for another host's outcome, but not when this host ends first."""
+    waited = await run_until(work, ended)
+    if not waited.cancelled():
+        return waited.result()
+    detail = "this host is leaving while another one runs the job"
+    return error_outcome(submission, ErrorKind.HOME_UNREACHABLE, detail)
+
+
 def is_final(outcome: JobOutcome) -> bool:
     """Tell whether an outcome can be replayed for good.
 
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -7,6 +7,7 @@
 from monsoongap.errors import ErrorKind, LogUnavailable
 from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
+from monsoongap.settings import EntrySettings, HostSection, LimitsSection
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
 
@@ -190,6 +191,51 @@
     run_virtual(main())
 
 
+def test_host_that_ends_at_once_tells_every_caller_the_truth() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO, workers=1)
+        leaving, other = cluster.hosts["h1"].home, cluster.hosts["h2"].home
+        mine, queued = leaving.issue(2)
+        theirs, _ = other.issue(2)
+        long = job(2, run_ms=9_000)
+        calls = {}
+        asyncio.create_task(other.submit("followed", long))
+        await asyncio.sleep(0.1)
+        for submission in (mine, queued, theirs, "followed"):
+            calls[submission] = asyncio.create_task(leaving.submit(submission, long))
+            await asyncio.sleep(0.1)
+        await leaving.end_all()
+        await asyncio.wait(calls.values(), timeout=1.0)
+        told = {name: error(call.result()) for name, call in calls.items()}
+        assert told == {
+            mine: ("draining", "failed"),
+            queued: ("draining", "not_run"),
+            theirs: ("home_unreachable", "unknown"),
+            "followed": ("home_unreachable", "unknown"),
+        }
+        assert isinstance(await other.submit("followed", long), JobAnswer)
+        await leaving.drained()
+        assert cluster.starts(queued) == 0
+        await cluster.close()
+
+    run_virtual(main())
+
+
+def test_key_refused_for_want_of_room_is_unknown_and_may_run_elsewhere() -> None:
+    async def main() -> None:
+        cfg = EntrySettings(HostSection("h1", "dc1"), limits=LimitsSection(jobs=1))
+        cluster = Cluster(TRIO, cfg=cfg)
+        full = cluster.hosts["h1"].home
+        asyncio.create_task(full.submit("first", job(run_ms=3_000)))
+        await asyncio.sleep(0.1)
+        assert error(await full.submit("k", job())) == ("overloaded", "unknown")
+        outcome = await cluster.hosts["h2"].home.submit("k", job())
+        assert outcome == JobAnswer("k", answers("k", 2))
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_job_is_viewed_and_cancelled_from_any_host() -> None:
     async def main() -> None:
         cluster = Cluster(TWO_DCS)
