Begin to read a claims stream where claims may still stand

Cause: a host that became a bucket's reader read the log's whole retention and took every old claim for a fresh one; an hour at 9 claims/s would fill its table, and a full table grants nothing for `claims.keep_s`.

Change: each record carries `live_from`, the offset before which its batcher had read everything more than `keep_s` ago on its own clock; a new reader finds the last record and begins there. A host whose claim would list no worker refuses the key.

Ruled out: wall-clock times in the records; one wrong clock could expire the claims of all hosts.

Figures: test with 400 claims one second apart and a `keep_s` of 60 s: the new reader holds 60 to 90 claims (before: 400) and still recovers the last one's answer.

--- a/monsoongap/coordination/claim_batch.py
+++ b/monsoongap/coordination/claim_batch.py
@@ -3,8 +3,9 @@
 import asyncio
 import logging
 import math
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -27,6 +28,7 @@
 MAX_WAITING = 2_000
 PAGE_RECORDS = 500
 RETRY_S = 0.1
+CHECKPOINT_S = 10.0
 
 
 def log_out(detail: str) -> DispatchError:
@@ -70,7 +72,9 @@
         self._port = port
         self._table = table
         self._timers = timers
-        self._cursor = 0
+        self._cursor: int | None = None
+        self._live_from = 0
+        self._checkpoints: deque[tuple[float, int]] = deque()
         self._reading = asyncio.Lock()
         self._waiting: list[_Waiting] = []
         self._work: asyncio.Task[None] | None = None
@@ -99,13 +103,45 @@
     async def catch_up(self) -> None:
         """Read what was appended since the last read."""
         async with self._reading:
+            if self._cursor is None:
+                self._cursor = self._live_from = await self._find_start()
             while True:
                 page = await self._read(self._cursor, PAGE_RECORDS)
                 for record in page.records:
                     self._note(record)
                 self._cursor = page.next
                 if len(page.records) < PAGE_RECORDS:
-                    return
+                    break
+            self._checkpoint(self._cursor)
+
+    def _checkpoint(self, cursor: int) -> None:
+        """Remember how far the stream was read, to tell later what has expired."""
+        now = self._timers.now()
+        marks = self._checkpoints
+        if not marks or now - marks[-1][0] >= CHECKPOINT_S:
+            marks.append((now, cursor))
+        while marks and now - marks[0][0] > self._cfg.keep_s:
+            self._live_from = marks.popleft()[1]
+
+    async def _find_start(self) -> int:
+        """Return the offset from which claims may still stand.
+
+        The last record of the stream tells it; the log does not tell its end, so
+        the last record is found by doubling and halving.
+        """
+        page = await self._read(0, 1)
+        if not page.records:
+            return page.next
+        last, step = page.records[0], 1
+        while step:
+            page = await self._read(last.offset + step, 1)
+            if page.records:
+                last = page.records[0]
+                step *= 2
+            else:
+                step //= 2
+        record = _decode(last)
+        return 0 if record is None else record.live_from
 
     async def _commit_all(self) -> None:
         while self._waiting:
@@ -136,11 +172,12 @@
         now = self._timers.now()
         new = [i for i in batch if self._table.place(i.record.key, now) is None]
         if new:
-            texts = tuple(msgspec.json.encode(i.record).decode() for i in new)
+            await self._start_reading()
+            texts = tuple(_encode(i.record, self._live_from) for i in new)
             self.appends += 1
             self._appended_at = self._timers.now()
             offset = await self._port.append(self._stream, texts)
-            while self._cursor < offset + len(texts):
+            while self._cursor is None or self._cursor < offset + len(texts):
                 await self.catch_up()
         for item in batch:
             winner = await self._winner(item.record.key)
@@ -150,6 +187,11 @@
                 item.winner.set_result(winner)
         return []
 
+    async def _start_reading(self) -> None:
+        """Read the stream before the first append, to know `live_from`."""
+        if self._cursor is None:
+            await self.catch_up()
+
     def _provable(self, record: ClaimRecord, winner: ClaimRecord) -> bool:
         """Tell whether no earlier claim of this key can have been dropped."""
         return self._table.complete(self._timers.now()) or not winner.same_claim(record)
@@ -178,6 +220,10 @@
             self._table.note(entry.offset, record, self._timers.now())
 
 
+def _encode(record: ClaimRecord, live_from: int) -> str:
+    return msgspec.json.encode(replace(record, live_from=live_from)).decode()
+
+
 def _decode(entry: LogRecord) -> ClaimRecord | None:
     try:
         return msgspec.json.decode(entry.data, type=ClaimRecord)
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -178,7 +178,7 @@
             self._jobs.admit(entry)
         except DispatchError as exc:
             return exc
-        if await self._leases.any_known():
+        if await self._leases.any_known() and self._workers_for(entry):
             return None
         self._jobs.withdraw(entry)
         return DispatchError(ErrorKind.OVERLOADED, "no worker answers", RETRY_MS)
--- a/monsoongap/state/claims.py
+++ b/monsoongap/state/claims.py
@@ -25,7 +25,9 @@
     `home`, `boot` and `serial` name the one process that may turn the claim into
     starts, and which of its claims this is. `workers` maps the only workers that
     it may use to their boot numbers. `refused` is set on a claim that closes its
-    key without running it: the error kind that its caller was told.
+    key without running it: the error kind that its caller was told. `live_from` is
+    the appending host's word that every record before this offset was read more than
+    `claims.keep_s` before, so that a new reader may begin there.
     """
 
     key: Annotated[str, Meta(max_length=200)]
@@ -38,6 +40,7 @@
     serial: int
     workers: dict[str, int]
     refused: str | None = None
+    live_from: int = 0
 
     def same_claim(self, other: "ClaimRecord") -> bool:
         """Tell whether two records are copies of one claim."""
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -7,7 +7,7 @@
 from monsoongap.errors import ErrorKind, LogUnavailable
 from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
-from monsoongap.settings import EntrySettings, HostSection, LimitsSection
+from monsoongap.settings import ClaimsSection, EntrySettings, HostSection, LimitsSection
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
 
@@ -69,6 +69,8 @@
 def test_abandoned_claim_that_landed_is_taken_up_by_its_own_process_only() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
+        for number in range(16):  # every batcher knows where its streams stand
+            await at_all(cluster, f"earlier-{number}")
         for host in cluster.hosts.values():
             host.log.read = unreadable  # type: ignore[method-assign]
         first = await cluster.hosts["h1"].home.submit("k", job(8))
@@ -169,6 +171,27 @@
     run_virtual(main())
 
 
+def test_new_reader_of_a_long_stream_reads_only_what_may_stand() -> None:
+    async def main() -> None:
+        claims = ClaimsSection(buckets=1, keep_s=60.0)
+        cfg = EntrySettings(HostSection("h1", "dc1"), claims=claims)
+        cluster = Cluster({"h1": "dc1", "h2": "dc1"}, cfg=cfg)
+        old = cluster.hosts["h1"].home
+        for number in range(400):
+            await old.submit(f"k{number}", job(1, run_ms=1.0))
+            await asyncio.sleep(1)
+        cluster.hosts["h1"].kill()
+        cluster.hosts["h2"].kill()
+        host = cluster.boot("h2", "dc1", 2)
+        outcome = await host.home.submit("k399", job(1, run_ms=1.0))
+        assert outcome == JobAnswer("k399", answers("k399", 1))
+        assert cluster.starts("k399") == 1
+        assert 60 <= host.home.counters()["claims_known"] <= 60 + 30
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_leaving_host_lets_a_peer_claim() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
