Answer forgotten submissions from the workers; let retries wait in one queue

Cause: an outcome is kept for the last `limits.jobs` jobs only, under load for less than a minute; a caller that came back later got `not_found` although the workers had the answers. Each task that waited for a retry token woke 20 times a second.

Change: a used id or key whose outcome had to make room is answered from the workers when they have all of it and no more tasks than the caller's body. Retries stand in one queue with one timer.

Ruled out: keeping more outcomes; the memory of a host is bounded.

--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -15,6 +15,7 @@
 from monsoongap.coordination.home_locate import Locator
 from monsoongap.coordination.home_messages import SUBMIT, OutcomeReply, SubmitCall
 from monsoongap.coordination.home_own import OwnKeys, until_ended
+from monsoongap.coordination.home_replay import Replay
 from monsoongap.coordination.home_route import Router
 from monsoongap.coordination.parts import Directory, DrainState, HostIdentity, Slots
 from monsoongap.coordination.ports import LogPort, PeerPort, WorkerPort
@@ -22,9 +23,9 @@
 from monsoongap.coordination.recovery_collect import Collector
 from monsoongap.coordination.retries import RetryBudget
 from monsoongap.coordination.settle import Settler
-from monsoongap.errors import DispatchError, ErrorKind, Outcome
+from monsoongap.errors import DispatchError, ErrorKind
 from monsoongap.protocol.ids import IssuedId, parse_issued
-from monsoongap.protocol.messages import JobError, JobOutcome, JobRequest, JobView
+from monsoongap.protocol.messages import JobOutcome, JobRequest, JobView
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.settings import EntrySettings
 from monsoongap.state.jobs import IssuedWindow, JobEntry
@@ -85,6 +86,7 @@
             self._collector,
             timers,
         )
+        self._replay = Replay(self._jobs.table, self._collector, timers)
         self._own = OwnKeys(
             cfg,
             identity,
@@ -93,6 +95,7 @@
             self._claims,
             self._jobs,
             self._router,
+            self._replay,
             timers,
         )
         self._locator = Locator(identity, self._claims, self._jobs, peers, handlers)
@@ -197,9 +200,11 @@
                 return await self._forward(issued, req, deadline_at)
             elif issued.boot != self._identity.boot:
                 return await self._router.collect(issued, req, deadline_at)
+            elif self._issued.is_used(issued.serial):
+                return await self._replay.forgotten(submission, req)
             else:
                 known = self._admit_issued(issued, req, None)
-        return await self._outcome(known, req, deadline_at)
+        return await self._replay.outcome(known, req, deadline_at)
 
     async def _forward(
         self, issued: IssuedId, req: JobRequest, deadline_at: float
@@ -209,26 +214,6 @@
             return await work
         return await until_ended(work, self._ended, str(issued))
 
-    async def _outcome(
-        self, known: JobOutcome | JobEntry, req: JobRequest, deadline_at: float
-    ) -> JobOutcome:
-        """Wait for a running job; leaving this wait does not stop it.
-
-        An unsettled outcome of before is worth another look: a worker that was cut
-        off may have the answers now.
-        """
-        if isinstance(known, JobEntry):
-            return await asyncio.shield(known.finished)
-        if not _is_unsettled(known) or known.submission is None:
-            return known
-        answer = await self._collector.collect(
-            known.submission, len(req.tasks), deadline_at
-        )
-        if answer is None:
-            return known
-        self._jobs.table.improve(answer)
-        return answer
-
     async def _submit_own(self, key: str, req: JobRequest) -> JobOutcome | JobEntry:
         """Claim a key here, or at a peer while this host is leaving."""
         if self._drain.draining:
@@ -244,19 +229,24 @@
         try:
             known = self._jobs.join(call.submission, call.req)
             if known is None:
-                known = self._admit_passed(call)
+                known = await self._admit_passed(call)
             deadline_at = self._timers.now() + call.remaining_ms / MS_PER_S
-            return OutcomeReply.of(await self._outcome(known, call.req, deadline_at))
+            return OutcomeReply.of(
+                await self._replay.outcome(known, call.req, deadline_at)
+            )
         finally:
             self._callers -= 1
 
-    def _admit_passed(self, call: SubmitCall) -> JobEntry:
+    async def _admit_passed(self, call: SubmitCall) -> JobOutcome | JobEntry:
         issued = parse_issued(call.submission)
         remaining_s = call.remaining_ms / MS_PER_S
         if issued is not None:
+            used = issued.boot == self._identity.boot
+            if used and self._issued.is_used(issued.serial):
+                return await self._replay.forgotten(call.submission, call.req)
             return self._admit_issued(issued, call.req, remaining_s)
         if call.claim is not None:
-            return self._own.resubmitted(call.claim, call.req)
+            return await self._own.resubmitted(call.claim, call.req)
         if self._drain.draining:
             raise DispatchError(ErrorKind.DRAINING, "this host is leaving too")
         return self._own.submit(call.submission, call.req, remaining_s)
@@ -284,12 +274,3 @@
         else:
             self._jobs.run(entry, None, "issued here")
         return entry
-
-
-def _is_unsettled(outcome: JobOutcome) -> bool:
-    """Tell whether the workers may know more by now."""
-    return (
-        isinstance(outcome, JobError)
-        and outcome.error == ErrorKind.START_UNSETTLED
-        and outcome.outcome == Outcome.UNKNOWN
-    )
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -16,6 +16,7 @@
 from monsoongap.coordination.dispatch_leases import LeaseTable
 from monsoongap.coordination.dispatch_verdict import error_outcome, from_exception
 from monsoongap.coordination.home_jobs import HomeJobs
+from monsoongap.coordination.home_replay import Replay
 from monsoongap.coordination.home_route import Router
 from monsoongap.coordination.parts import (
     Directory,
@@ -67,6 +68,7 @@
         claims: ClaimDesk,
         jobs: HomeJobs,
         router: Router,
+        replay: Replay,
         timers: TimerService,
     ) -> None:
         self._identity = identity
@@ -75,6 +77,7 @@
         self._claims = claims
         self._jobs = jobs
         self._router = router
+        self._replay = replay
         self._timers = timers
         self._max_deadline_ms = round(cfg.claims.keep_s * MAX_DEADLINE_SHARE * MS_PER_S)
         self._max_abandoned = cfg.limits.jobs
@@ -108,16 +111,18 @@
         self._jobs.spawn(self._claim(entry))
         return entry
 
-    def resubmitted(self, claim: ClaimRecord, req: JobRequest) -> JobEntry:
+    async def resubmitted(
+        self, claim: ClaimRecord, req: JobRequest
+    ) -> JobOutcome | JobEntry:
         """Take up a job that another host knows to be claimed by this one.
 
-        Raises `home_lost` when an earlier process claimed it and `not_found` when
-        its outcome is forgotten; in neither case is it run again.
+        Raises `home_lost` when an earlier process claimed it, and `not_found` when
+        its outcome is forgotten here and at the workers; it is never run again.
         """
         if claim.boot != self._identity.boot:
             raise DispatchError(ErrorKind.HOME_LOST, "claimed by a past process")
         if not self._is_abandoned(claim):
-            raise DispatchError(ErrorKind.NOT_FOUND, "its outcome is forgotten")
+            return await self._replay.forgotten(claim.key, req)
         return self.submit(claim.key, req)
 
     async def _claim(self, entry: JobEntry) -> None:
@@ -193,7 +198,7 @@
             return _refused_outcome(winner)
         me = self._identity
         if (winner.home, winner.boot) == (me.name, me.boot):
-            raise DispatchError(ErrorKind.NOT_FOUND, "its outcome is forgotten")
+            return await self._replay.forgotten(winner.key, entry.req)
         entry.follows = winner.home
         work = self._router.to_claimant(winner, entry.req, entry.deadline_at)
         return await until_ended(work, entry.stop, entry.submission)
--- a/monsoongap/coordination/recovery_collect.py
+++ b/monsoongap/coordination/recovery_collect.py
@@ -37,7 +37,9 @@
     ) -> JobAnswer | None:
         """Return the complete answer, or None when some of it can't be had.
 
-        Waits for tasks that still run until `deadline_at` on the timer clock.
+        A body of fewer tasks than the job had gets None; other changes of a body
+        can't be seen from the workers. Waits for tasks that still run until
+        `deadline_at` on the timer clock.
         """
         workers = [info.name for info in self._directory.workers()]
         if tasks * len(workers) > MAX_QUESTIONS_PER_JOB:
@@ -49,12 +51,25 @@
             if found is None:
                 return None
             values.append(found.value)
+        if await self._has_more(submission, tasks, workers):
+            return None
         log.info(
             "recovered",
             extra={"submission": submission, "reason": "workers kept the answers"},
         )
         return JobAnswer(submission, tuple(values))
 
+    async def _has_more(self, submission: str, tasks: int, workers: list[str]) -> bool:
+        """Tell whether the job had more tasks than its caller says now."""
+        task = task_id(submission, tasks)
+        attempts = [Attempt(worker, submission, task, 0, 0) for worker in workers]
+        reports = await asyncio.gather(
+            *(self._settler.inspect(attempt, 0) for attempt in attempts)
+        )
+        return any(
+            report and report.state is not TaskState.UNKNOWN for report in reports
+        )
+
     async def _find(
         self, submission: str, task: str, workers: list[str], deadline_at: float
     ) -> Answered | None:
--- a/monsoongap/coordination/retries.py
+++ b/monsoongap/coordination/retries.py
@@ -1,13 +1,14 @@
 """The retry budget: a share of recent starts, never a count per request."""
 
 import asyncio
+from collections import deque
 from typing import Any
 
 from monsoongap.timers import TimerService
 
 RETRY_SHARE = 0.09
 BURST_TOKENS = 5.0
-IDLE_AFTER_S = 2.0
+IDLE_AFTER_S = 0.2
 IDLE_TOKENS_PER_S = 0.5
 IDLE_TOKENS = 2.0
 POLL_S = 0.05
@@ -18,13 +19,17 @@
 
     Every first start earns `RETRY_SHARE` of a token, so retries stay below that
     share of starts whatever fails. A host without first starts earns a little
-    with time, so that a single job can still get past one bad worker.
+    with time, so that a single job can still get past one bad worker, and a token
+    with each answer: its workers are well, and the tasks that still wait for a
+    retry would otherwise wait for time alone.
     """
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self._tokens = IDLE_TOKENS
         self._idle_from: float | None = None
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._look_again: asyncio.TimerHandle | None = None
         self.starts = 0
         self.retries = 0
 
@@ -34,23 +39,45 @@
         self.starts += 1
         self._tokens = min(BURST_TOKENS, self._tokens + RETRY_SHARE)
         self._idle_from = self._timers.now() + IDLE_AFTER_S
+        if self._waiting:
+            self._grant()
 
-    def try_take(self) -> bool:
-        """Spend a token on a retry, if there is one."""
+    def note_answer(self) -> None:
+        """Earn a token for an answer while there are no first starts."""
         self._earn_idle()
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        self.retries += 1
-        return True
+        if self._idle_from is not None and self._timers.now() >= self._idle_from:
+            self._tokens = min(BURST_TOKENS, self._tokens + 1.0)
 
     async def take(self, stop: asyncio.Future[Any]) -> bool:
-        """Wait for a token; returns False when `stop` is done first."""
-        while not stop.done():
-            if self.try_take():
-                return True
-            await asyncio.wait({stop}, timeout=POLL_S)
-        return False
+        """Wait in turn for a token; returns False when `stop` is done first."""
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        self._grant()
+        try:
+            await asyncio.wait({turn, stop}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            granted = not turn.cancel()
+        return granted
+
+    def _grant(self) -> None:
+        """Hand tokens to those who wait, and look again while some are left."""
+        self._earn_idle()
+        while self._waiting:
+            if self._waiting[0].done():
+                self._waiting.popleft()
+            elif self._tokens >= 1.0:
+                self._tokens -= 1.0
+                self.retries += 1
+                self._waiting.popleft().set_result(None)
+            else:
+                break
+        if self._waiting and self._look_again is None:
+            loop = asyncio.get_running_loop()
+            self._look_again = loop.call_later(POLL_S, self._look)
+
+    def _look(self) -> None:
+        self._look_again = None
+        self._grant()
 
     def _earn_idle(self) -> None:
         now = self._timers.now()
--- a/monsoongap/state/jobs.py
+++ b/monsoongap/state/jobs.py
@@ -189,6 +189,13 @@
         self._unused[serial % len(self._unused)] = 1
         return serial
 
+    def is_used(self, serial: int) -> bool:
+        """Tell whether a serial was issued and is used or too old."""
+        size = len(self._unused)
+        if not 1 <= serial < self._next:
+            return False
+        return serial < self._next - size or not self._unused[serial % size]
+
     def take(self, serial: int) -> bool:
         """Use a serial; False when it is used, too old or was never issued."""
         size = len(self._unused)
