--- a/monsoongap/coordination/membership.py
+++ b/monsoongap/coordination/membership.py
@@ -9,28 +9,24 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
 from monsoongap.coordination.digests import Digests, OnPeer, Supplier
 from monsoongap.coordination.heartbeats import Heartbeats, Pace, PeerLink
 from monsoongap.coordination.host_list import HostListWatch
+from monsoongap.coordination.membership_bootstrap import Bootstrap
 from monsoongap.coordination.membership_messages import (
-    MEMBERS,
-    NEWS,
-    SNAPSHOT,
     Heartbeat,
-    Members,
-    MembersRequest,
     News,
-    NewsTaken,
     Snapshot,
-    SnapshotRequest,
     WorkerLeaving,
 )
+from monsoongap.coordination.membership_news import NewsSpread
 from monsoongap.coordination.membership_peers import REMOTE_PERIOD_FACTOR, Peers
 from monsoongap.coordination.membership_probes import Probe, WorkerProbes
+from monsoongap.coordination.membership_views import MemberViews
 from monsoongap.coordination.membership_workers import WorkerTable
 from monsoongap.coordination.parts import (
     DrainState,
@@ -40,7 +36,6 @@
     WorkerInfo,
 )
 from monsoongap.coordination.ports import HostListPort
-from monsoongap.errors import DispatchError, PeerUnreachable
 from monsoongap.protocol.messages import HostList, HostRole, WorkerUsage
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.settings import EntrySettings
@@ -49,7 +44,6 @@
 
 log = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 1.0
 WILDCARD_ADDRESSES = ("0.0.0.0:", "[::]:")
 
 
@@ -85,7 +79,6 @@
     ) -> None:
         self._cfg = cfg.peers
         self._own = identity
-        self._link = peers
         self._drain = drain
         self._timers = timers
         self._address = _advertised(cfg.listen.peer)
@@ -104,19 +97,35 @@
             timers,
             rng,
         )
+        self._views = MemberViews(self._peers, peers, handlers, drain, self._is_local)
+        self._bootstrap = Bootstrap(
+            identity,
+            self._peers,
+            self._workers,
+            self._watch,
+            peers,
+            handlers,
+            drain,
+            self._take_snapshot,
+        )
+        self._news = NewsSpread(
+            identity,
+            self._peers,
+            self._workers,
+            peers,
+            handlers,
+            drain,
+            timers,
+            self._learn_news,
+            self._spawn,
+        )
         self._probes = WorkerProbes(
             self._probe_answered, self._probe_failed, timers, rng
         )
         self._subscribers: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._composed: dict[bool, Heartbeat] = {}
-        self._heard_members: dict[str, bytes] = {}
-        self._differing: dict[str, bytes] = {}
-        self._pulled: dict[str, bytes] = {}
         self.ready = False
-        handlers.register(NEWS, self._on_news)
-        handlers.register(MEMBERS, self._on_members)
-        handlers.register(SNAPSHOT, self._on_snapshot)
         drain.listeners.append(self._on_drain)
 
     # Directory
@@ -196,7 +205,7 @@
         self._peers.add_bootstrap()
         self._peers.refresh()
         if not await self._watch.refresh():
-            await self._bootstrap()
+            await self._bootstrap.run()
         self._tick()
         self._timers.every(self._cfg.heartbeat_s / 2, self._tick, "membership")
         self._spawn(self._watch.run(), "host-list")
@@ -208,25 +217,6 @@
         for task in self._tasks:
             task.cancel()
 
-    async def announce(self) -> None:
-        """Tell every peer that answers of this host's state and leaving workers.
-
-        Returns when each has confirmed or `CALL_TIMEOUT_S` has passed. A peer that
-        misses it gets the same by the next heartbeat.
-        """
-        local = self._peers.reachable(self._own.dc)
-        remote = set(self._peers.reachable()) - set(local)
-        own_state = News(self._own.name, self._own.boot, self._drain.draining)
-        with_workers = News(
-            self._own.name,
-            self._own.boot,
-            self._drain.draining,
-            self._workers.leaving_news(),
-        )
-        calls = [self._tell(host, with_workers) for host in local]
-        calls += [self._tell(host, own_state) for host in sorted(remote)]
-        await asyncio.gather(*calls)
-
     # Heartbeats and news
 
     def _compose(self, host: str) -> Heartbeat:
@@ -240,7 +230,7 @@
                 boot=self._own.boot,
                 draining=self._drain.draining,
                 list_version=self._watch.version,
-                members=self._peers.answering_hash(self._drain.draining),
+                members=self._views.own_hash(),
                 leaving=self._workers.leaving_news() if local else (),
                 digests=self._digests.collect(),
             )
@@ -262,7 +252,7 @@
             extra = {"peer": beat.sender, "boot": beat.boot}
             log.warning("heartbeat of an older boot ignored", extra=extra)
             return False
-        self._heard_members[beat.sender] = beat.members
+        self._views.hear(beat)
         info = self._peers.get(beat.sender)
         if heard is Heard.CHANGED or info is None or info.status is PeerStatus.SUSPECT:
             self._refresh_peers()
@@ -279,27 +269,19 @@
         self._changed()
         self._probe_workers()
         if own:
-            self._spawn(self.announce(), "announce")
-
-    async def _tell(self, host: str, news: News) -> None:
-        try:
-            await self._link.call(host, NEWS, news, CALL_TIMEOUT_S)
-        except (PeerUnreachable, DispatchError) as exc:
-            extra = {"peer": host, "reason": str(exc)}
-            log.debug("news not confirmed", extra=extra)
+            self._news.tell_local()
 
-    async def _on_news(self, news: News) -> NewsTaken:
+    def _learn_news(self, news: News) -> None:
         heard = self._peers.learn_news(news.sender, news.boot, news.draining)
         if heard is not Heard.OLDER_BOOT:
             self._refresh_peers()
             self._learn_leaving(news.leaving, own=False)
-        return NewsTaken()
 
     def _on_drain(self) -> None:
         self._composed.clear()
-        self._spawn(self.announce(), "announce")
+        self._news.tell_all()
 
-    # The host list and the members known to peers
+    # The host list, and what peers know
 
     def _take_list(self, listed: HostList) -> None:
         now = self._timers.now()
@@ -316,64 +298,14 @@
         self._refresh_peers()
         self._after_workers(changed, news_before)
 
-    async def _bootstrap(self) -> None:
-        """Ask one known peer after another until one of this data centre replies."""
-        asked: set[str] = set()
-        while (host := self._next_unasked(asked)) is not None:
-            asked.add(host)
-            try:
-                snapshot = await self._link.call(
-                    host, SNAPSHOT, SnapshotRequest(), CALL_TIMEOUT_S
-                )
-            except (PeerUnreachable, DispatchError) as exc:
-                extra = {"peer": host, "reason": str(exc)}
-                log.info("no snapshot from peer", extra=extra)
-                continue
-            if self._take_snapshot(host, snapshot):
-                return
-
-    def _next_unasked(self, asked: set[str]) -> str | None:
-        """Choose the next peer to ask, those of this data centre first."""
-        rest = [info for info in self._peers.view() if info.name not in asked]
-        rest.sort(key=lambda info: (info.dc != self._own.dc, info.name))
-        return rest[0].name if rest else None
-
-    def _take_snapshot(self, host: str, snapshot: Snapshot) -> bool:
-        """Take up a peer's table; True when it has this data centre's workers."""
-        self._peers.adopt(snapshot.members)
-        self._refresh_peers()
-        if snapshot.dc != self._own.dc or not snapshot.workers:
-            return False
-        self._watch.version = max(self._watch.version, snapshot.list_version)
-        self._workers.adopt(snapshot.workers)
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
         self._learn_leaving(snapshot.leaving, own=False)
         self.ready = True
+        self._refresh_peers()
         self._changed()
-        extra = {"peer": host, "workers": len(snapshot.workers)}
-        log.info("routing table taken from peer", extra=extra)
-        return True
 
-    async def _on_snapshot(self, _request: SnapshotRequest) -> Snapshot:
-        return Snapshot(
-            dc=self._own.dc,
-            list_version=self._watch.version,
-            workers=self._workers.view(),
-            members=self._peers.known(self._drain.draining),
-            leaving=self._workers.leaving_news(),
-        )
-
-    async def _on_members(self, _request: MembersRequest) -> Members:
-        return self._peers.answering(self._drain.draining)
-
-    async def _pull_members(self, host: str, wanted: bytes) -> None:
-        try:
-            members = await self._link.call(
-                host, MEMBERS, MembersRequest(), CALL_TIMEOUT_S
-            )
-        except (PeerUnreachable, DispatchError):
-            return
-        self._pulled[host] = wanted
-        self._peers.learn_members(host, members)
+    async def _fetch_members(self, fetch: Callable[[], Awaitable[None]]) -> None:
+        await fetch()
         self._refresh_peers()
 
     # Time
@@ -386,24 +318,10 @@
         self._refresh_peers()
         self._beats.follow(self._peers.to_follow())
         self._probe_workers()
-        self._pull_where_members_differ()
+        for fetch in self._views.to_fetch():
+            self._spawn(self._fetch_members(fetch), "members")
         if not self.ready and not self._is_running("bootstrap"):
-            self._spawn(self._bootstrap(), "bootstrap")
-
-    def _pull_where_members_differ(self) -> None:
-        """Ask peers whose view differs from what is known here for two ticks."""
-        own = self._peers.answering_hash(self._drain.draining)
-        differing: dict[str, bytes] = {}
-        for host in self._peers.reachable():
-            theirs = self._heard_members.get(host, b"")
-            same = self._is_local(host) and theirs == own
-            if same or theirs == self._pulled.get(host):
-                continue
-            if self._differing.get(host) == theirs:
-                self._spawn(self._pull_members(host, theirs), f"members:{host}")
-            else:
-                differing[host] = theirs
-        self._differing = differing
+            self._spawn(self._bootstrap.run(), "bootstrap")
 
     def _probe_workers(self) -> None:
         self._probes.tick(self._workers.to_probe(self._timers.now()))
@@ -423,7 +341,7 @@
         if changed:
             self._changed()
         if set(self._workers.leaving_news()) - set(news_before):
-            self._spawn(self.announce(), "announce")
+            self._news.tell_local()
 
     def _refresh_peers(self) -> None:
         if self._peers.refresh():
