Stop listening once unready; serve callers over TLS; earn retries by answers

Cause: a rolling restart under load hung: a leaving host passed callers on to its peer for ever, so its in-flight count never reached zero (20 s and more, killed). Twenty tasks refused as busy while a peer left waited two seconds each for the retry budget, because a host without first starts earned 0.5 tokens a second. Conclusion: leaving ends by itself whatever callers do.

--- a/monsoongap/coordination/dispatch_attempt.py
+++ b/monsoongap/coordination/dispatch_attempt.py
@@ -174,6 +174,7 @@
         match end:
             case Answered():
                 slot_end = SlotEnd.DONE
+                self._budget.note_answer()
             case Broken() if entry.stop.done():
                 slot_end = SlotEnd.CANCELLED
             case Broken():
--- a/monsoongap/coordination/leaving.py
+++ b/monsoongap/coordination/leaving.py
@@ -1,11 +1,12 @@
 """Leaving in good order: what a host does between its first signal and its exit.
 
 The host turns unready and tells its peers at once, gives its credits back,
-refuses new jobs and finishes what is in flight. It goes on listening for
-`MIN_UNREADY_S`, because the balancer sends callers until it has seen the host
-unready, and a caller that finds no listener can't tell whether its job ran. The
-limit or a second signal ends the wait: then every job is ended and every caller
-gets the outcome that can be proved.
+runs no new job and finishes what is in flight. It goes on listening for
+`MIN_UNREADY_S`, passing callers on to its peers, because the balancer sends callers
+until it has seen the host unready. Then it stops listening, or callers that are
+sent all the same would keep it for ever; open connections are finished. The limit
+or a second signal ends the wait: then every job is ended and every caller gets the
+outcome that can be proved.
 """
 
 import asyncio
@@ -47,12 +48,13 @@
 class LeaveHooks:
     """What leaving asks of the other parts.
 
-    `return_credits` gives lent and borrowed credits back, `in_flight` counts
-    the callers that wait and jobs that run, `end_all` ends every job so that its
-    callers are told the true outcome.
+    `return_credits` gives lent and borrowed credits back, `stop_listening` takes no
+    further connections, `in_flight` counts the callers that wait and jobs that run,
+    `end_all` ends every job so that its callers are told the true outcome.
     """
 
     return_credits: Callable[[], Awaitable[None]]
+    stop_listening: Callable[[], None]
     in_flight: Callable[[], int]
     end_all: Callable[[], Awaitable[None]]
 
@@ -95,11 +97,15 @@
 
     async def _wait_until_idle(self, began_at: float) -> LeaveEnd:
         """Wait until nothing is in flight, the limit, or a second signal."""
+        listening = True
         while not self._hurry.is_set():
             age_s = self._timers.now() - began_at
+            if listening and age_s >= self._min_unready_s():
+                listening = False
+                self._hooks.stop_listening()
             if age_s >= self._cfg.drain_s:
                 return LeaveEnd.LIMIT
-            if age_s >= self._min_unready_s() and self._hooks.in_flight() == 0:
+            if not listening and self._hooks.in_flight() == 0:
                 return LeaveEnd.FINISHED
             await self._pause()
         return LeaveEnd.SECOND_SIGNAL
--- a/monsoongap/entry.py
+++ b/monsoongap/entry.py
@@ -68,6 +68,7 @@
             self.node.drain,
             LeaveHooks(
                 return_credits=self._return_credits,
+                stop_listening=self._stop_listening,
                 in_flight=self.node.home.in_flight,
                 end_all=self.node.home.end_all,
             ),
@@ -86,7 +87,12 @@
         application = build_app(
             self._cfg.limits, jobs, self.node.tokens, view, self.node.config
         )
-        self._server = listen(application, self._cfg.listen.caller, self._cfg.limits)
+        self._server = listen(
+            application,
+            self._cfg.listen.caller,
+            self._cfg.limits,
+            self._tls.server_context(),
+        )
         log.info("listening", extra={"address": self._cfg.listen.caller})
         await self.node.start()
         await self._leave.wait()
@@ -101,9 +107,13 @@
     async def _return_credits(self) -> None:
         """Leave idle credits to the scheduler, which gives them back unasked."""
 
-    async def _close(self) -> None:
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.stop()
+
+    async def _close(self) -> None:
+        self._stop_listening()
+        if self._server is not None:
             await asyncio.sleep(LISTEN_CLOSE_S)
             await self._server.close_all_connections()
         await self.node.close()
--- a/monsoongap/transport/app.py
+++ b/monsoongap/transport/app.py
@@ -18,8 +18,9 @@
     config: ConfigService,
 ) -> tornado.web.Application:
     """Return the application that serves callers and operators."""
-    caller = {"limits": limits, "jobs": jobs, "tokens": tokens}
-    operator = {"limits": limits, "node": node}
+    shared = {"limits": limits, "drain": node.drain}
+    caller = {**shared, "jobs": jobs, "tokens": tokens}
+    operator = {**shared, "node": node}
     return tornado.web.Application(
         [
             (r"/v1/submissions", callers.SubmissionsHandler, caller),
--- a/monsoongap/transport/http_base.py
+++ b/monsoongap/transport/http_base.py
@@ -10,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
+from monsoongap.coordination.parts import DrainState
 from monsoongap.errors import ANSWERS, DispatchError, ErrorKind
 from monsoongap.protocol.messages import JobError
 from monsoongap.settings import LimitsSection
@@ -39,9 +40,16 @@
     way is answered instead of being dropped with its connection.
     """
 
-    def initialize(self, limits: LimitsSection, **parts: Any) -> None:
-        """Keep the limits; subclasses take their parts by keyword."""
+    def initialize(
+        self, limits: LimitsSection, drain: DrainState | None = None, **parts: Any
+    ) -> None:
+        """Keep the limits; subclasses take their parts by keyword.
+
+        While `drain` tells that the host leaves, each answer closes its connection,
+        so that callers which keep connections open move on.
+        """
         self.limits = limits
+        self._drain = drain
         for name, part in parts.items():
             setattr(self, name, part)
         self._chunks: list[bytes] = []
@@ -89,6 +97,8 @@
         self._stop_body_timer()
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        if self._drain is not None and self._drain.draining:
+            self.set_header("Connection", "close")
         self.finish(msgspec.json.encode(body))
 
     def reply_error(self, error: JobError) -> None:
