--- a/monsoongap/coordination/dispatch_leases.py
+++ b/monsoongap/coordination/dispatch_leases.py
@@ -13,7 +13,6 @@
 from monsoongap.settings import WorkersSection
 from monsoongap.timers import Subscription, TimerService
 
-
 SCAN_S = 2.0
 MAX_AGE_S = 10.0
 
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -147,6 +147,26 @@
     assert share <= MAX_RETRY_SHARE
 
 
+def test_retries_stay_within_their_share_while_traffic_pauses() -> None:
+    """Idle moments and answers between jobs must not add up to a larger share."""
+
+    async def main() -> float:
+        cluster = Cluster({"h1": "dc1"}, workers=6)
+        host = cluster.hosts["h1"]
+        await offer(host, 5, 4, seed=7)
+        before = host.home.counters()
+        cluster.platform.apply(Drain("dc1-w1"), Drain("dc1-w2"))
+        await offer(host, 60, 4, seed=8)
+        after = host.home.counters()
+        await cluster.close()
+        retries = after["retries"] - before["retries"]
+        return retries / (after["starts"] - before["starts"])
+
+    share = run_virtual(main())
+    print(f"4 jobs/s, two workers of six draining: retries per start {share:.2%}")
+    assert share <= MAX_RETRY_SHARE
+
+
 def test_two_whole_hosts_send_few_messages_that_are_not_starts() -> None:
     """80 % load on 48 slots, offered to two whole hosts alike."""
 
