Draw fault orders across two data centres too

Cause: the orders ran within one data centre, so forwarding between them, its cuts and recovery at a distance were tested one fault at a time.

Change: 60 fixed orders with two hosts in one data centre and one in another, and cuts between them.

--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -30,6 +30,7 @@
 from tests.home_cluster import Cluster, Host, job
 
 HOSTS = {"h1": "dc1", "h2": "dc1", "h3": "dc1"}
+TWO_DCS = {"h1": "dc1", "h2": "dc1", "h3": "dc2"}
 WORKERS = ("dc1-w1", "dc1-w2")
 CALL_TIMES_S = (0.0, 0.3, 0.9, 4.0, 9.0)
 FAULTS_END_S = 12.0
@@ -121,6 +122,7 @@
     st.builds(KillHost, hosts, restarts),
     st.builds(PauseHost, hosts, pauses),
     st.builds(CutPeers, hosts, hosts, pauses),
+    st.builds(CutPeers, st.just("dc1"), st.just("dc2"), pauses),
     st.builds(
         LogTrouble,
         st.one_of(
@@ -150,8 +152,9 @@
 class Run:
     """One run: callers, faults at their times, and records of both."""
 
-    def __init__(self, whole: bool) -> None:
-        self.cluster = Cluster(HOSTS, workers=len(WORKERS), whole=whole)
+    def __init__(self, layout: dict[str, str], whole: bool) -> None:
+        self.layout = layout
+        self.cluster = Cluster(layout, workers=len(WORKERS), whole=whole)
         self.began_at = 0.0
         self.calls: list[CallRecord] = []
         self.pending: dict[asyncio.Task[None], str] = {}
@@ -259,7 +262,7 @@
         if restart_s is not None:
             boot = host.identity.boot + 1
             loop = asyncio.get_running_loop()
-            loop.call_later(restart_s, self.cluster.boot, name, "dc1", boot)
+            loop.call_later(restart_s, self.cluster.boot, name, self.layout[name], boot)
 
     def pause(self, name: str, pause_s: float) -> None:
         host = self.cluster.hosts.get(name)
@@ -295,7 +298,8 @@
         return asyncio.get_running_loop().time() * 1000
 
     def ledger(self) -> Ledger:
-        return self.cluster.platform.ledger.snapshot()
+        platforms = self.cluster.platforms.values()
+        return Ledger(tuple(e for p in platforms for e in p.ledger.snapshot().entries))
 
     def broken_not_run(self) -> list[str]:
         """Return submissions told `not_run` that started at any time."""
@@ -310,11 +314,15 @@
         return [name for name in refused if self.cluster.starts(name)]
 
 
-def play(plan: tuple[tuple[float, Fault], ...], whole: bool = False) -> Run:
+def play(
+    plan: tuple[tuple[float, Fault], ...],
+    whole: bool = False,
+    layout: dict[str, str] = HOSTS,
+) -> Run:
     """Play one plan on virtual time and check every promise."""
 
     async def main() -> Run:
-        run = Run(whole)
+        run = Run(layout, whole)
         if whole:
             await asyncio.sleep(SETTLE_IN_S)
         run.began_at = asyncio.get_running_loop().time()
@@ -360,3 +368,11 @@
     plan: tuple[tuple[float, Fault], ...],
 ) -> None:
     play(plan, whole=True)
+
+
+@orders(60)
+@given(plans)
+def test_promises_hold_across_data_centres(
+    plan: tuple[tuple[float, Fault], ...],
+) -> None:
+    play(plan, layout=TWO_DCS)
