Play a schedule of faults while load is offered

Cause: a healthy run says little about the promises, and leaving workers were checked in tests only. Ruled out: faults drawn at random within a run, which cannot be told apart from the load when a run is repeated.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -25,6 +25,7 @@
     aim_at,
     write_deployment,
 )
+from monsoongap.load.main import read_schedule
 from monsoongap.load.plan import JobClass
 from monsoongap.load.report import write_report
 from monsoongap.load.runner import run_load
@@ -186,6 +187,9 @@
     profile: Annotated[
         Path | None, typer.Option(help="Start and load this profile instead.")
     ] = None,
+    faults: Annotated[
+        Path | None, typer.Option(help="JSON file with faults to show meanwhile.")
+    ] = None,
     report: Annotated[
         Path | None, typer.Option(help="Write an HTML page with plots.")
     ] = None,
@@ -196,6 +200,7 @@
     """Run a deployment on loopback under load and check every promise."""
     console = Console()
     cfg = load_profile(profile) if profile else DEMO
+    schedule = read_schedule(faults)
     with tempfile.TemporaryDirectory(prefix="monsoongap-demo-") as name:
         folder = keep or Path(name)
         folder.mkdir(parents=True, exist_ok=True)
@@ -203,7 +208,7 @@
         cfg = aim_at(cfg, deployment)
         try:
             with running(deployment, folder) as programs:
-                result = asyncio.run(run_load(cfg))
+                result = asyncio.run(run_load(cfg, schedule))
         except NotReady as exc:
             console.print(str(exc), style="red", markup=False)
             raise typer.Exit(1) from exc
--- a/monsoongap/load/caller.py
+++ b/monsoongap/load/caller.py
@@ -105,6 +105,12 @@
         reply = await self._client.fetch(url, request_timeout=CONTROL_TIMEOUT_S)
         return reply.body.decode()
 
+    async def put(self, url: str, body: bytes) -> None:
+        """Make a control call; raises `HTTPClientError` when it is refused."""
+        await self._client.fetch(
+            url, method="PUT", body=body, request_timeout=CONTROL_TIMEOUT_S
+        )
+
     async def _fetch_ids(self, entry: int) -> tuple[str, ...]:
         host = self._cfg.target.entries[entry]
         reply = await self._client.fetch(
--- a/monsoongap/load/main.py
+++ b/monsoongap/load/main.py
@@ -12,6 +12,7 @@
 from rich.table import Table
 
 from monsoongap import __version__
+from monsoongap.load.fault_schedule import ScheduleStep, load_schedule
 from monsoongap.load.report import summary_rows, write_report
 from monsoongap.load.runner import run_load
 from monsoongap.load.settings import LoadProfile, load_profile
@@ -50,6 +51,17 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from exc
 
 
+def read_schedule(path: Path | None) -> tuple[ScheduleStep, ...]:
+    """Read the schedule of faults, or print its fault and exit."""
+    if path is None:
+        return ()
+    try:
+        return load_schedule(path)
+    except (msgspec.MsgspecError, OSError) as exc:
+        typer.echo(f"{path}: {exc}", err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from exc
+
+
 def _print_version(wanted: bool) -> None:
     if wanted:
         typer.echo(f"monsoongap-load {__version__}")
@@ -59,6 +71,9 @@
 @app.command()
 def run(
     profile: Annotated[Path, typer.Option(help="INI file with the profile.")],
+    faults: Annotated[
+        Path | None, typer.Option(help="JSON file with faults to show meanwhile.")
+    ] = None,
     set_: Annotated[
         list[str] | None,
         typer.Option("--set", help="Override a setting: section.key=value."),
@@ -82,14 +97,18 @@
     Exits 1 when a promise was broken and 2 when the profile is faulty.
     """
     cfg = _read_profile(profile, set_ or [])
+    schedule = read_schedule(faults)
     if check_config:
         typer.echo(f"{profile}: valid")
         return
     if not cfg.target.entries:
         typer.echo(f"{profile}: [target] entries: needs at least one", err=True)
         raise typer.Exit(EXIT_BAD_SETTINGS)
+    if schedule and not cfg.target.ledgers:
+        typer.echo(f"{profile}: [target] ledgers: --faults needs one", err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS)
     configure_logging(cfg.log)
-    result = asyncio.run(run_load(cfg))
+    result = asyncio.run(run_load(cfg, schedule))
     summary = summarize(cfg, result)
     if json_:
         typer.echo(msgspec.json.encode(summary).decode())
--- a/monsoongap/load/runner.py
+++ b/monsoongap/load/runner.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import HTTPClientError
 
 from monsoongap.load.caller import Caller, wall_ms
+from monsoongap.load.fault_schedule import ScheduleStep, play
 from monsoongap.load.plan import PlannedJob, plan_jobs
 from monsoongap.load.records import CallRecord, RunRecord
 from monsoongap.load.settings import LoadProfile
@@ -51,13 +52,20 @@
     messages: dict[str, float]
 
 
-async def run_load(cfg: LoadProfile) -> LoadResult:
-    """Run the profile's plan and collect records, ledger and message counts."""
+async def run_load(
+    cfg: LoadProfile, schedule: tuple[ScheduleStep, ...] = ()
+) -> LoadResult:
+    """Run the profile's plan and collect records, ledger and message counts.
+
+    The faults of `schedule` are shown meanwhile.
+    """
     caller = Caller(cfg)
     try:
         before = await _message_counts(cfg, caller)
         began_ms = wall_ms()
-        results = await _run_plan(cfg, caller)
+        results, leaves = await asyncio.gather(
+            _run_plan(cfg, caller), play(schedule, cfg.target, caller)
+        )
         ended_ms = wall_ms()
         await asyncio.sleep(LEDGER_SETTLE_S)
         after = await _message_counts(cfg, caller)
@@ -71,7 +79,7 @@
         results=results,
         began_ms=began_ms,
         ended_ms=ended_ms,
-        run=RunRecord(calls, Ledger(entries)),
+        run=RunRecord(calls, Ledger(entries), leaves),
         ledger_seen=bool(cfg.target.ledgers),
         messages={name: after[name] - before.get(name, 0.0) for name in after},
     )
