Believe a lower boot number once the newer process is silent; close old channels

Cause: boot numbers come from the wall clock. Channels to hosts that had left the table were never closed.

Change: a lower boot number counts after 30 s without the newer process. A new channel closes those to hosts without an address.

--- a/monsoongap/state/peers.py
+++ b/monsoongap/state/peers.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 MAX_PEERS = 256
+OLDER_BOOT_S = 30.0
 NEVER = float("-inf")
 
 
@@ -71,9 +72,14 @@
         return record
 
     def heard(self, name: str, boot: int, draining: bool, now: float) -> Heard:
-        """Note that a known peer was heard; an older boot changes nothing."""
+        """Note that a known peer was heard; an older boot changes nothing.
+
+        Boot numbers come from the wall clock. A host whose clock was put back
+        restarts with a lower one, which is believed once the newer process has
+        been silent for `OLDER_BOOT_S`.
+        """
         record = self._records[name]
-        if boot < record.boot:
+        if boot < record.boot and now - record.heard_at < OLDER_BOOT_S:
             return Heard.OLDER_BOOT
         changed = (boot, draining) != (record.boot, record.draining)
         record.boot = boot
--- a/monsoongap/transport/peers.py
+++ b/monsoongap/transport/peers.py
@@ -198,12 +198,6 @@
         """Open a heartbeat stream to `host`; raises `PeerUnreachable`."""
         return CallStream(self._link(host), self._replace_if_silent)
 
-    def forget(self, host: str) -> None:
-        """Close the channel to a host that is gone."""
-        link = self._links.pop(host, None)
-        if link is not None:
-            self._retire(link, 0.0)
-
     def _link(self, host: str) -> PeerChannel:
         """Return the kept channel to `host`, or open one for its address."""
         address = self._address_of(host)
@@ -214,11 +208,17 @@
             return link
         if link is not None:
             self._retire(link, self._cfg.limits.drain_s)
+        self._close_forgotten()
         channel = self._open_channel(host, address)
         link = PeerChannel(host, address, channel, peer_pb2_grpc.PeerStub(channel))
         self._links[host] = link
         return link
 
+    def _close_forgotten(self) -> None:
+        """Close the channels to hosts that are no longer known."""
+        for host in [one for one in self._links if self._address_of(one) is None]:
+            self._retire(self._links.pop(host), 0.0)
+
     def _open_channel(self, host: str, address: str) -> Any:
         tls = self._tls
         credentials = tls.grpc_channel_credentials() if tls is not None else None
