Serve new keys after the log lost its records; fail one unreadable claim alone

Cause: a batcher whose cursor lay beyond an append's offset waited for records that never come, so own keys stayed `unknown` until a restart. One claim that can't be read failed its whole batch.

Change: an append below the cursor moves the cursor back and logs an error; claims already known stay known. A claim that can't be read fails only its own caller. A finished call is not waited for a second time (one loop turn per start and slot).

Conclusion: the new test fails without the change.

--- a/monsoongap/coordination/claim_batch.py
+++ b/monsoongap/coordination/claim_batch.py
@@ -177,16 +177,27 @@
             self.appends += 1
             self._appended_at = self._timers.now()
             offset = await self._port.append(self._stream, texts)
-            while self._cursor is None or self._cursor < offset + len(texts):
-                await self.catch_up()
+            await self._read_past(offset, len(texts))
         for item in batch:
-            winner = await self._winner(item.record.key)
+            try:
+                winner = await self._winner(item.record.key)
+            except DispatchError as exc:
+                _fail(item, exc)
+                continue
             if winner is None or not self._provable(item.record, winner):
                 _fail(item, log_out("the table of claims is full"))
             elif not item.winner.done():
                 item.winner.set_result(winner)
         return []
 
+    async def _read_past(self, offset: int, count: int) -> None:
+        """Read at least up to the end of what was just appended."""
+        if self._cursor is not None and offset < self._cursor:
+            log.error("log went back", extra={"stream": self._stream, "offset": offset})
+            self._cursor = offset
+        while self._cursor is None or self._cursor < offset + count:
+            await self.catch_up()
+
     async def _start_reading(self) -> None:
         """Read the stream before the first append, to know `live_from`."""
         if self._cursor is None:
--- a/monsoongap/coordination/settle.py
+++ b/monsoongap/coordination/settle.py
@@ -18,6 +18,7 @@
 from monsoongap.protocol.messages import TaskReport, TaskState
 from monsoongap.settings import WorkersSection
 from monsoongap.timers import TimerService
+from monsoongap.util.interrupt import Interrupted, InterruptedBy
 
 log = logging.getLogger(__name__)
 
@@ -94,23 +95,6 @@
     boot: int
 
 
-async def run_until(
-    work: Coroutine[Any, Any, T], stop: asyncio.Future[Any]
-) -> asyncio.Task[T]:
-    """Run `work` until it ends or `stop` is done, then cancel what is left.
-
-    The returned task is done; a result that came at the same moment is kept.
-    """
-    task = asyncio.create_task(work)
-    try:
-        await asyncio.wait({task, stop}, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        if not task.done():
-            task.cancel()
-    await asyncio.wait({task})
-    return task
-
-
 def read_report(report: TaskReport) -> Answered | Broken | Barred | None:
     """Return what a report proves of a task, or None when it proves nothing."""
     match report.state:
@@ -204,10 +188,11 @@
     ) -> TaskReport | None:
         if revoking or stop.done():
             return await self.revoke(attempt)
-        asked = await run_until(self.inspect(attempt, INSPECT_WAIT_MS), stop)
-        if asked.cancelled():
+        try:
+            with InterruptedBy(stop):
+                return await self.inspect(attempt, INSPECT_WAIT_MS)
+        except Interrupted:
             return await self.revoke(attempt)
-        return asked.result()
 
     async def _checked(
         self,
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -192,6 +192,21 @@
     run_virtual(main())
 
 
+def test_log_that_lost_its_records_serves_new_keys_again() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO)
+        for number in range(16):
+            await at_all(cluster, f"earlier-{number}")
+        cluster.platform.log._streams.clear()
+        for number in range(16):
+            key = f"later-{number}"
+            assert await at_all(cluster, key) == [JobAnswer(key, answers(key, 8))] * 3
+            assert cluster.starts(key) == 8
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_leaving_host_lets_a_peer_claim() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
