Wait for a slot and a reply without a task per wait

Ruled out: merging the steps into callbacks (the house wants one task per thing, straight down). Change: util.interrupt ends a wait of the running task from outside, as asyncio.timeout does; dispatcher, settlement and watch use it; the scheduler alone logs a placement; the log formatters read only the extra fields.

--- a/monsoongap/coordination/dispatch.py
+++ b/monsoongap/coordination/dispatch.py
@@ -21,13 +21,13 @@
     NeverStarted,
     TaskEnd,
     Unsettled,
-    run_until,
 )
 from monsoongap.errors import DispatchError, ErrorKind
 from monsoongap.protocol.ids import task_id
 from monsoongap.protocol.messages import JobOutcome, JobPhase
 from monsoongap.state.jobs import JobEntry
 from monsoongap.timers import TimerService
+from monsoongap.util.interrupt import Interrupted, InterruptedBy
 
 log = logging.getLogger(__name__)
 
@@ -148,16 +148,18 @@
     ) -> Slot | NeverStarted:
         """Wait for a slot on a worker that may run the task."""
         while not entry.stop.done():
-            ticket = replace(placing.ticket, avoid=self._avoid(placing, bound))
-            waited = await run_until(self._slots.acquire(ticket), entry.stop)
-            if waited.cancelled():
+            ticket = placing.ticket
+            avoid = self._avoid(placing, bound)
+            if avoid:
+                ticket = replace(ticket, avoid=avoid)
+            try:
+                with InterruptedBy(entry.stop):
+                    slot = await self._slots.acquire(ticket)
+            except Interrupted:
                 break
-            exc = waited.exception()
-            if isinstance(exc, DispatchError):
+            except DispatchError as exc:
                 return NeverStarted(exc.kind, exc.detail, exc.retry_after_ms)
-            slot = waited.result()
             if not entry.stop.done() and self._suits(slot, placing, bound):
-                self._log_placed(placing.ticket, slot)
                 return slot
             self._slots.release(slot, ticket, SlotResult(SlotEnd.UNUSED))
             await asyncio.wait({entry.stop}, timeout=UNSUITABLE_SLOT_S)
@@ -165,6 +167,8 @@
 
     def _avoid(self, placing: Placing, bound: Bound | None) -> frozenset[str]:
         """Return the workers to pass over; the last to refuse if others remain."""
+        if bound is None and placing.refused_by is None:
+            return frozenset(placing.too_small)
         listed = {info.name for info in self._directory.workers()}
         barred = set(placing.too_small)
         if bound is not None:
@@ -190,14 +194,3 @@
             deadline_at=entry.deadline_at,
             job_size=len(entry.req.tasks),
         )
-
-    def _log_placed(self, ticket: Ticket, slot: Slot) -> None:
-        log.info(
-            "placed",
-            extra={
-                "submission": ticket.submission,
-                "task": ticket.task,
-                "upstream": slot.worker,
-                "reason": "slot lent" if slot.lender else "slot free",
-            },
-        )
--- a/monsoongap/coordination/dispatch_attempt.py
+++ b/monsoongap/coordination/dispatch_attempt.py
@@ -23,7 +23,6 @@
     TaskEnd,
     Unsettled,
     read_report,
-    run_until,
 )
 from monsoongap.errors import ErrorKind, StartAmbiguous, WorkerUnreachable
 from monsoongap.protocol.ids import fence_number, task_id
@@ -36,6 +35,7 @@
 )
 from monsoongap.state.jobs import JobEntry
 from monsoongap.timers import TimerService
+from monsoongap.util.interrupt import Interrupted, InterruptedBy
 
 log = logging.getLogger(__name__)
 
@@ -108,21 +108,18 @@
         return await self._send(entry, sent, request)
 
     async def _send(self, entry: JobEntry, sent: Attempt, request: TaskStart) -> Trial:
-        call = await run_until(self._workers.start(sent.worker, request), entry.stop)
-        if call.cancelled():
+        try:
+            with InterruptedBy(entry.stop):
+                report = await self._workers.start(sent.worker, request)
+        except WorkerUnreachable as exc:
+            self._directory.report_silent(sent.worker)
+            return Trial(Barred(str(exc)), SlotResult(SlotEnd.UNREACHABLE))
+        except (Interrupted, StartAmbiguous):
+            return await self._settle(entry, sent)
+        except Exception:
+            log.exception("start call failed", extra={"task": sent.task})
             return await self._settle(entry, sent)
-        match call.exception():
-            case None:
-                trial = self._read(entry, sent, call.result())
-                return trial or await self._settle(entry, sent)
-            case WorkerUnreachable() as exc:
-                self._directory.report_silent(sent.worker)
-                return Trial(Barred(str(exc)), SlotResult(SlotEnd.UNREACHABLE))
-            case StartAmbiguous():
-                return await self._settle(entry, sent)
-            case exc:
-                log.error("start call failed", exc_info=exc)
-                return await self._settle(entry, sent)
+        return self._read(entry, sent, report) or await self._settle(entry, sent)
 
     def _read(self, entry: JobEntry, sent: Attempt, report: TaskReport) -> Trial | None:
         """Judge the reply to a start; None when it proves nothing."""
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -24,7 +24,6 @@
     WorkerInfo,
     WorkerStatus,
 )
-from monsoongap.coordination.settle import run_until
 from monsoongap.errors import DispatchError, ErrorKind, Outcome
 from monsoongap.protocol.messages import (
     JobError,
@@ -36,6 +35,7 @@
 from monsoongap.state.claims import MAX_CLAIM_WORKERS, ClaimRecord, key_hash
 from monsoongap.state.jobs import JobEntry
 from monsoongap.timers import TimerService
+from monsoongap.util.interrupt import Interrupted, InterruptedBy
 
 log = logging.getLogger(__name__)
 
@@ -254,9 +254,11 @@
     work: Coroutine[Any, Any, JobOutcome], ended: asyncio.Future[Any], submission: str
 ) -> JobOutcome:
     """Wait for another host's outcome, but not when this host ends first."""
-    waited = await run_until(work, ended)
-    if not waited.cancelled():
-        return waited.result()
+    try:
+        with InterruptedBy(ended):
+            return await work
+    except Interrupted:
+        work.close()
     detail = "this host is leaving while another one runs the job"
     return error_outcome(submission, ErrorKind.HOME_UNREACHABLE, detail)
 
--- a/monsoongap/coordination/watch.py
+++ b/monsoongap/coordination/watch.py
@@ -32,6 +32,7 @@
 )
 from monsoongap.settings import WorkersSection
 from monsoongap.timers import Subscription, TimerService
+from monsoongap.util.interrupt import Interrupted, Interruptible
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +59,8 @@
     sent_at: float
     aged_at: float
     check_at: float
-    work: "asyncio.Task[TaskReport]"
+    wait: Interruptible
+    ended: bool = False
     verdict: TaskReport | StartAmbiguous | None = None
 
 
@@ -131,25 +133,20 @@
         outstanding = self._outstanding[worker]
         if not outstanding:
             watch.heard_at = now
-        work = asyncio.ensure_future(self._port.start(worker, start))
         kind = (start.team, start.kind)
         aged_at = now + max(SETTLED_AGE_S, self._usual.get(kind) + USUAL_MARGIN_S)
         check_at = max(aged_at, now + OVERDUE_AFTER_S)
-        entry = _Outstanding(worker, start.task, now, aged_at, check_at, work)
+        wait = Interruptible()
+        entry = _Outstanding(worker, start.task, now, aged_at, check_at, wait)
         outstanding.add(entry)
         self._budget = min(CHECK_BUDGET_MAX, self._budget + CHECK_SHARE)
         try:
-            report = await work
-        except asyncio.CancelledError:
-            if _cancelled_by_caller():
-                raise
-            match entry.verdict:
-                case TaskReport() as found:
-                    return found
-                case StartAmbiguous() as lost:
-                    raise lost from None
-            raise
+            with wait:
+                report = await self._port.start(worker, start)
+        except Interrupted:
+            return _verdict(entry)
         finally:
+            entry.ended = True
             outstanding.discard(entry)
         self._heard(worker, watch)
         if report.run_ms is not None:
@@ -241,7 +238,7 @@
             return False
         # The reply may be on its way: it crossed the question.
         await self._timers.sleep(REPLY_GRACE_S)
-        if entry.work.done():
+        if entry.ended:
             return False
         self.found_silent += 1
         if report.state in (TaskState.DONE, TaskState.FAILED):
@@ -270,16 +267,20 @@
         verdict: TaskReport | StartAmbiguous,
         reason: str,
     ) -> None:
-        """End the wait for a reply; cancelling retires its connection."""
+        """End the wait for a reply, which retires its connection."""
         entry.verdict = verdict
-        entry.work.cancel()
+        entry.wait.fire()
         log.info(
             "silent connection retired",
             extra={"task": entry.task, "upstream": entry.worker, "reason": reason},
         )
 
 
-def _cancelled_by_caller() -> bool:
-    """Tell whether the running task itself was asked to end."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+def _verdict(entry: _Outstanding) -> TaskReport:
+    """Return the report found by a check; raises `StartAmbiguous` without one."""
+    match entry.verdict:
+        case TaskReport() as found:
+            return found
+        case StartAmbiguous() as lost:
+            raise lost
+    raise StartAmbiguous(f"{entry.task}: wait ended without a verdict")
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -4,22 +4,27 @@
 submission, task, upstream and reason.
 """
 
+import itertools
 import logging
 import sys
+import time
 
 import msgspec
 
 from monsoongap.settings import LogSection
 
-_PLAIN_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+# `extra` fields follow these in a record; the formatter adds the last two.
+_PLAIN_COUNT = len(vars(logging.makeLogRecord({})))
+_ADDED_FIELDS = ("message", "asctime")
 
 
 def extras(record: logging.LogRecord) -> dict[str, object]:
     """Return the `extra` fields of a record, None values left out."""
+    fields = itertools.islice(vars(record).items(), _PLAIN_COUNT, None)
     return {
         key: value
-        for key, value in vars(record).items()
-        if key not in _PLAIN_FIELDS and value is not None
+        for key, value in fields
+        if value is not None and key not in _ADDED_FIELDS
     }
 
 
@@ -28,6 +33,18 @@
 
     def __init__(self) -> None:
         super().__init__("%(asctime)s %(levelname)s %(name)s %(message)s")
+        self._second = -1
+        self._second_text = ""
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Return the time in milliseconds; each second is formatted once."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._second_text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        return f"{self._second_text}.{int(record.msecs):03d}Z"
 
     def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
         """Append the extras to the line."""
