--- a/monsoongap/coordination/queues.py
+++ b/monsoongap/coordination/queues.py
@@ -11,12 +11,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 from monsoongap.coordination.estimates import Estimate
 from monsoongap.coordination.parts import Slot, Ticket
 from monsoongap.coordination.quotas import TeamShares
 
-LATE_AFTER_RUNS = 0.95
+LATE_AFTER_RUNS = 1.0
 AGED_AFTER_RUNS = 10.0
 WORK_WEIGHT = 0.25
 
@@ -80,71 +81,86 @@
         return self.estimate.short_s
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class _Order:
-    """The place of a job among its team's jobs, lowest first."""
+class _Order(NamedTuple):
+    """The place of a job among its team's jobs, lowest first.
+
+    A named tuple, since heaps compare these all the time.
+    """
 
     late: bool
     fresh: bool
     due: float
+    serial: int
 
-    @staticmethod
-    def of(job: Job) -> "_Order":
-        due = job.arrived + WORK_WEIGHT * job.left_s
-        return _Order(job.late, not job.started, due)
+
+class _TeamEntry(NamedTuple):
+    """The place of a team among the teams, lowest first."""
+
+    rank: int
+    first: _Order
+    team: str
 
 
 class _LevelQueue:
     """Jobs of one level: a heap of teams, each with a heap of jobs.
 
-    An entry of a team tells its rank and its first job when it was pushed; one that
-    has become wrong is put right when it comes up.
+    Only the latest entry of a team counts. It tells the team's rank and first job
+    when it was pushed; one that has become wrong is put right when it comes up.
     """
 
     def __init__(self, shares: TeamShares) -> None:
         self._shares = shares
-        self._teams: list[tuple[int, _Order, str]] = []
-        self._jobs: dict[str, list[tuple[_Order, int, Job]]] = {}
+        self._teams: list[_TeamEntry] = []
+        self._latest: dict[str, _TeamEntry] = {}
+        self._jobs: dict[str, list[tuple[_Order, Job]]] = {}
         self._count = 0
 
     def push(self, job: Job, now: float) -> None:
         """Queue a job that has tasks at this level."""
         jobs = self._jobs.setdefault(job.team, [])
         self._count += 1
-        entry = (_Order.of(job), self._count, job)
-        heapq.heappush(jobs, entry)
-        if jobs[0] is entry:
-            rank = self._shares.rank(job.team, now)
-            heapq.heappush(self._teams, (rank, entry[0], job.team))
+        due = job.arrived + WORK_WEIGHT * job.left_s
+        order = _Order(job.late, not job.started, due, self._count)
+        heapq.heappush(jobs, (order, job))
+        if jobs[0][0] is order:
+            self._enter(job.team, self._shares.rank(job.team, now))
 
     def pop(self, now: float) -> Job | None:
         """Remove and return the next job."""
         while self._teams:
-            team = self._teams[0][2]
-            jobs = self._jobs.get(team)
-            if not jobs:
+            entry = self._teams[0]
+            if self._latest.get(entry.team) is not entry:
                 heapq.heappop(self._teams)
                 continue
-            current = (self._shares.rank(team, now), jobs[0][0], team)
-            if self._teams[0] < current:
-                heapq.heapreplace(self._teams, current)
+            rank = self._shares.rank(entry.team, now)
+            if rank > entry.rank:
+                heapq.heappop(self._teams)
+                self._enter(entry.team, rank)
                 continue
-            job = heapq.heappop(jobs)[2]
+            heapq.heappop(self._teams)
+            jobs = self._jobs[entry.team]
+            job = heapq.heappop(jobs)[1]
             if jobs:
-                heapq.heapreplace(self._teams, (current[0], jobs[0][0], team))
+                self._enter(entry.team, rank)
             else:
-                heapq.heappop(self._teams)
-                del self._jobs[team]
+                del self._jobs[entry.team]
+                del self._latest[entry.team]
             return job
         return None
 
     def clear(self, level: Level) -> None:
         """Drop entries that were left when their last task went."""
         for jobs in self._jobs.values():
-            for entry in jobs:
-                entry[2].queued.discard(level)
+            for _, job in jobs:
+                job.queued.discard(level)
         self._jobs.clear()
         self._teams.clear()
+        self._latest.clear()
+
+    def _enter(self, team: str, rank: int) -> None:
+        entry = _TeamEntry(rank, self._jobs[team][0][0], team)
+        self._latest[team] = entry
+        heapq.heappush(self._teams, entry)
 
 
 class TaskQueues:
--- a/monsoongap/coordination/scheduler_order.py
+++ b/monsoongap/coordination/scheduler_order.py
@@ -29,7 +29,7 @@
         self._queues = queues
         self._jobs = jobs
         self._long_share = long_share
-        self._fill_turn = False
+        self._overdue_turn = False
 
     def long_limit(self, now: float) -> int:
         """Return how many slots long work may hold."""
@@ -45,16 +45,13 @@
         self._queues.note_contention(self._book.pool)
         reserve = self.reserve(now) + lending.lacked_by_peers(now)
         limit = self.long_limit(now)
-        long_late = self._lateness(Level.LONG, now) >= 1.0
-        fill_late = self._lateness(Level.FILL, now) >= 1.0
+        overdue = self._overdue(now)
         kept = lending.kept_for_peers(now)
         while self._book.free > 0:
             may_long = self._jobs.long_busy < limit
             waiting = None
-            if long_late and may_long:
-                waiting = self._queues.pop(Level.LONG, now)
-            if waiting is None and fill_late and self._take_fill_turn():
-                waiting = self._queues.pop(Level.FILL, now)
+            if overdue and self._take_turn():
+                waiting = self._next_normal(may_long, now)
             waiting = waiting or self._queues.pop(Level.SHORT, now)
             if waiting is None and self._book.free > kept + reserve:
                 waiting = self._next_normal(may_long, now)
@@ -73,8 +70,7 @@
         reserve = own_reserve + lacked
         rest = max(0, self.long_limit(now) - self._jobs.long_busy)
         normal = min(lengths[Level.LONG], rest) + lengths[Level.FILL]
-        overdue = max(self._lateness(level, now) for level in (Level.LONG, Level.FILL))
-        urgent = short if overdue < 1.0 else short + normal
+        urgent = short + normal if self._overdue(now) else short
         wants = Wants(
             urgent=max(0, urgent - free),
             normal=max(0, normal - max(0, free - reserve)) if urgent == short else 0,
@@ -99,9 +95,14 @@
             waiting = self._queues.pop(Level.LONG, now)
         return waiting or self._queues.pop(Level.FILL, now)
 
-    def _take_fill_turn(self) -> bool:
-        self._fill_turn = not self._fill_turn
-        return self._fill_turn
+    def _take_turn(self) -> bool:
+        """Return true every other time: overdue work shares the free slots."""
+        self._overdue_turn = not self._overdue_turn
+        return self._overdue_turn
+
+    def _overdue(self, now: float) -> bool:
+        lateness = max(self._lateness(level, now) for level in (Level.LONG, Level.FILL))
+        return lateness >= 1.0
 
     def _lateness(self, level: Level, now: float) -> float:
         """Return the longest wait at a level over what it may be."""
--- a/monsoongap/coordination/shares.py
+++ b/monsoongap/coordination/shares.py
@@ -11,10 +11,11 @@
 WARM_UP_S = 1.0
 LONG_FACTOR_IDLE = 0.5
 LONG_FACTOR_LATE = 1.5
-SHORT_FACTOR = 3.5
+SHORT_FACTOR_SPARE = 3.5
+SHORT_FACTOR_NEEDED = 1.15
 RESERVE_FACTOR = 1.0
 MAX_RESERVE_SHARE = 0.25
-LATE_AFTER_RUNS = 3.0
+LATE_AFTER_RUNS = 2.5
 
 
 class LoadMeter:
@@ -64,15 +65,20 @@
         `lateness` is the wait of the longest waiting long task over what it may
         wait (`LATE_AFTER_RUNS` run times). The limit starts below the offered long
         work, which costs long work a wait that it can afford, and rises above
-        it as that wait is used up.
+        it as that wait is used up. It never takes what short work needs, nor more
+        than its part of both when there is not enough for both.
         """
         short = self.short.slots(now)
         if short <= 0.0:
             return pool
+        long = self.long.slots(now)
         rise = (LONG_FACTOR_LATE - LONG_FACTOR_IDLE) * min(1.0, lateness)
-        wanted = self.long.slots(now) * (LONG_FACTOR_IDLE + rise)
-        unwanted = pool - SHORT_FACTOR * short
-        return max(1, min(pool, math.ceil(max(wanted, unwanted))))
+        wanted = max(
+            long * (LONG_FACTOR_IDLE + rise),
+            pool - SHORT_FACTOR_SPARE * short,
+        )
+        left = max(pool - SHORT_FACTOR_NEEDED * short, pool * long / (long + short))
+        return max(1, min(pool, math.ceil(min(wanted, left))))
 
     def reserve(self, now: float, pool: int) -> int:
         """Return how many free slots are kept from jobs that have long tasks."""
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -102,7 +102,7 @@
     short_s: Seconds = 1.0
     queue_tasks: Count = 10_000
     queue_wait_s: Seconds = 0.5
-    queue_wait_runs: Annotated[float, Meta(ge=0, le=1000)] = 3.0
+    queue_wait_runs: Annotated[float, Meta(ge=0, le=1000)] = 5.0
     credit_lease_s: Seconds = 2.0
     suspect_grace_s: Seconds = 5.0
     probe_s: Seconds = 1.0
@@ -120,7 +120,7 @@
     all hosts together may take.
     """
 
-    buckets: Annotated[int, Meta(ge=1, le=4096)] = 4
+    buckets: Annotated[int, Meta(ge=1, le=4096)] = 2
     batch_s: Seconds = 0.01
     keep_s: Seconds = 600.0
     appends_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 200.0
