--- a/monsoongap/coordination/claim_batch.py
+++ b/monsoongap/coordination/claim_batch.py
@@ -170,7 +170,7 @@
     async def _commit(self, batch: list[_Waiting]) -> list[_Waiting]:
         """Append the claims of unclaimed keys, read back and tell the winners."""
         now = self._timers.now()
-        new = [i for i in batch if self._table.place(i.record.key, now) is None]
+        new = [i for i in batch if self._table.offset(i.record.key, now) is None]
         if new:
             await self._start_reading()
             texts = tuple(_encode(i.record, self._live_from) for i in new)
@@ -208,12 +208,12 @@
         return self._table.complete(self._timers.now()) or not winner.same_claim(record)
 
     async def _winner(self, key: str) -> ClaimRecord | None:
-        place = self._table.place(key, self._timers.now())
-        if place is None:
+        offset = self._table.offset(key, self._timers.now())
+        if offset is None:
             return None
         record = self._table.record(key)
         if record is None:
-            page = await self._read(place.offset, 1)
+            page = await self._read(offset, 1)
             record = _decode(page.records[0]) if page.records else None
         if record is None or record.key != key:
             raise log_out("the claim of this key can't be read")
--- a/monsoongap/state/claims.py
+++ b/monsoongap/state/claims.py
@@ -1,19 +1,22 @@
 """Claims of callers' own keys, as the log orders them.
 
-The first claim of a key in log order names the key's home. A table entry takes
-about 260 bytes, so `MAX_CLAIMS` of them take 7.8 MB; the `RECENT_RECORDS` latest
-records are kept whole as well, at about 900 bytes each (1.8 MB).
+The first claim of a key in log order names the key's home. The table keeps a hash and
+an offset for each key, 32 to 64 bytes, so `MAX_CLAIMS` of them take at most 7.7 MB; the
+`RECENT_RECORDS` latest records are kept whole as well, at 1.1 to 1.6 KB each.
 """
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from typing import Annotated
 
 from msgspec import Meta
 
-MAX_CLAIMS = 30_000
-RECENT_RECORDS = 2_000
+from monsoongap.state.claim_index import OffsetIndex
+
+MAX_CLAIMS = 120_000
+GENERATIONS = 8
+RECENT_RECORDS = 1_000
 MAX_CLAIM_WORKERS = 16
 KEY_HASH_BYTES = 8
 
@@ -49,9 +52,9 @@
 
 
 def key_hash(key: str) -> int:
-    """Return 64 bits that stand for a key in buckets and tables."""
+    """Return 64 bits, never all zero, that stand for a key."""
     digest = hashlib.blake2b(key.encode(), digest_size=KEY_HASH_BYTES).digest()
-    return int.from_bytes(digest, "big")
+    return int.from_bytes(digest, "big") or 1
 
 
 def rendezvous(subject: str, hosts: list[str]) -> str:
@@ -59,49 +62,58 @@
     return max(hosts, key=lambda host: key_hash(f"{subject}|{host}"))
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimPlace:
-    """Where the winning claim of a key is in its stream."""
+@dataclass(slots=True)
+class _Generation:
+    """The keys whose latest claim was read in one part of `keep_s`."""
 
-    offset: int
-    noted_at: float
+    ends_at: float
+    offsets: OffsetIndex
 
 
 class ClaimTable:
-    """The winning claim's place for each key claimed in the last `keep_s`.
+    """Where the winning claim is of each key claimed in the last `keep_s`.
 
     Age counts from when this host read a claim, so it is never more than the true
     age and no claim is dropped too early, whatever the clocks of other hosts say.
-    A later claim of the same key renews the age but not the winner.
+    A later claim of the same key renews the age but not the winner. Claims expire
+    together by `GENERATIONS`-th parts of `keep_s`.
     """
 
     def __init__(self, keep_s: float, limit: int = MAX_CLAIMS) -> None:
         self._keep_s = keep_s
         self._limit = limit
-        self._places: OrderedDict[int, ClaimPlace] = OrderedDict()
+        self._generations: deque[_Generation] = deque()
         self._recent: OrderedDict[int, ClaimRecord] = OrderedDict()
         self._lossy_until = 0.0
 
     def __len__(self) -> int:
-        return len(self._places)
+        return sum(len(part.offsets) for part in self._generations)
+
+    def size_bytes(self) -> int:
+        """Return the bytes of the index."""
+        return sum(part.offsets.size_bytes() for part in self._generations)
 
     def note(self, offset: int, record: ClaimRecord, now: float) -> None:
         """Take in the next record of a stream."""
-        self._expire(now)
+        known = self.offset(record.key, now)
         key = key_hash(record.key)
-        known = self._places.pop(key, None)
-        first = offset if known is None else known.offset
-        self._places[key] = ClaimPlace(first, now)
         if known is None:
             self._remember(key, record)
-        while len(self._places) > self._limit:
-            _, place = self._places.popitem(last=False)
-            self._lossy_until = max(self._lossy_until, place.noted_at + self._keep_s)
+        first = offset if known is None else known
+        self._newest(now).offsets.put(key, first)
+        while len(self) > self._limit:
+            dropped = self._generations.popleft()
+            self._lossy_until = max(self._lossy_until, dropped.ends_at + self._keep_s)
 
-    def place(self, key: str, now: float) -> ClaimPlace | None:
+    def offset(self, key: str, now: float) -> int | None:
         """Return where the winning claim of a key is, if one stands."""
         self._expire(now)
-        return self._places.get(key_hash(key))
+        hashed = key_hash(key)
+        for part in reversed(self._generations):
+            found = part.offsets.get(hashed)
+            if found is not None:
+                return found
+        return None
 
     def record(self, key: str) -> ClaimRecord | None:
         """Return the winning claim of a key while it is kept whole."""
@@ -112,6 +124,13 @@
         """Tell whether a key without an entry is proved to be unclaimed."""
         return now >= self._lossy_until
 
+    def _newest(self, now: float) -> _Generation:
+        parts = self._generations
+        if not parts or now >= parts[-1].ends_at:
+            ends_at = now + self._keep_s / GENERATIONS
+            parts.append(_Generation(ends_at, OffsetIndex()))
+        return parts[-1]
+
     def _remember(self, key: int, record: ClaimRecord) -> None:
         self._recent.pop(key, None)
         self._recent[key] = record
@@ -119,9 +138,6 @@
             self._recent.popitem(last=False)
 
     def _expire(self, now: float) -> None:
-        while self._places:
-            key, place = next(iter(self._places.items()))
-            if now - place.noted_at <= self._keep_s:
-                return
-            del self._places[key]
-            self._recent.pop(key, None)
+        parts = self._generations
+        while parts and now - parts[0].ends_at > self._keep_s:
+            parts.popleft()
