Test the pace of host list polls and that remote peers hear of a leaving host

Change: a test counts fetches of a 950 entry list in 100 s, whole and unchanged; the test of a leaving host looks at the calls of its first 0.1 s.

--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 import pytest
 
+from monsoongap.coordination.host_list import HostListWatch
 from monsoongap.coordination.membership import Membership
 from monsoongap.coordination.membership_messages import NEWS, News, WorkerLeaving
 from monsoongap.coordination.parts import (
@@ -354,6 +356,35 @@
     assert world.seen("ibk-w0") == {WorkerStatus.LEAVING}
 
 
+@pytest.mark.parametrize(("whole", "least", "most"), [(True, 2, 5), (False, 45, 55)])
+def test_whole_lists_are_fetched_at_the_pace_that_their_bytes_allow(
+    whole: bool, least: int, most: int
+) -> None:
+    async def main() -> None:
+        entries = [_entry(f"w{n}", HostRole.WORKER, "kuf") for n in range(950)]
+        world = World(IBK)
+        world.lists["a"] = HostList(2, tuple(entries))
+        fetches: list[HostList] = []
+
+        class Port:
+            async def fetch(self) -> HostList:
+                listed = world.lists["a"]
+                assert listed is not None
+                fetches.append(replace(listed) if whole else listed)
+                return fetches[-1]
+
+        # 950 entries of 160 bytes at 4,000 bytes/s are one list in 38 s.
+        watch = HostListWatch(
+            PeersSection(), Port(), lambda _: None, TimerService(), Random(1)
+        )
+        polling = asyncio.create_task(watch.run())
+        await asyncio.sleep(100)
+        polling.cancel()
+        assert least <= len(fetches) <= most
+
+    run_virtual(main())
+
+
 @virtual
 async def test_a_silent_worker_gets_no_start_until_it_answers() -> None:
     world = World(IBK)
@@ -452,6 +483,8 @@
     world.drains["ibk0"].begin()
     await asyncio.sleep(0.1)
     assert {world.peer(f"ibk{n}", "ibk0") for n in range(1, 6)} == {PeerStatus.LEAVING}
+    told = {of for at, of, method in world.network.calls if method == NEWS.name}
+    assert told & {"kuf0", "kuf1", "kuf2", "kuf3", "kuf4", "kuf5"}
     await asyncio.sleep(3)
     assert heard == {"ibk0": b"r2"}
     others = set(FOUR_DCS) - {"ibk0"}
