Fix the rank of reported quantiles; fix the form of the printed figures

Cause: p99 of 100 values was their largest, one rank too high. Ruled out: statistics.quantiles, which interpolates between jobs that were not run. Figures reported before were up to one rank too high where the share fell on a whole rank. Conclusion: p50 of an even count and p99 of hundreds are now exact ranks.

--- a/monsoongap/load/summary.py
+++ b/monsoongap/load/summary.py
@@ -1,5 +1,6 @@
 """Turns what a load run measured into the figures of the report."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
@@ -131,11 +132,11 @@
 
 
 def quantile(values: Iterable[float], share: float) -> float | None:
-    """Return the smallest value that `share` of the values do not exceed."""
+    """Return the smallest value that at least `share` of the values do not exceed."""
     ordered = sorted(values)
     if not ordered:
         return None
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
 
 
 def _samples(cfg: LoadProfile, result: LoadResult) -> Iterator[Sample]:
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -9,14 +9,16 @@
 import msgspec
 import pytest
 import tornado.web
+from syrupy.assertion import SnapshotAssertion
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from typer.testing import CliRunner
 
 from monsoongap.load.main import app
 from monsoongap.load.plan import JobClass, capacity_jobs_per_s, plan_jobs
-from monsoongap.load.report import write_report
-from monsoongap.load.runner import LoadResult, run_load
+from monsoongap.load.records import CallRecord, Reception, RunRecord
+from monsoongap.load.report import summary_rows, write_report
+from monsoongap.load.runner import JobResult, LoadResult, run_load
 from monsoongap.load.settings import (
     ArrivalsSection,
     CallsSection,
@@ -26,7 +28,13 @@
     TargetSection,
     load_profile,
 )
-from monsoongap.load.summary import Sample, crest_figures, samples_of, summarize
+from monsoongap.load.summary import (
+    Sample,
+    crest_figures,
+    quantile,
+    samples_of,
+    summarize,
+)
 from monsoongap.load.violations import FalseNotRun, MissingOutcome, WrongAnswer
 from monsoongap.platform.ledger import StartLedger
 from monsoongap.protocol.ids import task_id
@@ -34,6 +42,7 @@
     JobAnswer,
     JobError,
     JobRequest,
+    Ledger,
     TaskState,
 )
 
@@ -192,6 +201,12 @@
     assert set(summary.outcomes) == {outcome}
 
 
+def test_quantile_is_the_smallest_value_that_enough_do_not_exceed() -> None:
+    hundred = range(1, 101)
+    assert (quantile(hundred, 0.5), quantile(hundred, 0.99)) == (50, 99)
+    assert quantile([7], 0.99) == 7 and quantile([], 0.5) is None
+
+
 def make_sample(due_s: float, response_s: float | None) -> Sample:
     outcome = "not_run" if response_s is None else "answered"
     response_ms = 20.0 if response_s is None else response_s * 1000
@@ -214,6 +229,28 @@
     assert crest.refusal_p99_ms == 20
 
 
+def test_figures_are_printed_in_a_fixed_form(snapshot: SnapshotAssertion) -> None:
+    cfg = replace(
+        PROFILE, arrivals=ArrivalsSection("step", peak_from_s=0, duration_s=20)
+    )
+    planned = list(itertools.islice(plan_jobs(cfg, "run"), 40))
+    results = []
+    for number, job in enumerate(planned):
+        due_ms = job.at_s * 1000
+        response_ms = job.job.longest_ms * (1 + number / 10)
+        outcome: JobAnswer | JobError = JobAnswer(str(number), ())
+        if number % 10 == 9:
+            response_ms, outcome = 3, JobError("overloaded", "not_run", "")
+        received = (Reception(due_ms + response_ms, outcome),)
+        call = CallRecord(str(number), job.job.request, due_ms, received)
+        results.append(JobResult(job, due_ms, (call,)))
+    calls = tuple(call for result in results for call in result.calls)
+    run = RunRecord(calls, Ledger(()))
+    measured = LoadResult(tuple(results), 0, 20_000, run, False, {})
+    rows = summary_rows(summarize(cfg, measured))
+    assert "\n".join(f"{row.label}: {row.value}" for row in rows) == snapshot
+
+
 def test_program_refuses_a_faulty_profile_with_every_fault(tmp_path: Path) -> None:
     path = tmp_path / "load.ini"
     path.write_text("[mix]\nlong_share = 2\n[arivals]\nload = 1\n")
