Never say failed for answers that another host may have collected

Cause: a host recovered a job whole and answered its caller; then a worker restarted, and a recovery on another host said `failed`, since that worker's answer was lost.

Change: `failed` needs a task that broke or is barred, beside one that started. A restarted worker leaves `unknown`.

Ruled out: telling other hosts of collected answers; a cut could keep it from them.

--- a/monsoongap/coordination/recovery.py
+++ b/monsoongap/coordination/recovery.py
@@ -148,9 +148,9 @@
         finally:
             for task in asked:
                 task.cancel()
-        unsettled = [end for end in ends if isinstance(end, Unsettled)]
-        if unsettled:
-            return min(unsettled, key=lambda end: end.lost)
+        for end in ends:
+            if isinstance(end, Unsettled):
+                return end
         return NeverStarted(ErrorKind.HOME_LOST, "barred at every worker")
 
     async def _ask(
--- a/monsoongap/coordination/settle.py
+++ b/monsoongap/coordination/settle.py
@@ -57,11 +57,10 @@
 class Unsettled:
     """It can't be proved whether the task started.
 
-    `lost` says that if it did, its answer is gone for good.
+    Another host may have got its answer, even when its worker restarted since.
     """
 
     detail: str
-    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +74,8 @@
 
 
 def never_answers(end: TaskEnd) -> bool:
-    """Tell whether no host can ever get this task's answer."""
-    match end:
-        case Broken() | NeverStarted():
-            return True
-        case Unsettled(lost=lost):
-            return lost
-    return False
+    """Tell whether no host has or can ever get this task's answer."""
+    return isinstance(end, Broken | NeverStarted)
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +142,7 @@
                 failures += 1
                 continue
             if report.boot != attempt.boot:
-                return self._end(attempt, Unsettled("the worker restarted", True))
+                return self._end(attempt, Unsettled("the worker restarted"))
             end = read_report(report)
             if end is not None:
                 return self._end(attempt, end)
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -348,11 +348,13 @@
     )
 
 
+ANSWERED_THEN_LOST = ((4.0, KillWorker("dc1-w1", 0.2)), (0.2, KillHost("h3", 3.0)))
 KILLED_TWICE = ((0.2, KillHost("h3", 0.2)), (1.0, KillHost("h3", 0.2)))
 LATE_ANSWERS = ((0.0, SilenceWorker("dc1-w1", True)), (1.0, PauseHost("h3", 7.0)))
 
 
 @orders(150)
+@example(ANSWERED_THEN_LOST)
 @example(KILLED_TWICE)
 @example(LATE_ANSWERS)
 @given(plans)
