Tell subscribers of close changes together; no single fault ends a loop

An unforeseen exception ended the polling of the list, or a peer's heartbeats, for good (found by review).

Ruled out: telling only after a pause, which would delay every first change.

Change: the first change is told at once, those of the next 50 ms together. The list's loop and each heartbeat task log an unforeseen fault and go on.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -138,6 +138,9 @@
                     extra = {"peer": host, "reason": str(exc)}
                     log.log(level, "heartbeat stream lost", extra=extra)
                     backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
+                except Exception:
+                    log.exception("heartbeat failed", extra={"peer": host})
+                    backoff_s = BACKOFF_MAX_S
             await self._timers.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
 
     def _until_next_beat(self, host: str) -> float:
--- a/monsoongap/coordination/host_list.py
+++ b/monsoongap/coordination/host_list.py
@@ -59,7 +59,11 @@
             await self._timers.sleep(
                 pause_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
             )
-            await self.refresh()
+            try:
+                await self.refresh()
+            except Exception:
+                # A fault in taking one list must not end the polling.
+                log.exception("host list not taken")
 
     async def refresh(self) -> bool:
         """Fetch once; True when a list was taken."""
--- a/monsoongap/coordination/membership.py
+++ b/monsoongap/coordination/membership.py
@@ -44,6 +44,7 @@
 
 log = logging.getLogger(__name__)
 
+NOTIFY_GAP_S = 0.05
 WILDCARD_ADDRESSES = ("0.0.0.0:", "[::]:")
 
 
@@ -125,6 +126,8 @@
         self._subscribers: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._composed: dict[bool, Heartbeat] = {}
+        self._is_telling = False
+        self._is_untold = False
         self.ready = False
         drain.listeners.append(self._on_drain)
 
@@ -147,7 +150,7 @@
         return self._peers.get(name)
 
     def subscribe(self, changed: Callable[[], None]) -> None:
-        """Call `changed` after every change of the table."""
+        """Call `changed` after every change, at most once in `NOTIFY_GAP_S`."""
         self._subscribers.append(changed)
 
     def report_draining(self, worker: str, boot: int = 0) -> None:
@@ -348,7 +351,27 @@
             self._changed()
 
     def _changed(self) -> None:
+        """Tell subscribers at once, or together with what follows closely.
+
+        Subscribers look at the whole table, so a thousand workers that fall silent
+        one by one must not cost a thousand looks.
+        """
         self._composed.clear()
+        if self._is_telling:
+            self._is_untold = True
+            return
+        self._tell_subscribers()
+        self._is_telling = True
+        self._spawn(self._tell_later(), "tell-subscribers")
+
+    async def _tell_later(self) -> None:
+        await self._timers.sleep(NOTIFY_GAP_S)
+        self._is_telling = False
+        if self._is_untold:
+            self._is_untold = False
+            self._changed()
+
+    def _tell_subscribers(self) -> None:
         for changed in self._subscribers:
             try:
                 changed()
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -385,6 +385,41 @@
     run_virtual(main())
 
 
+@virtual
+async def test_many_workers_that_fall_silent_cost_few_looks_at_the_table() -> None:
+    world = World(IBK, workers=890)
+    await world.start()
+    node = world.nodes["a"]
+    looks: list[int] = []
+
+    def look() -> None:
+        looks.append(sum(one.status is WorkerStatus.SILENT for one in node.workers()))
+
+    node.subscribe(look)
+    await asyncio.sleep(1)
+    looks.clear()
+    names = [one.name for one in node.workers()]
+    world.usages.clear()
+    for name in names:
+        node.report_silent(name)
+        await asyncio.sleep(0.0005)
+    await asyncio.sleep(0.1)
+    assert looks[0] == 1, "the first change is told at once"
+    assert looks[-1] == 890, "and the last one too"
+    assert len(looks) <= 15
+
+
+@virtual
+async def test_a_fault_while_taking_a_list_does_not_end_the_polling() -> None:
+    world = World(IBK)
+    await world.start()
+    world.lists["a"] = HostList(2, (None,))  # type: ignore[arg-type]
+    await asyncio.sleep(5)
+    world.publish(_mark_leaving("ibk-w0"))
+    await asyncio.sleep(3)
+    assert world.worker("a", "ibk-w0") is WorkerStatus.LEAVING
+
+
 @virtual
 async def test_a_silent_worker_gets_no_start_until_it_answers() -> None:
     world = World(IBK)
