Keep the programs' shared command line and the bench's processes in one place

Cause: overrides, the version and check options and the printing of settings faults stood in three programs, starting and stopping processes in two scripts; a missing settings file was reported with an empty section; expected refusals were logged by tornado's access log as errors. Change: util.command with the shared options and run_program, an exit code on UserError, util.ini.parse_overrides; bench.processes serves the demonstration, the benchmarks and the process tests; the access log is silent, since each refusal has a line where it was decided; log records leave out thread and process.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -4,24 +4,16 @@
 """
 
 import asyncio
-import subprocess
-import sys
 import tempfile
-import time
-import urllib.error
-import urllib.request
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 from rich.console import Console
 from rich.table import Table
 
+from bench.processes import NotReady, running
 from monsoongap.load.local_deployment import (
-    LocalDeployment,
     aim_at,
     write_deployment,
 )
@@ -40,11 +32,6 @@
 )
 from monsoongap.load.summary import Summary, samples_of, summarize
 
-READY_TIMEOUT_S = 20.0
-STOP_TIMEOUT_S = 10.0
-POLL_S = 0.1
-LOG_TAIL_LINES = 15
-
 DEMO = LoadProfile(
     deployment=DeploymentSection(name="demo", dcs=("dc1", "dc2"), entries=4, workers=8),
     arrivals=ArrivalsSection(
@@ -68,100 +55,6 @@
 )
 
 
-class NotReady(Exception):
-    """A program ended or stayed unready after its start."""
-
-
-@dataclass(frozen=True)
-class Program:
-    """One started process and where its log goes."""
-
-    name: str
-    process: subprocess.Popen[bytes]
-    log: Path
-
-    def log_tail(self) -> str:
-        """Return the last lines of its log."""
-        lines = self.log.read_text(errors="replace").splitlines()
-        return "\n".join(lines[-LOG_TAIL_LINES:])
-
-
-class Programs:
-    """The processes of a deployment, stopped in the reverse order of starting."""
-
-    def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self.started: list[Program] = []
-        self.faults: list[str] = []
-
-    def start(self, name: str, module: str, config: Path) -> Program:
-        """Start a program of the project with its settings file."""
-        log = self._folder / f"{name}.log"
-        command = [sys.executable, "-m", module, "--config", str(config)]
-        with log.open("wb") as file:
-            process = subprocess.Popen(command, stdout=file, stderr=file)
-        program = Program(name, process, log)
-        self.started.append(program)
-        return program
-
-    def wait_ready(self, program: Program, url: str) -> None:
-        """Wait until `url` answers 200; raises `NotReady` with the log."""
-        give_up_at = time.monotonic() + READY_TIMEOUT_S
-        while not _answers(url):
-            code = program.process.poll()
-            if code is not None or time.monotonic() > give_up_at:
-                state = "not ready" if code is None else f"exited with {code}"
-                raise NotReady(f"{program.name} {state}\n{program.log_tail()}")
-            time.sleep(POLL_S)
-
-    def stop(self) -> None:
-        """Ask every process to leave and note those that did not do so well."""
-        for program in reversed(self.started):
-            self._stop_one(program)
-
-    def _stop_one(self, program: Program) -> None:
-        process = program.process
-        if process.poll() is None:
-            process.terminate()
-        try:
-            code: Any = process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
-            code = "nothing: it had to be killed"
-        if code != 0:
-            self.faults.append(
-                f"{program.name} exited with {code}\n{program.log_tail()}"
-            )
-
-
-@contextmanager
-def running(deployment: LocalDeployment, folder: Path) -> Iterator[Programs]:
-    """Start a deployment, and stop it in the end."""
-    programs = Programs(folder)
-    try:
-        config = deployment.platform_config
-        platform = programs.start("platform", "monsoongap.platform.main", config)
-        programs.wait_ready(platform, f"http://{deployment.control}/v1/hosts")
-        started = [
-            (programs.start(entry.name, "monsoongap.entry", entry.config), entry)
-            for entry in deployment.entries
-        ]
-        for program, entry in started:
-            programs.wait_ready(program, f"{entry.url}/readyz")
-        yield programs
-    finally:
-        programs.stop()
-
-
-def _answers(url: str) -> bool:
-    try:
-        with urllib.request.urlopen(url, timeout=1) as reply:
-            return bool(reply.status == 200)
-    except (urllib.error.URLError, OSError):
-        return False
-
-
 def _print_table(console: Console, summary: Summary) -> None:
     figures = summary.classes
     table = Table("figure", "value", title="monsoongap demo")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Starting and ending the processes of a wall-clock benchmark, on loopback."""
+"""Starting and ending the project's programs on loopback, for scripts and tests."""
 
 import contextlib
 import socket
@@ -6,17 +6,26 @@
 import sys
 import tempfile
 import time
+import urllib.error
 import urllib.request
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import psutil
 
-STOP_TIMEOUT_S = 10.0
+from monsoongap.load.local_deployment import LocalDeployment
+
 READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
 POLL_S = 0.1
-LOG_LINES = 8
+LOG_TAIL_LINES = 15
+
+
+class NotReady(Exception):
+    """A program ended or stayed unready after its start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,87 +36,126 @@
     rss_mb: float
 
 
-class Processes:
-    """Processes of one benchmark run, ended in reverse order by their ids."""
+@dataclass(frozen=True)
+class Program:
+    """One started process and where its log goes."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    def log_tail(self) -> str:
+        """Return the last lines of its log."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
+    def usage(self) -> Usage:
+        """Read what the process has used so far."""
+        process = psutil.Process(self.process.pid)
+        times = process.cpu_times()
+        rss_mb = process.memory_info().rss / 1e6
+        return Usage(times.user + times.system, rss_mb)
+
+
+class Programs:
+    """Processes that are stopped by their ids, in the reverse order of starting."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self._running: list[tuple[str, subprocess.Popen[bytes]]] = []
-
-    def run(self, name: str, module: str, *args: str) -> psutil.Process:
-        """Start `python -m module args` with its output in a file."""
-        output = (self.folder / f"{name}.log").open("wb")
-        command = [sys.executable, "-m", module, *args]
-        process = subprocess.Popen(command, stdout=output, stderr=output)
-        output.close()
-        self._running.append((name, process))
-        return psutil.Process(process.pid)
-
-    def write(self, name: str, text: str) -> str:
+        self.started: list[Program] = []
+        self.faults: list[str] = []
+
+    def start(self, name: str, module: str, *args: str | Path) -> Program:
+        """Start `python -m module args`; its output goes to a file."""
+        log = self.folder / f"{name}.log"
+        command = [sys.executable, "-m", module, *map(str, args)]
+        with log.open("ab") as file:
+            process = subprocess.Popen(command, stdout=file, stderr=file)
+        program = Program(name, process, log)
+        self.started.append(program)
+        return program
+
+    def write(self, name: str, text: str) -> Path:
         """Write a settings file and return its path."""
         path = self.folder / name
         path.write_text(text)
-        return str(path)
-
-    def print_logs(self) -> None:
-        """Print the end of each process's output, to explain a failed run."""
-        for name, _ in self._running:
-            lines = (self.folder / f"{name}.log").read_text().splitlines()
-            for line in lines[-LOG_LINES:]:
-                print(f"{name}: {line}", file=sys.stderr)
-
-    def stop(self) -> dict[str, int]:
-        """End every process; returns the exit code of each by name."""
-        codes = {}
-        for name, process in reversed(self._running):
+        return path
+
+    def wait_ready(self, program: Program, url: str) -> None:
+        """Wait until `url` answers 200; raises `NotReady` with the log."""
+        give_up_at = time.monotonic() + READY_TIMEOUT_S
+        while not _answers(url):
+            code = program.process.poll()
+            if code is not None or time.monotonic() > give_up_at:
+                state = "not ready" if code is None else f"exited with {code}"
+                raise NotReady(f"{program.name} {state}\n{program.log_tail()}")
+            time.sleep(POLL_S)
+
+    def stop(self) -> None:
+        """Ask every process to leave and note those that did not do so well."""
+        for program in reversed(self.started):
+            self._stop_one(program)
+
+    def _stop_one(self, program: Program) -> None:
+        process = program.process
+        if process.poll() is None:
             process.terminate()
-            try:
-                codes[name] = process.wait(STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                codes[name] = process.wait()
-        self._running.clear()
-        return codes
-
-
-@contextlib.contextmanager
-def processes() -> Iterator[Processes]:
-    """Give a group of processes that is ended in any case."""
+        try:
+            code: Any = process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            code = "nothing: it had to be killed"
+        if code != 0:
+            self.faults.append(
+                f"{program.name} exited with {code}\n{program.log_tail()}"
+            )
+
+
+@contextmanager
+def programs() -> Iterator[Programs]:
+    """Give a group of programs in a folder of its own, stopped in the end."""
     with tempfile.TemporaryDirectory(prefix="monsoongap-") as folder:
-        group = Processes(Path(folder))
+        group = Programs(Path(folder))
         try:
             yield group
-        except Exception:
-            group.print_logs()
-            raise
         finally:
             group.stop()
 
 
-def usage(process: psutil.Process) -> Usage:
-    """Read what a process has used so far."""
-    times = process.cpu_times()
-    rss_mb = process.memory_info().rss / 1e6
-    return Usage(times.user + times.system, rss_mb)
+@contextmanager
+def running(deployment: LocalDeployment, folder: Path) -> Iterator[Programs]:
+    """Start a deployment, and stop it in the end."""
+    group = Programs(folder)
+    try:
+        config = deployment.platform_config
+        platform = group.start(
+            "platform", "monsoongap.platform.main", "--config", config
+        )
+        group.wait_ready(platform, f"http://{deployment.control}/v1/hosts")
+        started = [
+            (group.start(e.name, "monsoongap.entry", "--config", e.config), e)
+            for e in deployment.entries
+        ]
+        for program, entry in started:
+            group.wait_ready(program, f"{entry.url}/readyz")
+        yield group
+    finally:
+        group.stop()
 
 
 def free_ports(count: int) -> list[int]:
     """Return loopback ports that are free now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports: list[int] = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
-def wait_ready(url: str) -> None:
-    """Wait until `url` answers 200; raises `TimeoutError`."""
-    end = time.monotonic() + READY_TIMEOUT_S
-    while time.monotonic() < end:
-        with contextlib.suppress(OSError), urllib.request.urlopen(url) as reply:
-            if reply.status == 200:
-                return
-        time.sleep(POLL_S)
-    raise TimeoutError(f"{url} did not become ready in {READY_TIMEOUT_S} s")
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
+
+
+def _answers(url: str) -> bool:
+    try:
+        with urllib.request.urlopen(url, timeout=1) as reply:
+            return bool(reply.status == 200)
+    except (urllib.error.URLError, OSError):
+        return False
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -12,9 +12,7 @@
 import time
 from dataclasses import dataclass
 
-import psutil
-
-from bench.processes import Processes, free_ports, processes, usage, wait_ready
+from bench.processes import Program, Programs, free_ports, programs
 from monsoongap.transport.http_conn import HttpRequest, KeepAliveConnection
 
 WORKERS = 8
@@ -51,11 +49,11 @@
     entry: str
     relay: str
     workers: tuple[str, ...]
-    entry_process: psutil.Process
-    relay_process: psutil.Process
+    entry_process: Program
+    relay_process: Program
 
 
-def deploy(group: Processes) -> Deployment:
+def deploy(group: Programs) -> Deployment:
     """Start workers, one entry daemon and the relay."""
     ports = free_ports(4 + WORKERS)
     control, caller, peer, relay, *worker_ports = ports
@@ -81,13 +79,13 @@
         own_control = f"listen.control=127.0.0.1:{free_ports(1)[0]}"
         extra = [] if n == 0 else ["--workers-only", "--set", own_control]
         args = ("--config", platform, "--workers", pair, *extra)
-        group.run(f"platform{n}", "monsoongap.platform.main", *args)
-    wait_ready(f"http://127.0.0.1:{control}/v1/hosts")
+        group.start(f"platform{n}", "monsoongap.platform.main", *args)
+    group.wait_ready(group.started[0], f"http://127.0.0.1:{control}/v1/hosts")
     time.sleep(1.0)
-    entry_process = group.run("entry", "monsoongap.entry", "--config", entry)
-    relay_process = group.run("relay", "bench.relay", str(relay), *workers)
-    wait_ready(f"http://127.0.0.1:{caller}/readyz")
-    wait_ready(f"http://127.0.0.1:{relay}/readyz")
+    entry_process = group.start("entry", "monsoongap.entry", "--config", entry)
+    relay_process = group.start("relay", "bench.relay", str(relay), *workers)
+    group.wait_ready(entry_process, f"http://127.0.0.1:{caller}/readyz")
+    group.wait_ready(relay_process, f"http://127.0.0.1:{relay}/readyz")
     return Deployment(
         f"127.0.0.1:{caller}",
         f"127.0.0.1:{relay}",
@@ -136,16 +134,16 @@
     conn.close()
 
 
-async def measure(address: str, issued: bool, process: psutil.Process) -> Rate:
+async def measure(address: str, issued: bool, process: Program) -> Rate:
     """Load a process from all clients and read what it used."""
     warm_until = time.monotonic() + WARM_UP_S
     await _load(address, issued, warm_until, [])
-    before = usage(process)
+    before = process.usage()
     began = time.monotonic()
     sent: list[int] = []
     await _load(address, issued, began + MEASURE_S, sent)
     wall_s = time.monotonic() - began
-    after = usage(process)
+    after = process.usage()
     return Rate(sum(sent), wall_s, after.cpu_s - before.cpu_s, after.rss_mb)
 
 
@@ -216,7 +214,7 @@
 
 def main() -> int:
     """Run the benchmark; returns the number of bounds missed."""
-    with processes() as group:
+    with programs() as group:
         return asyncio.run(run(deploy(group)))
 
 
--- a/monsoongap/cli/client.py
+++ b/monsoongap/cli/client.py
@@ -14,9 +14,7 @@
 
 ReplyT = TypeVar("ReplyT")
 
-EXIT_OK = 0
 EXIT_REJECTED = 1
-EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 
 REQUEST_TIMEOUT_S = 10.0
@@ -26,10 +24,14 @@
 class Unreachable(UserError):
     """The entry host did not answer; what was asked may have taken effect."""
 
+    exit_code = EXIT_UNREACHABLE
+
 
 class Rejected(UserError):
     """The entry host answered with an error of the closed list."""
 
+    exit_code = EXIT_REJECTED
+
     def __init__(self, error: JobError) -> None:
         super().__init__(f"{error.error} ({error.outcome}): {error.detail}")
         self.error = error
--- a/monsoongap/entry.py
+++ b/monsoongap/entry.py
@@ -3,14 +3,12 @@
 import asyncio
 import logging
 import signal
-import sys
 import time
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-import monsoongap
 from monsoongap.coordination.leaving import LeaveHooks, Leaving
 from monsoongap.coordination.node import Node, Ports
 from monsoongap.coordination.parts import HostIdentity
@@ -27,7 +25,13 @@
 from monsoongap.transport.platform_client import HostListClient, LogClient
 from monsoongap.transport.tls import TlsFault, TlsFiles
 from monsoongap.transport.workers import HttpWorkers
-from monsoongap.util.ini import SettingsErrors
+from monsoongap.util.command import (
+    CheckOption,
+    SetOption,
+    VersionOption,
+    run_program,
+)
+from monsoongap.util.ini import parse_overrides
 
 log = logging.getLogger(__name__)
 
@@ -133,59 +137,30 @@
     await Daemon(cfg).run()
 
 
-def parse_overrides(pairs: list[str]) -> dict[str, str]:
-    """Turn `section.key=value` texts into overrides; raises `UserError`."""
-    overrides = {}
-    for pair in pairs:
-        dotted, equals, value = pair.partition("=")
-        if not equals or "." not in dotted:
-            raise UserError(f"--set wants section.key=value, not {pair!r}")
-        overrides[dotted] = value
-    return overrides
-
-
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        print(monsoongap.__version__)
-        raise typer.Exit
-
-
 @app.command()
 def serve(
     config: Annotated[
         Path, typer.Option("--config", help="INI file with the settings.")
     ],
-    set_: Annotated[
-        list[str], typer.Option("--set", help="section.key=value over the file.")
-    ] = [],  # noqa: B006
-    check_config: Annotated[
-        bool, typer.Option("--check-config", help="Check the settings and exit.")
-    ] = False,
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=_print_version, is_eager=True),
-    ] = False,
+    set_: SetOption = None,
+    check_config: CheckOption = False,
+    version: VersionOption = False,
 ) -> None:
     """Run an entry host: callers in front, upstreams behind."""
-    cfg = load_settings(config, parse_overrides(set_))
+    cfg = load_settings(config, parse_overrides(set_ or []))
     if check_config:
-        print(f"{config}: no fault found")
+        typer.echo(f"{config}: valid")
         return
     configure_logging(cfg.log)
-    asyncio.run(_serve(cfg))
+    try:
+        asyncio.run(_serve(cfg))
+    except (TlsFault, OSError) as exc:
+        raise UserError(f"cannot start: {exc}") from exc
 
 
 def main() -> None:
-    """Run the program; every fault of the settings is printed on a line."""
-    try:
-        app()
-    except SettingsErrors as exc:
-        for fault in exc.exceptions:
-            print(f"monsoongap-entry: {fault}", file=sys.stderr)
-        sys.exit(2)
-    except (UserError, TlsFault) as exc:
-        print(f"monsoongap-entry: {exc}", file=sys.stderr)
-        sys.exit(2)
+    """Run the program."""
+    run_program(app, "monsoongap-entry")
 
 
 if __name__ == "__main__":
--- a/monsoongap/errors.py
+++ b/monsoongap/errors.py
@@ -115,7 +115,12 @@
 
 
 class UserError(Exception):
-    """A mistake of the person at the command line, printed as one sentence."""
+    """A mistake of the person at the command line, printed as one sentence.
+
+    `exit_code` is what the program ends with.
+    """
+
+    exit_code = 2
 
 
 class StartAmbiguous(Exception):
--- a/monsoongap/load/main.py
+++ b/monsoongap/load/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -11,21 +10,26 @@
 from rich.console import Console
 from rich.table import Table
 
-from monsoongap import __version__
+from monsoongap.errors import UserError
 from monsoongap.load.fault_schedule import ScheduleStep, load_schedule
 from monsoongap.load.report import summary_rows, write_report
 from monsoongap.load.runner import run_load
-from monsoongap.load.settings import LoadProfile, load_profile
+from monsoongap.load.settings import load_profile
 from monsoongap.load.summary import Summary, samples_of, summarize
 from monsoongap.logs import configure_logging
-from monsoongap.util.ini import SettingsErrors
+from monsoongap.util.command import (
+    CheckOption,
+    SetOption,
+    VersionOption,
+    run_program,
+)
+from monsoongap.util.ini import parse_overrides
 
 log = logging.getLogger(__name__)
 
 EXIT_VIOLATIONS = 1
-EXIT_BAD_SETTINGS = 2
 
-app = typer.Typer(add_completion=False)
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 def print_summary(console: Console, title: str, summary: Summary) -> None:
@@ -40,32 +44,14 @@
         console.print(str(violation), style="red", markup=False)
 
 
-def _read_profile(path: Path, overrides: list[str]) -> LoadProfile:
-    """Read the profile, or print its faults and exit."""
-    pairs = (item.partition("=") for item in overrides)
-    try:
-        return load_profile(path, {dotted: value for dotted, _, value in pairs})
-    except SettingsErrors as exc:
-        for fault in exc.exceptions:
-            typer.echo(str(fault), err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS) from exc
-
-
 def read_schedule(path: Path | None) -> tuple[ScheduleStep, ...]:
-    """Read the schedule of faults, or print its fault and exit."""
+    """Read the schedule of faults; raises `UserError`."""
     if path is None:
         return ()
     try:
         return load_schedule(path)
     except (msgspec.MsgspecError, OSError) as exc:
-        typer.echo(f"{path}: {exc}", err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS) from exc
-
-
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(f"monsoongap-load {__version__}")
-        raise typer.Exit
+        raise UserError(f"{path}: {exc}") from exc
 
 
 @app.command()
@@ -74,39 +60,29 @@
     faults: Annotated[
         Path | None, typer.Option(help="JSON file with faults to show meanwhile.")
     ] = None,
-    set_: Annotated[
-        list[str] | None,
-        typer.Option("--set", help="Override a setting: section.key=value."),
-    ] = None,
+    set_: SetOption = None,
     json_: Annotated[
         bool, typer.Option("--json", help="Print the figures as JSON.")
     ] = False,
     report: Annotated[
         Path | None, typer.Option(help="Write an HTML page with plots.")
     ] = None,
-    check_config: Annotated[
-        bool, typer.Option("--check-config", help="Check the profile and exit.")
-    ] = False,
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=_print_version, is_eager=True),
-    ] = False,
+    check_config: CheckOption = False,
+    version: VersionOption = False,
 ) -> None:
     """Offer load to a deployment and report how it was served.
 
     Exits 1 when a promise was broken and 2 when the profile is faulty.
     """
-    cfg = _read_profile(profile, set_ or [])
+    cfg = load_profile(profile, parse_overrides(set_ or []))
     schedule = read_schedule(faults)
     if check_config:
         typer.echo(f"{profile}: valid")
         return
     if not cfg.target.entries:
-        typer.echo(f"{profile}: [target] entries: needs at least one", err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS)
+        raise UserError(f"{profile}: [target] entries: needs at least one")
     if schedule and not cfg.target.ledgers:
-        typer.echo(f"{profile}: [target] ledgers: --faults needs one", err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS)
+        raise UserError(f"{profile}: [target] ledgers: --faults needs one")
     configure_logging(cfg.log)
     result = asyncio.run(run_load(cfg, schedule))
     summary = summarize(cfg, result)
@@ -123,7 +99,7 @@
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app, "monsoongap-load")
 
 
 if __name__ == "__main__":
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -79,4 +79,9 @@
         case _:
             handler.setFormatter(TextFormatter())
     logging.basicConfig(level=cfg.level.upper(), handlers=[handler], force=True)
-    logging.getLogger("tornado.access").setLevel(logging.ERROR)
+    # A refusal is an ordinary answer and has a line of its own where it was decided.
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+    # Nothing here prints a record's thread, process or task.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
--- a/monsoongap/platform/main.py
+++ b/monsoongap/platform/main.py
@@ -7,14 +7,13 @@
 import asyncio
 import logging
 import signal
-import sys
 import time
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from monsoongap import __version__
+from monsoongap.errors import UserError
 from monsoongap.logs import configure_logging
 from monsoongap.platform.control_server import ControlServer, StandIn
 from monsoongap.platform.host_list_model import HostListModel
@@ -28,14 +27,19 @@
 )
 from monsoongap.platform.worker_model import WorkerModel
 from monsoongap.platform.worker_server import WorkerServer
-from monsoongap.util.ini import SettingsErrors
+from monsoongap.util.command import (
+    CheckOption,
+    SetOption,
+    VersionOption,
+    run_program,
+)
+from monsoongap.util.ini import parse_overrides
 
 log = logging.getLogger(__name__)
 
-EXIT_BAD_SETTINGS = 2
 DRAIN_POLL_S = 0.05
 
-app = typer.Typer(add_completion=False)
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 def build(cfg: StandInSettings, only: frozenset[str]) -> StandIn:
@@ -88,18 +92,6 @@
         await worker.model.close()
 
 
-def _print_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(f"monsoongap-platform {__version__}")
-        raise typer.Exit
-
-
-def _overrides(items: list[str]) -> dict[str, str]:
-    """Split `section.key=value` texts."""
-    pairs = (item.partition("=") for item in items)
-    return {dotted: value for dotted, _, value in pairs}
-
-
 @app.command()
 def run(
     config: Annotated[Path, typer.Option(help="INI file with the settings.")],
@@ -109,32 +101,16 @@
     workers_only: Annotated[
         bool, typer.Option("--workers-only", help="Leave out log and host list.")
     ] = False,
-    set_: Annotated[
-        list[str] | None,
-        typer.Option("--set", help="Override a setting: section.key=value."),
-    ] = None,
-    check_config: Annotated[
-        bool, typer.Option("--check-config", help="Check the settings and exit.")
-    ] = False,
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=_print_version, is_eager=True),
-    ] = False,
+    set_: SetOption = None,
+    check_config: CheckOption = False,
+    version: VersionOption = False,
 ) -> None:
     """Serve a log, a host list and workers whose faults can be set."""
-    try:
-        cfg = load_settings(config, _overrides(set_ or []))
-    except SettingsErrors as exc:
-        for fault in exc.exceptions:
-            typer.echo(str(fault), err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS) from exc
+    cfg = load_settings(config, parse_overrides(set_ or []))
     only = frozenset(name.strip() for name in workers.split(",") if name.strip())
     unknown = only - {shape.name for shape in worker_shapes(cfg.workers)}
     if unknown:
-        typer.echo(
-            f"--workers: not in {config}: {', '.join(sorted(unknown))}", err=True
-        )
-        raise typer.Exit(EXIT_BAD_SETTINGS)
+        raise UserError(f"--workers: not in {config}: {', '.join(sorted(unknown))}")
     if check_config:
         typer.echo(f"{config}: valid")
         return
@@ -144,7 +120,7 @@
 
 def main() -> None:
     """Run the program."""
-    sys.exit(app())
+    run_program(app, "monsoongap-platform")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/monsoongap/util/command.py
@@ -0,0 +1,50 @@
+"""What the command lines of all programs share: options and the way errors end."""
+
+import sys
+from typing import Annotated
+
+import typer
+
+import monsoongap
+from monsoongap.errors import UserError
+from monsoongap.util.ini import SettingsErrors
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"monsoongap {monsoongap.__version__}")
+        raise typer.Exit
+
+
+VersionOption = Annotated[
+    bool,
+    typer.Option(
+        "--version",
+        callback=_print_version,
+        is_eager=True,
+        help="Print the version and exit.",
+    ),
+]
+SetOption = Annotated[
+    list[str] | None,
+    typer.Option("--set", help="Override a setting: section.key=value."),
+]
+CheckOption = Annotated[
+    bool, typer.Option("--check-config", help="Check the settings and exit.")
+]
+
+
+def run_program(app: typer.Typer, name: str) -> None:
+    """Run a program; each fault of its settings and each mistake is one line.
+
+    Ends the process with the program's exit code, or that of the error.
+    """
+    try:
+        app()
+    except SettingsErrors as exc:
+        for fault in exc.exceptions:
+            print(f"{name}: {fault}", file=sys.stderr)
+        sys.exit(UserError.exit_code)
+    except UserError as exc:
+        print(f"{name}: {exc}", file=sys.stderr)
+        sys.exit(exc.exit_code)
--- a/monsoongap/util/ini.py
+++ b/monsoongap/util/ini.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from monsoongap.errors import UserError
+
 SettingsT = TypeVar("SettingsT")
 
 
@@ -19,8 +21,9 @@
     """One fault of a settings file: where it is and what is allowed."""
 
     def __init__(self, source: str, section: str, key: str, reason: str) -> None:
-        where = f"[{section}]" + (f" {key}" if key else "")
-        super().__init__(f"{source}: {where}: {reason}")
+        where = (f"[{section}]" if section else "") + (f" {key}" if key else "")
+        place = f"{source}: {where}" if where else source
+        super().__init__(f"{place}: {reason}")
         self.source = source
         self.section = section
         self.key = key
@@ -46,6 +49,17 @@
     return parse_ini(text, str(path), kind, overrides)
 
 
+def parse_overrides(pairs: list[str]) -> dict[str, str]:
+    """Turn `section.key=value` texts into overrides; raises `UserError`."""
+    overrides = {}
+    for pair in pairs:
+        dotted, equals, value = pair.partition("=")
+        if not equals or "." not in dotted:
+            raise UserError(f"--set wants section.key=value, not {pair!r}")
+        overrides[dotted] = value
+    return overrides
+
+
 def parse_ini(
     text: str,
     source: str,
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -12,9 +12,8 @@
 from syrupy.assertion import SnapshotAssertion
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
-from typer.testing import CliRunner
 
-from monsoongap.load.main import app
+from monsoongap.load.main import main
 from monsoongap.load.plan import JobClass, capacity_jobs_per_s, plan_jobs
 from monsoongap.load.records import CallRecord, Reception, RunRecord
 from monsoongap.load.report import summary_rows, write_report
@@ -45,6 +44,7 @@
     Ledger,
     TaskState,
 )
+from tests.programs import run_main
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 PROFILE = LoadProfile(
@@ -254,9 +254,9 @@
 def test_program_refuses_a_faulty_profile_with_every_fault(tmp_path: Path) -> None:
     path = tmp_path / "load.ini"
     path.write_text("[mix]\nlong_share = 2\n[arivals]\nload = 1\n")
-    refused = CliRunner().invoke(app, ["--profile", str(path)])
+    refused = run_main(main, "--profile", str(path))
     assert refused.exit_code == 2
     assert "long_share" in refused.output and "arivals" in refused.output
     path.write_text("[mix]\ntasks_min = 9\ntasks_max = 3\n")
-    refused = CliRunner().invoke(app, ["--profile", str(path)])
+    refused = run_main(main, "--profile", str(path))
     assert refused.exit_code == 2 and "is below tasks_min" in refused.output
--- a/tests/platform/test_stand_in.py
+++ b/tests/platform/test_stand_in.py
@@ -9,7 +9,6 @@
 import msgspec
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from typer.testing import CliRunner
 
 from monsoongap.errors import (
     LogTrimmed,
@@ -19,7 +18,7 @@
 )
 from monsoongap.platform import faults
 from monsoongap.platform.control_server import ControlServer
-from monsoongap.platform.main import app, build
+from monsoongap.platform.main import build, main
 from monsoongap.platform.settings import StandInSettings, host_entries, load_settings
 from monsoongap.protocol.messages import (
     HostEntry,
@@ -37,6 +36,7 @@
 )
 from monsoongap.transport.platform_client import HostListClient, LogClient
 from monsoongap.transport.workers import HttpWorkers
+from tests.programs import run_main
 
 INI = """
 [listen]
@@ -199,12 +199,12 @@
 def test_check_config_lists_every_fault(tmp_path: Path) -> None:
     path = tmp_path / "platform.ini"
     path.write_text("[workers]\nlocations = w1=dc1=127.0.0.1:1, w1=dc1=127.0.0.1:2\n")
-    twice = CliRunner().invoke(app, ["--config", str(path), "--check-config"])
+    twice = run_main(main, "--config", str(path), "--check-config")
     assert twice.exit_code == 2 and "'w1' is given twice" in twice.output
     path.write_text("[workers]\nslots = 0\n[lgo]\nlevel = info\n")
-    wrong = CliRunner().invoke(app, ["--config", str(path), "--check-config"])
+    wrong = run_main(main, "--config", str(path), "--check-config")
     assert wrong.exit_code == 2
     assert "slots" in wrong.output and "lgo" in wrong.output
     path.write_text("[workers]\nslots = 4\n")
-    right = CliRunner().invoke(app, ["--config", str(path), "--check-config"])
+    right = run_main(main, "--config", str(path), "--check-config")
     assert right.exit_code == 0
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from bench.demo import Programs, running
+from bench.processes import Programs, running
 from monsoongap.load.checker import require_clean
 from monsoongap.load.local_deployment import (
     LocalDeployment,
@@ -151,7 +151,7 @@
                 await asyncio.sleep(0.5)
                 assert await stop_program(programs, entry.name) == 0
                 module = "monsoongap.entry"
-                program = programs.start(entry.name, module, entry.config)
+                program = programs.start(entry.name, module, "--config", entry.config)
                 url = f"{entry.url}/readyz"
                 await asyncio.to_thread(programs.wait_ready, program, url)
             await asyncio.sleep(1.0)
