Let a leaving host name the issued ids that it never admitted

Cause: after a host left in good order, ids that it had issued and nobody had used ended as unknown at its peers (five jobs in each of two trials with real processes, one after 20 s); a rolling restart may show only answers or not_run. Ruled out: claims for issued ids (an append per job), peers admitting them (a paused home may wake up), asking the workers (they can't prove the absence of a home's intention). Change: a draining host admits no issued id and sends its peers the set of unused serials; peers answer not_run from it, a restarted host asks them about its past. Conclusion: proved for hosts that leave; a host that dies still proves nothing.

--- a/monsoongap/coordination/home.py
+++ b/monsoongap/coordination/home.py
@@ -11,6 +11,7 @@
 from monsoongap.coordination.dispatch_attempt import Starter
 from monsoongap.coordination.dispatch_leases import LeaseTable
 from monsoongap.coordination.dispatch_verdict import from_exception
+from monsoongap.coordination.farewell import Farewells
 from monsoongap.coordination.home_jobs import HomeJobs
 from monsoongap.coordination.home_locate import Locator
 from monsoongap.coordination.home_messages import SUBMIT, OutcomeReply, SubmitCall
@@ -76,11 +77,13 @@
         )
         self._recovery = Recovery(self._settler, timers)
         self._collector = Collector(self._settler, directory, timers)
+        self._farewells = Farewells(identity, directory, peers, handlers)
         self._router = Router(
             identity,
             directory,
             peers,
             handlers,
+            self._farewells,
             LostHosts(cfg.peers, directory, timers),
             self._recovery,
             self._collector,
@@ -102,6 +105,7 @@
         self._callers = 0
         self._ended: asyncio.Future[ErrorKind] | None = None
         handlers.register(SUBMIT, self._serve_submit)
+        drain.listeners.append(self._say_farewell)
 
     def start(self) -> None:
         """Begin to watch workers and claims."""
@@ -251,6 +255,10 @@
             raise DispatchError(ErrorKind.DRAINING, "this host is leaving too")
         return self._own.submit(call.submission, call.req, remaining_s)
 
+    def _say_farewell(self) -> None:
+        """Tell peers which ids were not admitted; from now on none will be."""
+        self._jobs.spawn(self._farewells.send(self._issued.snapshot()))
+
     def _is_here(self, issued: IssuedId) -> bool:
         return (issued.dc, issued.host) == (self._identity.dc, self._identity.name)
 
@@ -260,6 +268,9 @@
         """Admit an id of this very process that was not used before."""
         if not self._is_here(issued) or issued.boot != self._identity.boot:
             raise DispatchError(ErrorKind.HOME_LOST, "issued by another process")
+        if self._drain.draining and not self._issued.is_used(issued.serial):
+            # The farewell says that this id was never admitted: keep that true.
+            raise DispatchError(ErrorKind.DRAINING, "this host is leaving")
         if not self._issued.take(issued.serial):
             raise DispatchError(
                 ErrorKind.NOT_FOUND, "not issued here, or its outcome is forgotten"
--- a/monsoongap/coordination/home_route.py
+++ b/monsoongap/coordination/home_route.py
@@ -5,6 +5,7 @@
 import logging
 
 from monsoongap.coordination.dispatch_verdict import error_outcome
+from monsoongap.coordination.farewell import Farewells
 from monsoongap.coordination.home_messages import (
     COLLECT,
     RECOVER,
@@ -44,6 +45,7 @@
         directory: Directory,
         peers: PeerPort,
         handlers: PeerHandlers,
+        farewells: Farewells,
         lost: LostHosts,
         recovery: Recovery,
         collector: Collector,
@@ -52,6 +54,7 @@
         self._identity = identity
         self._directory = directory
         self._peers = peers
+        self._farewells = farewells
         self._lost = lost
         self._recovery = recovery
         self._collector = collector
@@ -74,7 +77,7 @@
             try:
                 return await self._ask_issuer(issued, req, deadline_at)
             except PeerUnreachable:
-                if self._issuer_lost(issued):
+                if self._farewells.knows(issued) or self._issuer_lost(issued):
                     return await self.collect(issued, req, deadline_at)
             except DispatchError as exc:
                 if exc.kind is not ErrorKind.HOME_LOST:
@@ -86,8 +89,15 @@
     async def collect(
         self, issued: IssuedId, req: JobRequest, deadline_at: float
     ) -> JobOutcome:
-        """Return the answers that the workers of a lost issuer kept, if all."""
+        """Return the answers that the workers of a lost issuer kept, if all.
+
+        An id that its issuer's farewell names as unused is proved `not_run`.
+        """
         submission, tasks = str(issued), len(req.tasks)
+        farewell = await self._farewells.find(issued)
+        if farewell is not None and farewell.unused(issued.serial):
+            detail = f"{issued.host} left before it admitted this id; use another"
+            return error_outcome(submission, ErrorKind.DRAINING, detail)
         answer = None
         if issued.dc == self._identity.dc:
             answer = await self._collector.collect(submission, tasks, deadline_at)
--- a/monsoongap/state/jobs.py
+++ b/monsoongap/state/jobs.py
@@ -171,6 +171,24 @@
             self.forget(submission)
 
 
+@dataclass(frozen=True, slots=True)
+class IssuedSnapshot:
+    """Which serials of a process were unused at one moment, one byte each.
+
+    A serial that was not issued yet counts as unused: it was not admitted.
+    """
+
+    next_serial: int
+    unused: bytes
+
+    def is_unused(self, serial: int) -> bool:
+        """Tell whether a serial had not been admitted."""
+        size = len(self.unused)
+        if serial < max(1, self.next_serial - size) or not size:
+            return False
+        return serial >= self.next_serial or bool(self.unused[serial % size])
+
+
 class IssuedWindow:
     """Serials that were issued and not used yet, one byte each.
 
@@ -189,6 +207,10 @@
         self._unused[serial % len(self._unused)] = 1
         return serial
 
+    def snapshot(self) -> IssuedSnapshot:
+        """Return which serials are unused now."""
+        return IssuedSnapshot(self._next, bytes(self._unused))
+
     def is_used(self, serial: int) -> bool:
         """Tell whether a serial was issued and is used or too old."""
         size = len(self._unused)
