--- a/monsoongap/coordination/dispatch_leases.py
+++ b/monsoongap/coordination/dispatch_leases.py
@@ -15,6 +15,9 @@
 
 SCAN_S = 2.0
 MAX_AGE_S = 10.0
+FIRST_LOOK_S = 0.01
+FIRST_PROBES_S = 0.2
+START_UP_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,10 +46,12 @@
         self._stamps: dict[str, Stamp] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._subscription: Subscription | None = None
+        self._started_at = -START_UP_S
         self.probes = 0
 
     def start(self) -> None:
         """Begin to ask listed workers that have not reported for `MAX_AGE_S`."""
+        self._started_at = self._timers.now()
         self._directory.subscribe(self._scan)
         self._subscription = self._timers.every(SCAN_S, self._scan, "leases")
         self._scan()
@@ -63,14 +68,22 @@
         stamp = self._stamps.get(worker)
         return None if stamp is None else stamp.boot
 
-    async def any_known(self) -> bool:
-        """Tell whether some worker's boot number is known, asking if need be."""
-        if not self._stamps:
+    async def any_known(self, wait_s: float) -> bool:
+        """Wait for a listed worker's boot number; False when none came in time.
+
+        A host that has just started knows no worker for a moment, then only those
+        that answered first, and waits for the others too.
+        """
+        give_up_at = self._timers.now() + wait_s
+        while not self._stamps:
+            if self._timers.now() >= give_up_at:
+                return False
             self._scan()
-            probes = tuple(self._probes.values())
-            if probes:
-                await asyncio.wait(probes)
-        return bool(self._stamps)
+            await self._timers.sleep(FIRST_LOOK_S)
+        probes = tuple(self._probes.values())
+        if probes and self._timers.now() < self._started_at + START_UP_S:
+            await asyncio.wait(probes, timeout=FIRST_PROBES_S)
+        return True
 
     def note(self, worker: str, boot: int, clock_ms: int) -> None:
         """Keep a stamp unless a newer one is known."""
--- a/monsoongap/coordination/home_own.py
+++ b/monsoongap/coordination/home_own.py
@@ -40,6 +40,7 @@
 log = logging.getLogger(__name__)
 
 CLAIM_TIMEOUT_S = 3.0
+FIRST_WORKERS_S = 2.0
 MAX_KEY_LENGTH = 200
 MS_PER_S = 1000
 RETRY_MS = 1000
@@ -178,12 +179,18 @@
                 self._jobs.withdraw(entry)
 
     async def _admit(self, entry: JobEntry) -> DispatchError | None:
-        """Reserve room; returns why not, to be written into the claim."""
+        """Reserve room; returns why not, to be written into the claim.
+
+        A refusal closes the key for good, so a host that has just started first
+        waits a moment for its workers.
+        """
+        remaining_s = entry.deadline_at - self._timers.now()
+        known = await self._leases.any_known(min(FIRST_WORKERS_S, remaining_s / 2))
         try:
             self._jobs.admit(entry)
         except DispatchError as exc:
             return exc
-        if await self._leases.any_known() and self._workers_for(entry):
+        if known and self._workers_for(entry):
             return None
         self._jobs.withdraw(entry)
         return DispatchError(ErrorKind.OVERLOADED, "no worker answers", RETRY_MS)
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from monsoongap.errors import ErrorKind, LogUnavailable
 from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
 from monsoongap.settings import ClaimsSection, EntrySettings, HostSection, LimitsSection
+from monsoongap.state.claims import ClaimRecord
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
 
@@ -111,6 +113,26 @@
     run_virtual(main())
 
 
+def test_host_that_just_started_waits_for_its_workers_before_it_claims() -> None:
+    async def main() -> None:
+        cluster = Cluster(TRIO, workers=4)
+        host = cluster.hosts["h1"]
+        host.workers.link("dc1-w1").delay_s = 0.1
+        host.workers.cut_all()
+        asyncio.get_running_loop().call_later(0.5, host.workers.cut_all, False)
+        outcome = await host.home.submit("k", job())
+        assert outcome == JobAnswer("k", answers("k", 2))
+        records = [
+            msgspec.json.decode(record.data, type=ClaimRecord)
+            for stream in cluster.platform.log.streams()
+            for record in cluster.platform.log.stored(stream)
+        ]
+        assert [len(record.workers) for record in records] == [4]
+        await cluster.close()
+
+    run_virtual(main())
+
+
 def test_call_without_permission_does_not_close_the_key() -> None:
     async def main() -> None:
         cluster = Cluster(TRIO)
