--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -11,7 +11,8 @@
 
 from monsoongap.coordination.admission import Admission, check_fit
 from monsoongap.coordination.credits_book import CreditBook
-from monsoongap.coordination.credits_lending import Lending, Need
+from monsoongap.coordination.credits_lending import Lending
+from monsoongap.coordination.credits_messages import Need
 from monsoongap.coordination.estimates import Estimator
 from monsoongap.coordination.parts import (
     Directory,
@@ -29,9 +30,9 @@
 from monsoongap.coordination.scheduler_jobs import JobTable, Running
 from monsoongap.coordination.scheduler_order import TaskOrder
 from monsoongap.coordination.scheduler_view import (
-    QueueView,
     SchedulerView,
-    WorkerView,
+    view_queues,
+    view_workers,
 )
 from monsoongap.coordination.shares import LongShare
 from monsoongap.coordination.worker_health import Health, KindName, WorkerHealth
@@ -170,28 +171,13 @@
     def view(self) -> SchedulerView:
         """Return what each worker's credits and the queues look like."""
         now = self._timers.now()
-        workers = tuple(
-            WorkerView(
-                name,
-                account.own,
-                account.borrowed.total(),
-                account.lent,
-                account.busy,
-                self._health.health(name, now).value,
-            )
-            for name, account in sorted(self._book.accounts.items())
-        )
-        queues = tuple(
-            QueueView(team, "short" if urgent else "long", length)
-            for (team, urgent), length in sorted(self._queues.by_team.items())
-        )
         return SchedulerView(
-            workers,
-            queues,
-            self._order.long_limit(now),
-            self._jobs.long_busy,
-            self._order.reserve(now),
-            1000.0 * self._estimator.split_s,
+            workers=view_workers(self._book, self._health, now),
+            queues=view_queues(self._queues),
+            long_limit=self._order.long_limit(now),
+            long_busy=self._jobs.long_busy,
+            reserve=self._order.reserve(now),
+            split_ms=1000.0 * self._estimator.split_s,
         )
 
     def counters(self) -> dict[str, int]:
--- a/monsoongap/coordination/scheduler_order.py
+++ b/monsoongap/coordination/scheduler_order.py
@@ -9,7 +9,8 @@
 
 from monsoongap.coordination.admission import Admission
 from monsoongap.coordination.credits_book import CreditBook
-from monsoongap.coordination.credits_lending import Lending, Need, Wants
+from monsoongap.coordination.credits_lending import Lending
+from monsoongap.coordination.credits_messages import Need, Wants
 from monsoongap.coordination.queues import Level, TaskQueues, Waiting
 from monsoongap.coordination.scheduler_jobs import JobTable
 from monsoongap.coordination.shares import LATE_AFTER_RUNS, LongShare
--- a/monsoongap/coordination/scheduler_view.py
+++ b/monsoongap/coordination/scheduler_view.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+from monsoongap.coordination.credits_book import CreditBook
+from monsoongap.coordination.queues import TaskQueues
+from monsoongap.coordination.worker_health import WorkerHealth
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerView:
@@ -39,3 +43,28 @@
     long_busy: int
     reserve: int
     split_ms: float
+
+
+def view_workers(
+    book: CreditBook, health: WorkerHealth, now: float
+) -> tuple[WorkerView, ...]:
+    """Return the credits on each worker, in name order."""
+    return tuple(
+        WorkerView(
+            worker=name,
+            own=account.own,
+            borrowed=account.borrowed.total(),
+            lent=account.lent,
+            busy=account.busy,
+            health=health.health(name, now).value,
+        )
+        for name, account in sorted(book.accounts.items())
+    )
+
+
+def view_queues(queues: TaskQueues) -> tuple[QueueView, ...]:
+    """Return the queue lengths by team and class."""
+    return tuple(
+        QueueView(team, "short" if urgent else "long", length)
+        for (team, urgent), length in sorted(queues.by_team.items())
+    )
--- a/monsoongap/coordination/shares.py
+++ b/monsoongap/coordination/shares.py
@@ -14,8 +14,8 @@
 SHORT_FACTOR_SPARE = 3.5
 SHORT_FACTOR_NEEDED = 1.15
 RESERVE_FACTOR = 1.0
-MAX_RESERVE_SHARE = 0.25
-LATE_AFTER_RUNS = 2.5
+RESERVE_OF_LEFT = 0.8
+LATE_AFTER_RUNS = 2.9
 
 
 class LoadMeter:
@@ -81,6 +81,11 @@
         return max(1, min(pool, math.ceil(min(wanted, left))))
 
     def reserve(self, now: float, pool: int) -> int:
-        """Return how many free slots are kept from jobs that have long tasks."""
+        """Return how many free slots are kept from jobs that have long tasks.
+
+        Never more than the offered work leaves, or those jobs would pile up.
+        """
         burst = RESERVE_FACTOR * self.urgent.slots(now)
-        return round(min(burst, MAX_RESERVE_SHARE * pool))
+        offered = self.short.slots(now) + self.long.slots(now)
+        left = RESERVE_OF_LEFT * max(0.0, pool - offered)
+        return round(min(burst, left))
