Draw overtaking requests and long pauses in the fault orders

Cause: with fewer fixed orders, two broken variants passed them: barring a task without a revocation, and a recovery that fences nothing. No order delayed a start behind a later question, and no pause outlasted the time after which a home is taken for lost.

Change: requests sent in one moment arrive 2 s late; pauses of 11 s; both finds are explicit examples.

--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -36,6 +36,7 @@
 FAULTS_END_S = 12.0
 LONGEST_CALL_S = 20.0
 SETTLE_IN_S = 3.0
+LATE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,14 @@
     new_works: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LateRequests:
+    """What is sent to a worker for a moment arrives late, after later requests."""
+
+    worker: str
+    sent_for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CancelWave:
     host: str
@@ -109,6 +118,7 @@
     | KillWorker
     | PauseWorker
     | SilenceWorker
+    | LateRequests
     | CancelWave
 )
 
@@ -120,7 +130,7 @@
 faults = st.one_of(
     st.just(Resubmit()),
     st.builds(KillHost, hosts, restarts),
-    st.builds(PauseHost, hosts, pauses),
+    st.builds(PauseHost, hosts, st.sampled_from((0.5, 3.5, 7.0, 11.0))),
     st.builds(CutPeers, hosts, hosts, pauses),
     st.builds(CutPeers, st.just("dc1"), st.just("dc2"), pauses),
     st.builds(
@@ -143,6 +153,7 @@
     st.builds(KillWorker, workers, restarts),
     st.builds(PauseWorker, workers, pauses),
     st.builds(SilenceWorker, workers, st.booleans()),
+    st.builds(LateRequests, workers, st.sampled_from((0.01, 0.3))),
     st.builds(CancelWave, hosts),
 )
 times = st.sampled_from((0.0, 0.004, 0.02, 0.06, 0.2, 0.5, 1.0, 4.0))
@@ -248,6 +259,9 @@
             case SilenceWorker(worker, new_works):
                 for host in cluster.hosts.values():
                     host.workers.link(worker).silence(new_works=new_works)
+            case LateRequests(worker, sent_for_s):
+                self.delay(worker, LATE_S)
+                loop.call_later(sent_for_s, self.delay, worker, 0.0)
             case CancelWave(name):
                 self.cancel_all(name)
 
@@ -279,6 +293,10 @@
         if self.cluster.hosts.get(host.identity.name) is host:
             self.cluster.tell(host.identity, status)
 
+    def delay(self, worker: str, delay_s: float) -> None:
+        for host in self.cluster.hosts.values():
+            host.workers.link(worker).delay_s = delay_s
+
     def cancel_all(self, name: str) -> None:
         host = self.cluster.hosts.get(name)
         if host is not None:
@@ -350,6 +368,11 @@
 
 ANSWERED_THEN_LOST = ((4.0, KillWorker("dc1-w1", 0.2)), (0.2, KillHost("h3", 3.0)))
 KILLED_TWICE = ((0.2, KillHost("h3", 0.2)), (1.0, KillHost("h3", 0.2)))
+PAUSED_PAST_RECOVERY = ((0.2, PauseHost("h1", 0.5)), (0.2, PauseHost("h2", 11.0)))
+OVERTAKEN_STARTS = (
+    (0.5, LateRequests("dc1-w1", 0.01)),
+    (0.06, LateRequests("dc1-w1", 0.01)),
+)
 LATE_ANSWERS = ((0.0, SilenceWorker("dc1-w1", True)), (1.0, PauseHost("h3", 7.0)))
 
 
@@ -357,6 +380,8 @@
 @example(ANSWERED_THEN_LOST)
 @example(KILLED_TWICE)
 @example(LATE_ANSWERS)
+@example(OVERTAKEN_STARTS)
+@example(PAUSED_PAST_RECOVERY)
 @given(plans)
 def test_promises_hold_under_two_faults(
     plan: tuple[tuple[float, Fault], ...],
