Work out the share of long work once per 5 ms; test the loan book by itself

Cause: each placement and each credit call worked out limits and reserves anew; a check of lost calls did not catch a whole holding taken from before a push. Ruled out: caching by event, which the fading meters would make stale. Change: one plan per 5 ms; tests of the loan book for lost replies, pushes in flight, overtaken calls and a restarted holder.

--- a/monsoongap/coordination/scheduler_order.py
+++ b/monsoongap/coordination/scheduler_order.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from monsoongap.coordination.admission import Admission
 from monsoongap.coordination.credits_book import CreditBook
@@ -15,6 +16,19 @@
 from monsoongap.coordination.scheduler_jobs import JobTable
 from monsoongap.coordination.shares import LATE_AFTER_RUNS, LongShare
 
+PLAN_KEPT_S = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    """What the measured load allows, good for `PLAN_KEPT_S`."""
+
+    made_at: float
+    pool: int
+    long_limit: int
+    reserve: int
+    overdue: bool
+
 
 class TaskOrder:
     """Chooses the next task, and tells what this host wants and can spare."""
@@ -31,27 +45,26 @@
         self._jobs = jobs
         self._long_share = long_share
         self._overdue_turn = False
+        self._plan_made: _Plan | None = None
 
     def long_limit(self, now: float) -> int:
         """Return how many slots long work may hold."""
-        lateness = self._lateness(Level.LONG, now)
-        return self._long_share.limit(now, self._book.pool, lateness)
+        return self._plan(now).long_limit
 
     def reserve(self, now: float) -> int:
         """Return how many free slots are kept for short jobs."""
-        return self._long_share.reserve(now, self._book.pool)
+        return self._plan(now).reserve
 
     def next_tasks(self, now: float, lending: Lending) -> Iterator[Waiting]:
         """Yield waiting tasks while there is a free slot that they may have."""
         self._queues.note_contention(self._book.pool)
-        reserve = self.reserve(now) + lending.lacked_by_peers(now)
-        limit = self.long_limit(now)
-        overdue = self._overdue(now)
+        plan = self._plan(now)
+        reserve = plan.reserve + lending.lacked_by_peers(now)
         kept = lending.kept_for_peers(now)
         while self._book.free > 0:
-            may_long = self._jobs.long_busy < limit
+            may_long = self._jobs.long_busy < plan.long_limit
             waiting = None
-            if overdue and self._take_turn():
+            if plan.overdue and self._take_turn():
                 waiting = self._next_normal(may_long, now)
             waiting = waiting or self._queues.pop(Level.SHORT, now)
             if waiting is None and self._book.free > kept + reserve:
@@ -67,11 +80,11 @@
         """
         lengths, free = self._queues.length, self._book.free
         short = lengths[Level.SHORT]
-        own_reserve = self.reserve(now)
-        reserve = own_reserve + lacked
-        rest = max(0, self.long_limit(now) - self._jobs.long_busy)
+        plan = self._plan(now)
+        reserve = plan.reserve + lacked
+        rest = max(0, plan.long_limit - self._jobs.long_busy)
         normal = min(lengths[Level.LONG], rest) + lengths[Level.FILL]
-        urgent = short + normal if self._overdue(now) else short
+        urgent = short + normal if plan.overdue else short
         wants = Wants(
             urgent=max(0, urgent - free),
             normal=max(0, normal - max(0, free - reserve)) if urgent == short else 0,
@@ -80,7 +93,7 @@
             urgent=max(0, free - short),
             normal=max(0, free - short - normal - reserve),
         )
-        return Need(wants, spare, lacks=max(0, own_reserve - free))
+        return Need(wants, spare, lacks=max(0, plan.reserve - free))
 
     def note_drain(self, now: float, admission: Admission) -> None:
         """Tell admission whether work of either class is left waiting."""
@@ -101,9 +114,20 @@
         self._overdue_turn = not self._overdue_turn
         return self._overdue_turn
 
-    def _overdue(self, now: float) -> bool:
-        lateness = max(self._lateness(level, now) for level in (Level.LONG, Level.FILL))
-        return lateness >= 1.0
+    def _plan(self, now: float) -> _Plan:
+        plan, pool = self._plan_made, self._book.pool
+        if plan and now - plan.made_at < PLAN_KEPT_S and plan.pool == pool:
+            return plan
+        long_lateness = self._lateness(Level.LONG, now)
+        lateness = max(long_lateness, self._lateness(Level.FILL, now))
+        self._plan_made = _Plan(
+            made_at=now,
+            pool=pool,
+            long_limit=self._long_share.limit(now, pool, long_lateness),
+            reserve=self._long_share.reserve(now, pool),
+            overdue=lateness >= 1.0,
+        )
+        return self._plan_made
 
     def _lateness(self, level: Level, now: float) -> float:
         """Return the longest wait at a level over what it may be."""
--- a/tests/coordination/test_placement_parts.py
+++ b/tests/coordination/test_placement_parts.py
@@ -1,11 +1,16 @@
-"""Division of credits, learned run times and the split of short from long."""
+"""Division and loans of credits, learned run times, the share of long work."""
 
 import random
+from typing import Any
 
 import pytest
 
 from monsoongap.coordination.credits import divide
+from monsoongap.coordination.credits_book import CreditBook
+from monsoongap.coordination.credits_loans import LoanBook
+from monsoongap.coordination.credits_messages import CreditCall, Wants, WorkerCredits
 from monsoongap.coordination.estimates import Estimator
+from monsoongap.coordination.parts import WorkerInfo
 from monsoongap.coordination.shares import LongShare
 from monsoongap.settings import PlacementSection
 from monsoongap.state.estimates import RunTimeKey, RunTimeTable
@@ -74,3 +79,62 @@
     assert limit(short=12.0, long=8.0) < limit(short=12.0, long=24.0)
     assert limit(short=12.0, long=24.0) < limit(12.0, 24.0, lateness=1.0)
     assert limit(short=2.0, long=1.0) > 24
+
+
+def lender() -> tuple[CreditBook, LoanBook]:
+    """Return the books of a host that owns four slots of one worker."""
+    book = CreditBook()
+    info = WorkerInfo("w", "w", "dc", 8, 64, 16.0, 32_000)
+    book.list_workers((info,), lambda info: 4)
+    book.accounts["w"].limit = 64
+    book.refresh("w")
+    return book, LoanBook(book, lease_s=2.0)
+
+
+def call(serial: int, heard: int = 0, boot: int = 1, **changes: Any) -> CreditCall:
+    wants = changes.pop("wants", Wants())
+    return CreditCall("peer", boot, serial, heard, wants, spare=0, **changes)
+
+
+def test_whole_holding_frees_what_a_lost_reply_lent() -> None:
+    book, loans = lender()
+    assert loans.hear(call(1, wants=Wants(urgent=3)), 0.0) is not None
+    loans.lend("peer", 3)
+    assert book.free == 1
+    loans.hear(call(2, held=(WorkerCredits("w", 1),)), 0.1)
+    assert book.free == 3
+
+
+def test_whole_holding_from_before_a_push_frees_nothing() -> None:
+    book, loans = lender()
+    record = loans.hear(call(1, wants=Wants(urgent=3)), 0.0)
+    assert record is not None
+    loans.lend("peer", 3)
+    record.pushed = 7
+    loans.hear(call(2, heard=6, held=()), 0.1)
+    assert book.free == 1
+    loans.hear(call(3, heard=7, held=()), 0.2)
+    assert book.free == 4
+
+
+def test_overtaken_call_changes_nothing_and_lease_counts_from_the_last() -> None:
+    book, loans = lender()
+    loans.hear(call(5, wants=Wants(urgent=2)), 0.0)
+    loans.lend("peer", 2)
+    assert loans.hear(call(4, held=()), 1.0) is None
+    assert book.free == 2
+    loans.expire(1.9)
+    assert book.free == 2
+    loans.expire(2.0)
+    assert book.free == 4
+
+
+def test_restarted_holder_does_not_free_what_its_past_may_use() -> None:
+    book, loans = lender()
+    loans.hear(call(9, wants=Wants(urgent=2)), 0.0)
+    loans.lend("peer", 2)
+    loans.hear(call(1, boot=2, held=()), 0.5)
+    assert book.free == 2
+    assert loans.hear(call(10, held=()), 0.6) is None
+    loans.expire(2.0)
+    assert book.free == 4
--- a/tests/coordination/test_placement_targets.py
+++ b/tests/coordination/test_placement_targets.py
@@ -62,7 +62,7 @@
 
 def test_lost_calls_never_overcommit_a_slot() -> None:
     found = scenarios.run(scenarios.lossy_lending())
-    assert found.credits_borrowed > 100
+    assert found.credits_borrowed > 500
     assert found.busy_refusals == 0
     assert found.late_starts == 0
     assert found.errors.keys() <= {ErrorKind.OVERLOADED}
