Name the first failure of a job as its cause

Cause: a job whose last task was dropped for its deadline was reported as task_failed: the running tasks that were revoked because of it looked like the tasks that broke it. Ruled out: marking revoked tasks (a task may be cancelled by its worker too). Change: the dispatcher hands the first failing task to the verdict. Conclusion: the promise was right before, its reason is now too.

--- a/monsoongap/coordination/dispatch.py
+++ b/monsoongap/coordination/dispatch.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from monsoongap.coordination.dispatch_attempt import Starter
-from monsoongap.coordination.dispatch_verdict import job_verdict
+from monsoongap.coordination.dispatch_verdict import TaskFailure, job_verdict
 from monsoongap.coordination.parts import (
     Directory,
     Slot,
@@ -79,20 +79,26 @@
         withdrawn and running ones revoked. The deadline does the same.
         """
         entry.phase = JobPhase.RUNNING
+        failures: list[TaskFailure] = []
         loop = asyncio.get_running_loop()
         timer = loop.call_at(entry.deadline_at, entry.request_stop, ErrorKind.DEADLINE)
         try:
             async with asyncio.TaskGroup() as group:
                 tasks = [
-                    group.create_task(self._run_task(entry, index, bound))
+                    group.create_task(self._run_task(entry, index, bound, failures))
                     for index in range(len(entry.req.tasks))
                 ]
         finally:
             timer.cancel()
-        return job_verdict(entry, tuple(task.result() for task in tasks))
+        ends = tuple(task.result() for task in tasks)
+        return job_verdict(entry, ends, failures[0] if failures else None)
 
     async def _run_task(
-        self, entry: JobEntry, index: int, bound: Bound | None
+        self,
+        entry: JobEntry,
+        index: int,
+        bound: Bound | None,
+        failures: list[TaskFailure],
     ) -> TaskEnd:
         try:
             end = await self._place(entry, index, bound)
@@ -102,6 +108,7 @@
         if isinstance(end, Answered):
             entry.done += 1
         else:
+            failures.append(TaskFailure(index, end))
             entry.request_stop(ErrorKind.TASK_FAILED)
         return end
 
--- a/monsoongap/coordination/dispatch_verdict.py
+++ b/monsoongap/coordination/dispatch_verdict.py
@@ -1,5 +1,7 @@
 """The verdict on a job from the ends of its tasks."""
 
+from dataclasses import dataclass
+
 from monsoongap.coordination.settle import (
     Answered,
     Broken,
@@ -41,7 +43,17 @@
     )
 
 
-def job_verdict(entry: JobEntry, ends: tuple[TaskEnd, ...]) -> JobOutcome:
+@dataclass(frozen=True, slots=True)
+class TaskFailure:
+    """The first task of a job to end without an answer, which stopped the rest."""
+
+    index: int
+    end: TaskEnd
+
+
+def job_verdict(
+    entry: JobEntry, ends: tuple[TaskEnd, ...], first: TaskFailure | None
+) -> JobOutcome:
     """Return the complete answer, or the error with what can be promised.
 
     `not_run` needs every task proved never started. `failed` needs one that
@@ -51,7 +63,7 @@
     if all(isinstance(end, Answered) for end in ends):
         answers = tuple(end.value for end in ends if isinstance(end, Answered))
         return JobAnswer(entry.submission, answers)
-    cause = _cause(entry, ends)
+    cause = _cause(entry, first)
     if all(isinstance(end, NeverStarted) for end in ends):
         kind = _BEFORE_START.get(cause.kind, cause.kind)
         return error_outcome(
@@ -70,21 +82,22 @@
     )
 
 
-def _cause(entry: JobEntry, ends: tuple[TaskEnd, ...]) -> NeverStarted:
+def _cause(entry: JobEntry, first: TaskFailure | None) -> NeverStarted:
     """Return the reason that ended the job, as an error kind with its detail.
 
-    A stop by the deadline or the caller comes first, then a task that broke,
-    then one that can't be settled, then one that was refused a slot.
+    A stop by the deadline or the caller comes first, then the first task that
+    failed: those that were stopped because of it are none of the reason.
     """
     stop = entry.stop.result() if entry.stop.done() else ErrorKind.INTERNAL
-    if stop is not ErrorKind.TASK_FAILED:
+    if stop is not ErrorKind.TASK_FAILED or first is None:
         return NeverStarted(stop, "stopped before all tasks were done")
-    for index, end in enumerate(ends):
-        if isinstance(end, Broken):
-            return NeverStarted(stop, f"task {index}: {end.detail}")
-    for index, end in enumerate(ends):
-        if isinstance(end, Unsettled):
+    match first.end:
+        case NeverStarted() as never:
+            return never
+        case Unsettled(detail=detail):
             kind = ErrorKind.START_UNSETTLED
-            return NeverStarted(kind, f"task {index}: {end.detail}")
-    refused = [end for end in ends if isinstance(end, NeverStarted)]
-    return next((end for end in refused if end.kind is not stop), refused[0])
+            return NeverStarted(kind, f"task {first.index}: {detail}")
+        case Broken(detail=detail):
+            return NeverStarted(stop, f"task {first.index}: {detail}")
+        case Answered():
+            return NeverStarted(ErrorKind.INTERNAL, "an answer stopped the job")
