--- a/monsoongap/coordination/admission.py
+++ b/monsoongap/coordination/admission.py
@@ -194,8 +194,14 @@
             ErrorKind.OVERLOADED, "no worker is listed", NO_WORKER_RETRY_MS
         )
     for cpus, memory_mb in {(task.cpus, task.memory_mb) for task in tasks}:
-        if not any(shape.fits(cpus, memory_mb) for shape in shapes):
-            raise DispatchError(
-                ErrorKind.NO_FIT,
-                f"no worker has {cpus:g} cpus and {memory_mb} MB for one task",
-            )
+        check_size(cpus, memory_mb, shapes)
+
+
+def check_size(cpus: float, memory_mb: int, shapes: frozenset[WorkerShape]) -> None:
+    """Raise `no_fit` for one task larger than every listed worker."""
+    if any(shape.fits(cpus, memory_mb) for shape in shapes):
+        return
+    raise DispatchError(
+        ErrorKind.NO_FIT,
+        f"no worker has {cpus:g} cpus and {memory_mb} MB for one task",
+    )
--- a/monsoongap/coordination/credits_book.py
+++ b/monsoongap/coordination/credits_book.py
@@ -17,23 +17,22 @@
 
 @dataclass(slots=True)
 class Account:
-    """Credits on one worker, in slots. `limit` bounds this host's connections."""
+    """Credits on one worker, in slots.
+
+    `limit` bounds this host's connections and `busy` counts its tasks there.
+    """
 
     info: WorkerInfo
     own: int = 0
     limit: int = 0
     lent: int = 0
+    busy: int = 0
     own_busy: int = 0
     borrowed: Counter[str] = field(default_factory=Counter)
     borrowed_busy: Counter[str] = field(default_factory=Counter)
     open: bool = True
     rank: int = 0
 
-    @property
-    def busy(self) -> int:
-        """Return how many tasks of this host hold a slot on the worker."""
-        return self.own_busy + self.borrowed_busy.total()
-
     @property
     def own_free(self) -> int:
         """Return how many own credits are neither lent nor in use."""
@@ -131,6 +130,7 @@
             account.own_busy += 1
         else:
             account.borrowed_busy[lender] += 1
+        account.busy += 1
         self.busy += 1
         self.refresh(account.info.name)
         return lender
@@ -140,6 +140,7 @@
         account = self.accounts.get(worker)
         if account is None:
             return
+        account.busy -= 1
         self.busy -= 1
         if lender is None:
             account.own_busy -= 1
--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -9,7 +9,7 @@
 import logging
 from collections import Counter
 
-from monsoongap.coordination.admission import Admission, check_fit
+from monsoongap.coordination.admission import Admission, check_size
 from monsoongap.coordination.credits_book import CreditBook
 from monsoongap.coordination.credits_lending import Lending
 from monsoongap.coordination.credits_messages import Need
@@ -37,7 +37,7 @@
 from monsoongap.coordination.shares import LongShare
 from monsoongap.coordination.worker_health import Health, KindName, WorkerHealth
 from monsoongap.errors import DispatchError, ErrorKind
-from monsoongap.protocol.messages import JobRequest, Refusal, TaskSpec
+from monsoongap.protocol.messages import JobRequest, Refusal
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.settings import PlacementSection
 from monsoongap.timers import Subscription, TimerService
@@ -138,7 +138,8 @@
 
     async def acquire(self, ticket: Ticket) -> Slot:
         """Wait for a slot; cancel the coroutine to give up the wait."""
-        check_fit((TaskSpec(None, ticket.cpus, ticket.memory_mb),), self._pool.shapes)
+        if self._pool.shapes:
+            check_size(ticket.cpus, ticket.memory_mb, self._pool.shapes)
         if ticket.submission not in self._jobs:
             self._admission.arrived(ticket.team, ticket.job_size)
         waiting = self._jobs.queue(ticket, self._timers.now())
--- a/monsoongap/coordination/worker_health.py
+++ b/monsoongap/coordination/worker_health.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
 from monsoongap.settings import PlacementSection
 
@@ -42,9 +43,8 @@
     PROBING = "probing"
 
 
-@dataclass(frozen=True, slots=True)
-class KindName:
-    """A kind of one team."""
+class KindName(NamedTuple):
+    """A kind of one team; a named tuple, since it is hashed for each task."""
 
     team: str
     kind: str
--- a/monsoongap/state/estimates.py
+++ b/monsoongap/state/estimates.py
@@ -6,15 +6,17 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
 
 MAX_RECORDS = 4096
 MAX_WEIGHT = 64.0
 
 
-@dataclass(frozen=True, slots=True)
-class RunTimeKey:
+class RunTimeKey(NamedTuple):
     """What a record is about; `bucket` is the half octave of the declared size.
 
+    A named tuple, since several are hashed for each task.
+
     An empty kind or a bucket of `ANY_BUCKET` stands for all of them.
     """
 
