Let an idle host cost less: slower tick, divisions kept, fewer lease questions

Change: the tick slows to 250 ms while nothing waits or runs; slots are divided again only when workers or hosts changed, with the hashes kept; idle workers are asked each 60 s (a start asks anyway when its stamp is older than half a lease); a cancelled timer subscription is forgotten; a task's `avoid` no longer hides it from the measured offered load, its attempt count does.

--- a/monsoongap/coordination/dispatch.py
+++ b/monsoongap/coordination/dispatch.py
@@ -157,8 +157,8 @@
         while not entry.stop.done():
             ticket = placing.ticket
             avoid = self._avoid(placing, bound)
-            if avoid:
-                ticket = replace(ticket, avoid=avoid)
+            if avoid or placing.attempt:
+                ticket = replace(ticket, avoid=avoid, attempt=placing.attempt)
             try:
                 with InterruptedBy(entry.stop):
                     slot = await self._slots.acquire(ticket)
--- a/monsoongap/coordination/dispatch_leases.py
+++ b/monsoongap/coordination/dispatch_leases.py
@@ -14,7 +14,7 @@
 from monsoongap.timers import Subscription, TimerService
 
 SCAN_S = 2.0
-MAX_AGE_S = 10.0
+MAX_AGE_S = 60.0
 FIRST_LOOK_S = 0.01
 FIRST_PROBES_S = 0.2
 START_UP_S = 3.0
--- a/monsoongap/coordination/parts.py
+++ b/monsoongap/coordination/parts.py
@@ -121,8 +121,8 @@
 class Ticket:
     """One task that wants a slot. `deadline_at` is on the timer service's clock.
 
-    `job_size` is the number of tasks of its job. `avoid` names workers that
-    already failed or refused this task.
+    `job_size` is the number of tasks of its job. `avoid` names workers that must
+    not run this task or have refused it. `attempt` counts its starts so far.
     """
 
     task: str
@@ -135,6 +135,7 @@
     deadline_at: float
     job_size: int
     avoid: frozenset[str] = frozenset()
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -45,6 +45,7 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.25
 REFRESH_S = 1.0
 MAX_PASSED_OVER = 8
 
@@ -100,6 +101,8 @@
             self._wake,
         )
         self._subscriptions: list[Subscription] = []
+        self._ticking: Subscription | None = None
+        self._tick_s = 0.0
         self._serial = 0
         self._woken = False
         self._started = False
@@ -111,17 +114,19 @@
         """Begin periodic work; needs a running loop."""
         self._started = True
         self._directory_changed()
-        every = self._timers.every
-        self._subscriptions = [
-            every(TICK_S, self._tick, "placement"),
-            every(REFRESH_S, self._directory_changed, "placement hosts"),
-        ]
+        refresh = self._timers.every(
+            REFRESH_S, self._directory_changed, "placement hosts"
+        )
+        self._subscriptions = [refresh]
+        self._tick_every(TICK_S)
 
     async def close(self) -> None:
         """Stop periodic work and give borrowed credits back."""
         self._closed = True
         for subscription in self._subscriptions:
             subscription.cancel()
+        if self._ticking is not None:
+            self._ticking.cancel()
         await self._lending.close()
 
     def admit(self, req: JobRequest, deadline_at: float) -> None:
@@ -230,6 +235,8 @@
         """Place tasks after everything else that is ready now has run."""
         if not self._woken and not self._closed:
             self._woken = True
+            if self._started:
+                self._tick_every(TICK_S)
             asyncio.get_running_loop().call_soon(self._place_all)
 
     def _tick(self) -> None:
@@ -240,6 +247,17 @@
             self._pool.reopen(name, now)
         if len(self._queues) or self._book.lease_ends:
             self._wake()
+        elif not self._jobs.running:
+            self._tick_every(IDLE_TICK_S)
+
+    def _tick_every(self, period_s: float) -> None:
+        """Set the pace of `_tick`; an idle host must cost next to nothing."""
+        if self._tick_s == period_s:
+            return
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._tick_s = period_s
+        self._ticking = self._timers.every(period_s, self._tick, "placement")
 
     def _place_all(self) -> None:
         self._woken = False
--- a/monsoongap/coordination/scheduler_hosts.py
+++ b/monsoongap/coordination/scheduler_hosts.py
@@ -38,6 +38,8 @@
         self._book = book
         self._health = health
         self._last_live: dict[str, float] = {}
+        self._divided: tuple[WorkerInfo, ...] | None = None
+        self._dividing: frozenset[str] = frozenset()
         self.shapes: frozenset[WorkerShape] = frozenset()
         self.peers: set[str] = set()
 
@@ -45,14 +47,20 @@
         """Take over the routing table as it is now."""
         self._follow_peers(now)
         workers = self._directory.workers()
-        hosts = [*self.peers, self._identity.name]
-        division = _division(self._identity.name, hosts)
-        self._book.list_workers(workers, division)
+        hosts = frozenset((*self.peers, self._identity.name))
+        if workers is not self._divided or hosts != self._dividing:
+            self._divide(workers, hosts)
         for info in workers:
-            self._book.accounts[info.name].limit = max(
-                1, divide(info.connections, info.name, hosts)[self._identity.name]
-            )
             self.reopen(info.name, now)
+
+    def _divide(self, workers: tuple[WorkerInfo, ...], hosts: frozenset[str]) -> None:
+        """Divide slots and connections anew: the workers or the hosts changed."""
+        self._divided, self._dividing = workers, hosts
+        own = self._identity.name
+        self._book.list_workers(workers, _division(own, hosts))
+        for info in workers:
+            share = divide(info.connections, info.name, hosts)[own]
+            self._book.accounts[info.name].limit = max(1, share)
         self._health.keep_only({info.name for info in workers})
         self.shapes = frozenset(
             WorkerShape(info.cpus, info.memory_mb) for info in workers
@@ -115,7 +123,7 @@
         self.peers = peers
 
 
-def _division(host: str, hosts: list[str]) -> Callable[[WorkerInfo], int]:
+def _division(host: str, hosts: frozenset[str]) -> Callable[[WorkerInfo], int]:
     def own(info: WorkerInfo) -> int:
         return divide(info.slots, info.name, hosts)[host]
 
--- a/monsoongap/coordination/scheduler_jobs.py
+++ b/monsoongap/coordination/scheduler_jobs.py
@@ -76,7 +76,7 @@
         waiting.level = self._level(waiting, now)
         job.left_s += estimate.run_s
         job.run_s = max(job.run_s, estimate.run_s)
-        if not ticket.avoid:
+        if not ticket.attempt:
             self._count_offered(waiting, now)
         self._queues.push(waiting, now)
         return waiting
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -49,13 +49,17 @@
         )
         subscription = Subscription(task)
         self._subscriptions.add(subscription)
+        task.add_done_callback(lambda _: self._subscriptions.discard(subscription))
         return subscription
 
+    def active(self) -> int:
+        """Return the number of periodic calls that go on."""
+        return len(self._subscriptions)
+
     def close(self) -> None:
         """Cancel every subscription."""
         for subscription in self._subscriptions:
             subscription.cancel()
-        self._subscriptions.clear()
 
     async def _repeat(self, period_s: float, callback: Callback, name: str) -> None:
         while True:
