--- a/bench/claims.py
+++ b/bench/claims.py
@@ -21,8 +21,9 @@
 from monsoongap.errors import DispatchError, LogUnavailable
 from monsoongap.protocol.peer import PeerHandlers, PeerMethod
 from monsoongap.settings import ClaimsSection
-from monsoongap.state.claims import ClaimRecord, key_hash, rendezvous
+from monsoongap.state.claims import ClaimRecord, key_hash
 from monsoongap.timers import TimerService
+from monsoongap.util import rendezvous
 from tests.clock import run_virtual
 from tests.fakes import FakeLog, FakePlatform
 from tests.fakes_peers import FakeNetwork, FakePeerPort
@@ -142,7 +143,7 @@
     names = [host.identity.name for host in hosts]
 
     async def claim(host: BenchHost, item: ClaimRecord) -> None:
-        owner = rendezvous(item.key, names)
+        owner = rendezvous.choose(item.key, names)
         if owner != host.identity.name:
             await host.peers.call(owner, OWN, Owner(item.key), TIMEOUT_S)
 
--- a/monsoongap/coordination/claims.py
+++ b/monsoongap/coordination/claims.py
@@ -16,8 +16,9 @@
 from monsoongap.errors import DispatchError, LogUnavailable, PeerUnreachable
 from monsoongap.protocol.peer import PeerHandlers, PeerMethod
 from monsoongap.settings import ClaimsSection
-from monsoongap.state.claims import ClaimRecord, ClaimTable, key_hash, rendezvous
+from monsoongap.state.claims import ClaimRecord, ClaimTable, key_hash
 from monsoongap.timers import Subscription, TimerService
+from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
 
@@ -265,7 +266,7 @@
             for peer in self._directory.peers()
             if peer.dc == self._identity.dc and peer.status is PeerStatus.LIVE
         ]
-        return rendezvous(str(bucket), [*hosts, self._identity.name])
+        return rendezvous.choose(str(bucket), [*hosts, self._identity.name])
 
 
 def _verdict(work: "asyncio.Future[ClaimRecord]") -> ClaimVerdict:
--- a/monsoongap/coordination/home_route.py
+++ b/monsoongap/coordination/home_route.py
@@ -24,8 +24,9 @@
 from monsoongap.protocol.ids import IssuedId
 from monsoongap.protocol.messages import JobError, JobOutcome, JobRequest
 from monsoongap.protocol.peer import PeerHandlers
-from monsoongap.state.claims import ClaimRecord, rendezvous
+from monsoongap.state.claims import ClaimRecord
 from monsoongap.timers import TimerService
+from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
 
@@ -234,7 +235,7 @@
         hosts = self._hosts_of(claim)
         if not hosts:
             raise PeerUnreachable(f"no host of {claim.dc} is live")
-        host = rendezvous(claim.key, hosts)
+        host = rendezvous.choose(claim.key, hosts)
         if host == self._identity.name:
             return await self._recover_here(claim, remaining_s)
         call = RecoverCall(claim, _ms(remaining_s))
--- a/monsoongap/coordination/membership_peers.py
+++ b/monsoongap/coordination/membership_peers.py
@@ -19,9 +19,9 @@
     PeerRecord,
     PeerTable,
     members_hash,
-    rendezvous_order,
 )
 from monsoongap.timers import TimerService
+from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
 
@@ -168,7 +168,7 @@
         now = self._timers.now()
         chosen: list[str] = []
         answering = 0
-        for name in rendezvous_order(self._own.name, names):
+        for name in rendezvous.order(self._own.name, frozenset(names)):
             if answering >= self._cfg.cross_dc or len(chosen) >= 2 * self._cfg.cross_dc:
                 break
             chosen.append(name)
--- a/monsoongap/state/claims.py
+++ b/monsoongap/state/claims.py
@@ -57,11 +57,6 @@
     return int.from_bytes(digest, "big") or 1
 
 
-def rendezvous(subject: str, hosts: list[str]) -> str:
-    """Choose one host for a subject; hosts that agree on the list agree on it."""
-    return max(hosts, key=lambda host: key_hash(f"{subject}|{host}"))
-
-
 @dataclass(slots=True)
 class _Generation:
     """The keys whose latest claim was read in one part of `keep_s`."""
--- a/monsoongap/state/peers.py
+++ b/monsoongap/state/peers.py
@@ -113,12 +113,3 @@
     """Hash names, boot numbers and draining flags of a data centre's hosts."""
     text = ";".join(f"{name},{boot},{flag}" for name, boot, flag in sorted(members))
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-
-def rendezvous_order(own: str, names: list[str]) -> list[str]:
-    """Order `names` by a hash of the pair, differently for each `own`."""
-    return sorted(names, key=lambda name: _weight(own, name))
-
-
-def _weight(own: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{own}|{name}".encode(), digest_size=8).digest()
