--- a/monsoongap/transport/http_base.py
+++ b/monsoongap/transport/http_base.py
@@ -8,6 +8,7 @@
 import msgspec
 import tornado.web
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream
 
 from monsoongap.coordination.parts import DrainState
@@ -18,6 +19,8 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+HEADER_SLACK = 4
+HEADER_OVERHEAD_BYTES = 4
 BodyT = TypeVar("BodyT")
 
 
@@ -57,7 +60,12 @@
         self._body_timer: asyncio.TimerHandle | None = None
 
     def prepare(self) -> None:
-        """Refuse a body that declares too many bytes; time the others."""
+        """Refuse headers or a declared body over the limits; time the body."""
+        if _header_bytes(self.request.headers) > self.limits.header_bytes:
+            self._refuse_body(
+                ErrorKind.TOO_LARGE, f"headers over {self.limits.header_bytes} bytes"
+            )
+            return
         declared = self.request.headers.get("Content-Length", "0")
         if declared.isdigit() and int(declared) > self.limits.body_bytes:
             self._refuse_body(
@@ -194,7 +202,8 @@
     server = LimitedServer(
         app,
         ssl_options=tls,
-        max_header_size=limits.header_bytes,
+        # The handler answers what is over the limit; beyond this tornado hangs up.
+        max_header_size=limits.header_bytes * HEADER_SLACK,
         max_body_size=limits.body_bytes * 2,
         idle_connection_timeout=limits.idle_s,
     )
@@ -204,6 +213,14 @@
     return server
 
 
+def _header_bytes(headers: HTTPHeaders) -> int:
+    """Return the size of a request's headers as they were sent."""
+    return sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        for name, value in headers.get_all()
+    )
+
+
 def _refuse(stream: IOStream, limit: int) -> None:
     """Write one refusal to a connection that is over the limit and close it."""
     detail = f"over {limit} connections"
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -116,6 +116,7 @@
 NO_TASKS = '{"team": "t", "kind": "k", "tasks": []}'
 CLOSED = JOB.replace('"t"', '"closed"')
 TOKEN = "Authorization: Bearer opensesame\r\n"
+LONG_HEADER = f"X-Long: {'y' * 3000}\r\n"
 CASES = [
     (request("POST", "/v1/submissions?count=2"), 200, None, None),
     (request("POST", "/v1/submissions?count=0"), 400, "bad_request", "not_run"),
@@ -135,6 +136,7 @@
     (request("DELETE", "/v1/jobs/known"), 200, None, None),
     (request("PATCH", "/v1/jobs/known"), 400, "bad_request", "not_run"),
     (request("GET", "/nowhere"), 404, "not_found", "unknown"),
+    (request("GET", "/v1/jobs/known", "", LONG_HEADER), 413, "too_large", "not_run"),
 ]
 
 
