Return idle credits as soon as a host begins to leave

Ruled out: closing the scheduler at that moment (what is in flight still needs slots). Change: Scheduler.return_idle_credits gives back what no task uses and goes on placing.

--- a/monsoongap/coordination/credits_lending.py
+++ b/monsoongap/coordination/credits_lending.py
@@ -156,6 +156,17 @@
                 link.returning.update(dropped)
                 link.wake.set()
 
+    def return_idle(self) -> None:
+        """Give back the borrowed credits that no task uses, for a host that leaves."""
+        for name in self._book.lease_ends:
+            link = self._links.get(name)
+            if link is None:
+                continue
+            dropped = self._book.drop_idle(name, self._book.pool)
+            if dropped:
+                link.returning.update(dropped)
+                link.wake.set()
+
     def kept_for_peers(self, now: float) -> int:
         """Return how many free credits are kept for peers' short jobs."""
         return self._loans.urgent_wants(now)
--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -129,6 +129,10 @@
             self._ticking.cancel()
         await self._lending.close()
 
+    async def return_idle_credits(self) -> None:
+        """Give back what this host borrowed and does not use; it goes on placing."""
+        self._lending.return_idle()
+
     def admit(self, req: JobRequest, deadline_at: float) -> None:
         """Reserve room for a whole job or raise `DispatchError`."""
         now = self._timers.now()
--- a/monsoongap/entry.py
+++ b/monsoongap/entry.py
@@ -71,7 +71,7 @@
             cfg.limits,
             self.node.drain,
             LeaveHooks(
-                return_credits=self._return_credits,
+                return_credits=self.node.scheduler.return_idle_credits,
                 stop_listening=self._stop_listening,
                 in_flight=self.node.home.in_flight,
                 end_all=self.node.home.end_all,
@@ -108,9 +108,6 @@
             self._leaving.hurry()
         self._leave.set()
 
-    async def _return_credits(self) -> None:
-        """Leave idle credits to the scheduler, which gives them back unasked."""
-
     def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.stop()
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -195,3 +195,23 @@
         await world.close()
 
     run_virtual(main())
+
+
+def test_leaving_host_returns_idle_credits_at_once_and_goes_on() -> None:
+    async def main() -> None:
+        world = World(2, 1, 8)
+        world.start()
+        scheduler, lender = (host.scheduler for host in world.hosts)
+        slots = [await scheduler.acquire(ticket(n)) for n in range(8)]
+        for number, slot in enumerate(slots[1:], 1):
+            scheduler.release(slot, ticket(number), ended(slot, SlotEnd.DONE))
+        lent_before = lender.view().workers[0].lent
+        await scheduler.return_idle_credits()
+        await asyncio.sleep(0.02)
+        lent_after = lender.view().workers[0].lent
+        assert lent_before == 4 and lent_after <= 1
+        scheduler.release(slots[0], ticket(0), ended(slots[0], SlotEnd.DONE))
+        assert (await scheduler.acquire(ticket(8))).worker == slots[0].worker
+        await world.close()
+
+    run_virtual(main())
