Enforce the longest deadline that the settings give a team

Cause: max_deadline_ms could be set, was bounded by its parent and read by nobody. Ruled out: checking it in the HTTP layer (jobs that peers forward would pass). Change: admission refuses a longer deadline as bad_request, which closes no own key. Figures: the new test admits 5,000 ms and refuses 5,001; before, both were admitted.

--- a/monsoongap/coordination/admission.py
+++ b/monsoongap/coordination/admission.py
@@ -109,7 +109,7 @@
     ) -> None:
         """Reserve room or raise; `left_s` is the time to the job's deadline."""
         try:
-            limits = self._limits(req.team)
+            limits = self._limits(req)
             check_fit(req.tasks, shapes)
             job = self._expect(req)
             self._check_wait(req.team, job, pool, left_s)
@@ -138,10 +138,16 @@
         self._pending_tasks[team] = left
         self._pending_work_s[team] *= left / before
 
-    def _limits(self, team: str) -> TeamLimits:
-        limits = self._teams.limits(team)
+    def _limits(self, req: JobRequest) -> TeamLimits:
+        """Return the team's limits; raises when it may not submit such a job."""
+        limits = self._teams.limits(req.team)
         if limits is None:
-            raise DispatchError(ErrorKind.FORBIDDEN, f"no team {team!r}")
+            raise DispatchError(ErrorKind.FORBIDDEN, f"no team {req.team!r}")
+        if req.deadline_ms > limits.max_deadline_ms:
+            raise DispatchError(
+                ErrorKind.BAD_REQUEST,
+                f"deadline_ms of team {req.team!r} is at most {limits.max_deadline_ms}",
+            )
         return limits
 
     def _expect(self, req: JobRequest) -> _JobWork:
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from bench.placement_world import World
+from bench.placement_world import SimTeams, World
 from monsoongap.coordination.parts import (
     Slot,
     SlotEnd,
     SlotResult,
+    TeamLimits,
     Ticket,
     WorkerStatus,
 )
@@ -62,6 +63,21 @@
     run_virtual(main())
 
 
+def test_the_deadline_of_a_team_is_bounded() -> None:
+    async def main() -> None:
+        teams = SimTeams(TeamLimits("a", max_deadline_ms=5_000))
+        world = World(1, 1, 1, teams=teams)
+        world.start()
+        scheduler = world.hosts[0].scheduler
+        scheduler.admit(JobRequest("a", "k", (TaskSpec(),), 5_000), 5.0)
+        with pytest.raises(DispatchError) as caught:
+            scheduler.admit(JobRequest("a", "k", (TaskSpec(),), 5_001), 5.001)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
+        await world.close()
+
+    run_virtual(main())
+
+
 def test_room_is_bounded_and_given_back() -> None:
     async def main() -> None:
         world, scheduler = one_host()
