Hold the connections of all hosts to a worker within its budget

Cause: the scheduler divides a worker's 64 connections among the hosts, but the transport opened up to its own setting, so nine hosts could hold more than 64; and the scheduler's share left nothing for settling. Ruled out: a limit in the transport alone (starts would queue behind each other there). Change: the transport asks for this host's share on every opening; two connections of the share are kept for settling, so a host places at most the rest. Conclusion: the budget of a worker holds over all hosts; `workers.connections` is only a further bound, 32 by default.

--- a/monsoongap/coordination/parts.py
+++ b/monsoongap/coordination/parts.py
@@ -11,6 +11,9 @@
 
 from monsoongap.protocol.messages import JobRequest, TaskReport
 
+# Connections to each worker that a host keeps for asking what became of starts.
+SETTLE_CONNECTIONS = 2
+
 
 class WorkerStatus(StrEnum):
     """Whether a worker may get new starts."""
--- a/monsoongap/coordination/scheduler.py
+++ b/monsoongap/coordination/scheduler.py
@@ -15,6 +15,7 @@
 from monsoongap.coordination.credits_messages import Need
 from monsoongap.coordination.estimates import Estimator
 from monsoongap.coordination.parts import (
+    SETTLE_CONNECTIONS,
     Directory,
     HostIdentity,
     Slot,
@@ -206,7 +207,8 @@
     def connections(self, worker: str) -> int:
         """Return how many connections to a worker this host may hold."""
         account = self._book.accounts.get(worker)
-        return account.limit if account is not None else 1
+        starts = account.limit if account is not None else 1
+        return starts + SETTLE_CONNECTIONS
 
     def _judge(self, running: Running, result: SlotResult, now: float) -> None:
         """Tell worker health and the directory how a use of a slot ended."""
--- a/monsoongap/coordination/scheduler_hosts.py
+++ b/monsoongap/coordination/scheduler_hosts.py
@@ -10,6 +10,7 @@
 from monsoongap.coordination.credits import divide
 from monsoongap.coordination.credits_book import Account, CreditBook
 from monsoongap.coordination.parts import (
+    SETTLE_CONNECTIONS,
     Directory,
     HostIdentity,
     PeerStatus,
@@ -60,7 +61,8 @@
         self._book.list_workers(workers, _division(own, hosts))
         for info in workers:
             share = divide(info.connections, info.name, hosts)[own]
-            self._book.accounts[info.name].limit = max(1, share)
+            starts = share - SETTLE_CONNECTIONS
+            self._book.accounts[info.name].limit = max(1, starts)
         self._health.keep_only({info.name for info in workers})
         self.shapes = frozenset(
             WorkerShape(info.cpus, info.memory_mb) for info in workers
--- a/monsoongap/entry.py
+++ b/monsoongap/entry.py
@@ -59,7 +59,9 @@
             self._peer_address,
             self._tls if self._tls.enabled else None,
         )
-        self._workers = HttpWorkers(cfg.workers, self._worker_address)
+        self._workers = HttpWorkers(
+            cfg.workers, self._worker_address, self._connection_share
+        )
         self._log = LogClient(cfg)
         self._host_list = HostListClient(cfg)
         ports = Ports(self._workers, self._log, self._host_list, self._peers)
@@ -125,6 +127,9 @@
     def _peer_address(self, host: str) -> str | None:
         return self.node.membership.address_of(host)
 
+    def _connection_share(self, worker: str) -> int:
+        return self.node.scheduler.connections(worker)
+
     def _worker_address(self, worker: str) -> str | None:
         info = self.node.membership.worker(worker)
         return info.address if info else None
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -82,7 +82,7 @@
 class WorkersSection:
     """How this process talks to workers."""
 
-    connections: Annotated[int, Meta(ge=1, le=64)] = 16
+    connections: Annotated[int, Meta(ge=1, le=64)] = 32
     connect_timeout_s: Seconds = 1.0
     reply_grace_s: Seconds = 1.0
     probe_s: Seconds = 1.0
--- a/monsoongap/transport/connections.py
+++ b/monsoongap/transport/connections.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from monsoongap.coordination.parts import SETTLE_CONNECTIONS
 from monsoongap.settings import WorkersSection
 from monsoongap.transport.http_conn import (
     ExchangeLost,
@@ -21,7 +22,6 @@
     NotConnected,
 )
 
-SETTLE_RESERVE = 2
 IDLE_CLOSE_S = 10.0
 
 
@@ -47,15 +47,24 @@
 
 
 class WorkerConnections:
-    """Carries exchanges with one worker over at most `cfg.connections`."""
+    """Carries exchanges with one worker within a budget of connections.
+
+    The budget is this host's `share` of what the worker takes, at most
+    `cfg.connections`, and enough for one start and settling in any case.
+    """
 
     def __init__(
-        self, cfg: WorkersSection, address: str, tls: ssl.SSLContext | None
+        self,
+        cfg: WorkersSection,
+        address: str,
+        tls: ssl.SSLContext | None,
+        share: Callable[[], int],
     ) -> None:
         self.address = address
         self.counts = ConnectionCounts()
         self._cfg = cfg
         self._tls = tls
+        self._share = share
         self._waiting: deque[_Exchange] = deque()
         self._waiting_fresh: deque[_Exchange] = deque()
         # Idle connections with the time since when, the one used last at the end.
@@ -100,12 +109,12 @@
         """Hand waiting exchanges to idle connections, then to new ones."""
         _drop_done(self._waiting_fresh)
         _drop_done(self._waiting)
-        while self._waiting_fresh and self.open_count < self._cfg.connections:
+        budget = max(min(self._share(), self._cfg.connections), SETTLE_CONNECTIONS + 1)
+        while self._waiting_fresh and self.open_count < budget:
             self._open(self._waiting_fresh.popleft())
         while self._waiting and (idle := self._take_idle()) is not None:
             idle.set_result(self._waiting.popleft())
-        limit = max(1, self._cfg.connections - SETTLE_RESERVE)
-        while self._waiting and self.open_count < limit:
+        while self._waiting and self.open_count < budget - SETTLE_CONNECTIONS:
             self._open(self._waiting.popleft())
         if self._waiting_fresh and (idle := self._take_idle()) is not None:
             # The budget is used up: an idle connection makes room.
--- a/monsoongap/transport/workers.py
+++ b/monsoongap/transport/workers.py
@@ -36,18 +36,20 @@
     """Implements `ports.WorkerPort` with connections per worker.
 
     `address_of` gives the `IP:port` of a worker by name, or None when it is no
-    longer listed.
+    longer listed, and `share_of` this host's share of its connections.
     """
 
     def __init__(
         self,
         cfg: WorkersSection,
         address_of: Callable[[str], str | None],
+        share_of: Callable[[str], int],
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.counts = MessageCounts()
         self._cfg = cfg
         self._address_of = address_of
+        self._share_of = share_of
         self._tls = tls
         self._workers: dict[str, WorkerConnections] = {}
 
@@ -148,8 +150,11 @@
         if address is None:
             raise WorkerUnreachable(f"{worker}: not listed")
         self.forget(worker)
-        self._workers[worker] = WorkerConnections(self._cfg, address, self._tls)
-        return self._workers[worker]
+        connections = WorkerConnections(
+            self._cfg, address, self._tls, lambda: self._share_of(worker)
+        )
+        self._workers[worker] = connections
+        return connections
 
 
 def _task_path(task: str) -> str:
--- a/tests/transport/test_workers.py
+++ b/tests/transport/test_workers.py
@@ -9,6 +9,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
+from monsoongap.coordination.parts import SETTLE_CONNECTIONS
 from monsoongap.errors import StartAmbiguous, WorkerUnreachable
 from monsoongap.protocol.messages import StartLease, TaskStart, TaskState
 from monsoongap.settings import WorkersSection
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.connections: set[object] = set()
         self.hold_s = 0.0
+        self.share = 64
         self.answer_as: str | None = None
         self.raw_body: bytes | None = None
 
@@ -60,7 +62,7 @@
     async def main() -> None:
         server, address = worker.serve()
         known = {"w": address, "gone": "127.0.0.1:1"}
-        workers = HttpWorkers(CFG, known.get)
+        workers = HttpWorkers(CFG, known.get, lambda name: worker.share)
         try:
             async with asyncio.timeout(10):
                 await body(workers)
@@ -72,15 +74,17 @@
     asyncio.run(main())
 
 
-def test_connections_are_reused_and_bounded() -> None:
+@pytest.mark.parametrize(("share", "bound"), [(64, CFG.connections), (3, 3), (1, 3)])
+def test_connections_are_reused_and_bounded(share: int, bound: int) -> None:
     worker = ScriptedWorker()
+    worker.share = share
 
     async def body(workers: HttpWorkers) -> None:
         reports = await asyncio.gather(
             *(workers.start("w", start_of(f"s/{n} %")) for n in range(40))
         )
         assert [r.task for r in reports] == [f"s/{n} %" for n in range(40)]
-        assert len(worker.connections) <= CFG.connections
+        assert len(worker.connections) <= bound - SETTLE_CONNECTIONS
 
     run_with(worker, body)
 
