Give the transport its share of connections in the stand-in's tests too

Ruled out: a default share (a caller that forgets it would silently have no bound). Change: both name the share.

--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -148,7 +148,11 @@
     hosts = HostListClient(cfg)
     await link.start()
     if plan.whole:
-        workers = HttpWorkers(cfg.workers, lambda name: _worker_address(members, name))
+        workers = HttpWorkers(
+            cfg.workers,
+            lambda name: _worker_address(members, name),
+            lambda name: cfg.workers.connections,
+        )
         ports = Ports(workers, LogClient(cfg), hosts, link)
         node = Node(cfg, identity, ports, handlers, timers)
         members.append(node.membership)
--- a/tests/platform/test_stand_in.py
+++ b/tests/platform/test_stand_in.py
@@ -68,7 +68,10 @@
         platform = PlatformSection(log_url=self.url, hosts_url=self.url)
         host = HostSection("h1", "dc1")
         self.entry = EntrySettings(host=host, platform=platform)
-        self.workers = HttpWorkers(WorkersSection(), addresses.get)
+        connections = cfg.workers.connections
+        self.workers = HttpWorkers(
+            WorkersSection(), addresses.get, lambda name: connections
+        )
 
     async def start(self, task: str, run_ms: int = 10) -> TaskState:
         usage = await self.workers.usage("w1")
