--- a/monsoongap/cli/config.py
+++ b/monsoongap/cli/config.py
@@ -29,7 +29,7 @@
     TokenOption,
     endpoint,
 )
-from monsoongap.cli.output import print_json, print_rows
+from monsoongap.cli.output import print_json, print_reply, print_rows
 from monsoongap.coordination.tokens import hash_token, new_token
 from monsoongap.errors import ErrorKind
 from monsoongap.protocol.tree import (
@@ -76,10 +76,7 @@
 ) -> None:
     """List the subtrees with their revisions."""
     reply = call(endpoint(entry, token_file, ca), "GET", "/v1/config", ListReply)
-    if as_json:
-        print_json(reply)
-    else:
-        print_rows("subtrees", SubtreeSummary, reply.subtrees)
+    print_reply(as_json, reply, "subtrees", SubtreeSummary, reply.subtrees)
 
 
 @app.command()
@@ -189,10 +186,7 @@
     else:
         path = f"/v1/config/diff/{subtree}?base={base or 0}"
         found = call(where, "GET", path, DiffReply).differences
-    if as_json:
-        print_json(found)
-    else:
-        print_rows(f"differences in {subtree}", Difference, found)
+    print_reply(as_json, found, f"differences in {subtree}", Difference, found)
 
 
 @app.command()
@@ -206,11 +200,13 @@
     """List the latest changes of a subtree, the rejected ones included."""
     where = endpoint(entry, token_file, ca)
     reply = call(where, "GET", f"/v1/config/history/{subtree}", HistoryReply)
-    if as_json:
-        print_json(reply)
-    else:
-        rows = history_rows(reply.verdicts)
-        print_rows(f"history of {subtree}", HistoryRow, rows)
+    print_reply(
+        as_json,
+        reply,
+        f"history of {subtree}",
+        HistoryRow,
+        history_rows(reply.verdicts),
+    )
 
 
 @app.command()
@@ -224,10 +220,9 @@
     """Show which revision of a subtree each host has in force, and since when."""
     where = endpoint(entry, token_file, ca)
     reply = call(where, "GET", f"/v1/config/status/{subtree}", StatusReply)
-    if as_json:
-        print_json(reply)
-    else:
-        print_rows(f"{subtree} on each host", StatusRow, status_rows(reply.hosts))
+    print_reply(
+        as_json, reply, f"{subtree} on each host", StatusRow, status_rows(reply.hosts)
+    )
 
 
 @app.command()
--- a/monsoongap/cli/hosts.py
+++ b/monsoongap/cli/hosts.py
@@ -9,7 +9,7 @@
     TokenOption,
     endpoint,
 )
-from monsoongap.cli.output import print_json, print_rows
+from monsoongap.cli.output import print_json, print_reply
 from monsoongap.transport.operators import Draining, HostView, UpstreamView
 
 
@@ -20,10 +20,7 @@
 ) -> None:
     """List the entry hosts as one of them sees them."""
     seen = call(endpoint(entry, None, ca), "GET", "/v1/hosts", tuple[HostView, ...])
-    if as_json:
-        print_json(seen)
-    else:
-        print_rows("entry hosts", HostView, seen)
+    print_reply(as_json, seen, "entry hosts", HostView, seen)
 
 
 def upstreams(
@@ -34,10 +31,7 @@
     """List the workers of an entry host's data centre."""
     where = endpoint(entry, None, ca)
     seen = call(where, "GET", "/v1/upstreams", tuple[UpstreamView, ...])
-    if as_json:
-        print_json(seen)
-    else:
-        print_rows("upstreams", UpstreamView, seen)
+    print_reply(as_json, seen, "upstreams", UpstreamView, seen)
 
 
 def drain(
--- a/monsoongap/cli/jobs.py
+++ b/monsoongap/cli/jobs.py
@@ -14,7 +14,7 @@
     TokenOption,
     endpoint,
 )
-from monsoongap.cli.output import print_json, print_rows
+from monsoongap.cli.output import print_json, print_reply
 from monsoongap.protocol.messages import JobView
 from monsoongap.transport.callers import Cancelled
 
@@ -39,10 +39,7 @@
     """Show where a job stands."""
     where = endpoint(entry, token_file, ca)
     view = call(where, "GET", job_path(submission), JobView)
-    if as_json:
-        print_json(view)
-    else:
-        print_rows("job", JobView, [view])
+    print_reply(as_json, view, "job", JobView, [view])
 
 
 @app.command("list")
@@ -55,10 +52,7 @@
     """List the jobs in flight at one entry host."""
     where = endpoint(entry, token_file, ca)
     views = call(where, "GET", "/v1/operator/jobs", tuple[JobView, ...])
-    if as_json:
-        print_json(views)
-    else:
-        print_rows("jobs in flight", JobView, views)
+    print_reply(as_json, views, "jobs in flight", JobView, views)
 
 
 @app.command()
--- a/monsoongap/cli/output.py
+++ b/monsoongap/cli/output.py
@@ -25,3 +25,13 @@
         cells = (getattr(row, name) for name in names)
         table.add_row(*("" if cell is None else str(cell) for cell in cells))
     Console().print(table)
+
+
+def print_reply(
+    as_json: bool, body: Any, title: str, kind: type[Any], rows: Iterable[Any]
+) -> None:
+    """Print a reply whole as JSON for tools, or its rows as a table for people."""
+    if as_json:
+        print_json(body)
+    else:
+        print_rows(title, kind, rows)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,38 +8,28 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from pathlib import Path
 
-import msgspec
-
 from bench.processes import Programs, running
 from monsoongap.load.checker import require_clean
 from monsoongap.load.local_deployment import (
-    LocalDeployment,
     LocalEntry,
     write_deployment,
 )
-from monsoongap.load.records import CallRecord, Reception, RunRecord
+from monsoongap.load.records import CallRecord, RunRecord
 from monsoongap.load.settings import DeploymentSection
 from monsoongap.protocol.messages import (
     JobAnswer,
-    JobError,
-    JobOutcome,
     JobRequest,
-    Ledger,
     TaskSpec,
 )
-from monsoongap.transport.http_conn import (
-    HttpRequest,
-    KeepAliveConnection,
-    NotConnected,
-)
+from monsoongap.transport.http_conn import NotConnected
+from tests.process_calls import fetch_ledger, send_job
 
 SIZE = DeploymentSection(name="test", entries=2, workers=4, slots=64)
 SETTINGS = {"workers": {"connections": 64}}
 IN_FLIGHT = 200
-REPLY_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 20.0
 
 
@@ -47,7 +37,6 @@
 class Callers:
     """Callers that keep a record of every call."""
 
-    deployment: LocalDeployment
     records: list[CallRecord] = field(default_factory=list)
     serial: int = 0
 
@@ -57,28 +46,14 @@
         key = f"call-{self.serial}"
         spec = TaskSpec({"run_ms": run_ms, "value": key})
         req = JobRequest("team", "kind", (spec,), deadline_ms=20_000)
-        record = CallRecord(key, req, time.time() * 1000, host=entry.name)
+        sent_ms = time.time() * 1000
         try:
-            conn = await KeepAliveConnection.open(entry.caller, 2.0)
+            record = await send_job(entry, key, req)
         except NotConnected:
-            return replace(record, unsent=True)
-        put = HttpRequest("PUT", f"/v1/jobs/{key}", msgspec.json.encode(req))
-        reply = await conn.exchange(put, REPLY_TIMEOUT_S)
-        conn.close()
-        kind: type[JobOutcome] = JobAnswer if reply.status == 200 else JobError
-        outcome = msgspec.json.decode(reply.body, type=kind)
-        received = (Reception(time.time() * 1000, outcome),)
-        record = replace(record, received=received)
+            return CallRecord(key, req, sent_ms, host=entry.name, unsent=True)
         self.records.append(record)
         return record
 
-    async def ledger(self) -> Ledger:
-        """Fetch every start that the workers made."""
-        conn = await KeepAliveConnection.open(self.deployment.control, 2.0)
-        reply = await conn.exchange(HttpRequest("GET", "/v1/ledger"), REPLY_TIMEOUT_S)
-        conn.close()
-        return msgspec.json.decode(reply.body, type=Ledger)
-
     @asynccontextmanager
     async def load(self, entries: list[LocalEntry]) -> AsyncIterator[None]:
         """Keep a few callers busy; they go elsewhere when a host is gone."""
@@ -120,7 +95,7 @@
     leaving, staying = deployment.entries
 
     async def main(programs: Programs) -> RunRecord:
-        callers = Callers(deployment)
+        callers = Callers()
         async with callers.load([staying]):
             held = [
                 asyncio.create_task(callers.call(leaving, 2_000))
@@ -133,7 +108,7 @@
             told = await asyncio.gather(*held)
         assert outcomes(told) == {"answered"}
         assert outcomes(callers.records) <= {"answered", "not_run"}
-        return RunRecord(tuple(callers.records), await callers.ledger())
+        return RunRecord(tuple(callers.records), await fetch_ledger(deployment.control))
 
     with running(deployment, tmp_path) as programs:
         run = asyncio.run(main(programs))
@@ -145,7 +120,7 @@
     deployment = write_deployment(tmp_path, SIZE, SETTINGS)
 
     async def main(programs: Programs) -> RunRecord:
-        callers = Callers(deployment)
+        callers = Callers()
         async with callers.load(list(deployment.entries)):
             for entry in deployment.entries:
                 await asyncio.sleep(0.5)
@@ -158,7 +133,7 @@
         assert outcomes(callers.records) <= {"answered", "not_run"}
         answered = [r for r in callers.records if outcomes([r]) == {"answered"}]
         assert len(answered) >= 0.9 * len(callers.records)
-        return RunRecord(tuple(callers.records), await callers.ledger())
+        return RunRecord(tuple(callers.records), await fetch_ledger(deployment.control))
 
     with running(deployment, tmp_path) as programs:
         run = asyncio.run(main(programs))
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -5,30 +5,22 @@
 import time
 from pathlib import Path
 
-import msgspec
-
 from bench.processes import Programs, running
 from monsoongap.load.checker import require_clean
 from monsoongap.load.local_deployment import LocalEntry, write_deployment
-from monsoongap.load.records import CallRecord, Reception, RunRecord
+from monsoongap.load.records import CallRecord, RunRecord
 from monsoongap.load.settings import DeploymentSection
 from monsoongap.protocol.messages import (
     JobAnswer,
     JobError,
-    JobOutcome,
     JobRequest,
-    Ledger,
     TaskSpec,
 )
-from monsoongap.transport.http_conn import (
-    ExchangeLost,
-    HttpRequest,
-    KeepAliveConnection,
-)
+from monsoongap.transport.http_conn import ExchangeLost
+from tests.process_calls import fetch_ledger, send_job
 
 SIZE = DeploymentSection(name="test", entries=3, workers=3, slots=6)
 DEADLINE_MS = 20_000
-REPLY_TIMEOUT_S = 30.0
 PAUSE_S = 4.0
 STARTED = 2
 LOOK_S = 0.05
@@ -45,27 +37,10 @@
 async def call(entry: LocalEntry, key: str, req: JobRequest) -> CallRecord:
     """Submit a job and record what came back, or that its host was killed."""
     sent_ms = time.time() * 1000
-    received: tuple[Reception, ...] = ()
-    conn = await KeepAliveConnection.open(entry.caller, 2.0)
     try:
-        put = HttpRequest("PUT", f"/v1/jobs/{key}", msgspec.json.encode(req))
-        reply = await conn.exchange(put, REPLY_TIMEOUT_S)
-        kind: type[JobOutcome] = JobAnswer if reply.status == 200 else JobError
-        outcome = msgspec.json.decode(reply.body, type=kind)
-        received = (Reception(time.time() * 1000, outcome),)
+        return await send_job(entry, key, req)
     except ExchangeLost:
-        pass
-    finally:
-        conn.close()
-    return CallRecord(key, req, sent_ms, received, entry.name, abandoned=not received)
-
-
-async def fetch_ledger(control: str) -> Ledger:
-    """Fetch every start that the workers made."""
-    conn = await KeepAliveConnection.open(control, 2.0)
-    reply = await conn.exchange(HttpRequest("GET", "/v1/ledger"), 5.0)
-    conn.close()
-    return msgspec.json.decode(reply.body, type=Ledger)
+        return CallRecord(key, req, sent_ms, host=entry.name, abandoned=True)
 
 
 async def wait_until_started(control: str, key: str) -> None:
