--- a/bench/control.py
+++ b/bench/control.py
@@ -29,11 +29,11 @@
     Sample,
     tcp_bytes,
 )
-from monsoongap.platform.control_server import ControlServer, StandIn
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.ledger import StartLedger
-from monsoongap.platform.log_model import LogModel, LogShape
 from monsoongap.protocol.messages import HostEntry, HostList, HostRole, WorkerUsage
+from monsoongap.standin.control_server import ControlServer, StandIn
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.ledger import StartLedger
+from monsoongap.standin.log_model import LogModel, LogShape
 
 PEER_COUNTS = (2, 4, 8, 16)
 WORKER_COUNTS = (24, 200, 890)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -130,7 +130,7 @@
     try:
         config = deployment.platform_config
         platform = group.start(
-            "platform", "monsoongap.platform.main", "--config", config
+            "platform", "monsoongap.standin.main", "--config", config
         )
         group.wait_ready(platform, f"http://{deployment.control}/v1/hosts")
         started = [
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -79,7 +79,7 @@
         own_control = f"listen.control=127.0.0.1:{free_ports(1)[0]}"
         extra = [] if n == 0 else ["--workers-only", "--set", own_control]
         args = ("--config", platform, "--workers", pair, *extra)
-        group.start(f"platform{n}", "monsoongap.platform.main", *args)
+        group.start(f"platform{n}", "monsoongap.standin.main", *args)
     group.wait_ready(group.started[0], f"http://127.0.0.1:{control}/v1/hosts")
     time.sleep(1.0)
     entry_process = group.start("entry", "monsoongap.entry", "--config", entry)
--- a/bench/tree_spread.py
+++ b/bench/tree_spread.py
@@ -8,7 +8,7 @@
 import sys
 from dataclasses import dataclass
 
-from monsoongap.platform.faults import LogSlow
+from monsoongap.standin.faults import LogSlow
 from tests.clock import run_virtual
 from tests.coordination.tree_world import Host, World, change
 
--- a/monsoongap/__init__.py
+++ b/monsoongap/__init__.py
@@ -1,7 +1,7 @@
 """Monsoongap: a dispatcher for sub-second tasks.
 
 Every process between callers and upstreams lives in this package. The import
-order is, from the top: programs (`entry`, `cli`, `load`, `platform`),
+order is, from the top: programs (`entry`, `cli`, `load`, `standin`, `platform`),
 `transport`, `coordination`, `state`, `protocol`, then `errors`, `timers` and
 `util`. A module imports only from its own layer and from layers below it.
 """
--- /dev/null
+++ b/monsoongap/coordination/fleet/directory.py
@@ -0,0 +1,88 @@
+"""The configuration and the runners as this process knows them.
+
+The configuration only ever moves to a higher version within one process, whoever
+brings it. One that cannot be read leaves the last good one in force.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from monsoongap.protocol.fleet import Configuration, QueueRule, RunnerInfo
+
+log = logging.getLogger(__name__)
+
+# A fetch from a peer is not repeated before the first has had time to end.
+FETCH_AGAIN_S = 0.3
+
+
+@dataclass(slots=True)
+class Directory:
+    """What the operator and the runners last told."""
+
+    decode: Callable[[bytes], Configuration]
+    on_change: Callable[[], None]
+    config: Configuration = field(default_factory=lambda: Configuration(0))
+    text: bytes = b""
+    runners: tuple[RunnerInfo, ...] = ()
+    runners_read_at: float = -1e9
+    _rules: dict[str, QueueRule] = field(default_factory=dict)
+    _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
+    _fetching: tuple[int, float] = (0, -1e9)
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self.config.version
+
+    def accept_text(self, text: bytes, source: str) -> bool:
+        """Put a configuration in force if it can be read and is newer."""
+        try:
+            config = self.decode(text)
+        except ValueError as exc:
+            log.error(
+                "configuration not understood, the last good one stays",
+                extra={"source": source, "error": str(exc), "version": self.version},
+            )
+            return False
+        if config.version <= self.version:
+            return False
+        log.info(
+            "configuration in force",
+            extra={
+                "source": source,
+                "version": config.version,
+                "former": self.version,
+                "queues": len(config.queues),
+            },
+        )
+        self.config = config
+        self.text = text
+        self._rules = {rule.name: rule for rule in config.queues}
+        by_host: dict[str, list[QueueRule]] = {}
+        for rule in config.queues:
+            by_host.setdefault(rule.host, []).append(rule)
+        for rules in by_host.values():
+            rules.sort(key=lambda rule: -len(rule.path_prefix))
+        self._by_host = by_host
+        self.on_change()
+        return True
+
+    def rule(self, name: str) -> QueueRule | None:
+        """Return the queue of that name."""
+        return self._rules.get(name)
+
+    def match(self, host: str, path: str) -> QueueRule | None:
+        """Return the queue of the host with the longest prefix of the path."""
+        for rule in self._by_host.get(host, ()):
+            if path.startswith(rule.path_prefix):
+                return rule
+        return None
+
+    def begin_fetch(self, version: int, now: float) -> bool:
+        """Tell whether a peer should be asked for a version now."""
+        asked, at = self._fetching
+        if asked >= version and now - at < FETCH_AGAIN_S:
+            return False
+        self._fetching = (version, now)
+        return True
--- /dev/null
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -0,0 +1,329 @@
+"""Jobs at the owner that sees them through, from submission to the one answer.
+
+A job handed in again joins the one that is there, or gets the answer it had. An
+owner that is new to its runners cannot know what an earlier one began for a job;
+until such runs must be over it first has them found and stopped, or adopts them.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from monsoongap.coordination.fleet.link import Over
+from monsoongap.coordination.fleet.pool import Pool, Work
+from monsoongap.protocol.fleet import (
+    AnswerKind,
+    Job,
+    JobReply,
+    QueueRule,
+    SubmitCall,
+    TaskId,
+)
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+# A caller sends a job again after 1.3 s; answers are kept for several tries.
+KEEP_ANSWER_S = 15.0
+# What an earlier owner or a lost lender began is over after this at the latest:
+# the lender's wait for its borrower, orphans' time and a lease.
+SETTLED_AFTER_S = 4.0
+SETTLE_STEP_S = 0.1
+SETTLE_TRIES_S = 1.0
+# How long a refused caller is told to stay away.
+RETRY_AFTER_S = 1.0
+
+
+class TaskState(Enum):
+    """Where a task of a job is."""
+
+    WAITING = auto()
+    DONE = auto()
+
+
+@dataclass(slots=True)
+class JobCounts:
+    """Answers, by kind, and joins, for the metrics."""
+
+    submitted: int = 0
+    joined: int = 0
+    completed: int = 0
+    failed: int = 0
+    refused: int = 0
+    broken: int = 0
+    cancelled: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class JobRecord:
+    """One job under way or answered lately."""
+
+    job: Job
+    rule: QueueRule
+    arrived_at: float
+    answer: asyncio.Future[JobReply]
+    works: dict[TaskId, Work] = field(default_factory=dict)
+    done: set[TaskId] = field(default_factory=set)
+    attempts: dict[TaskId, int] = field(default_factory=dict)
+    steps_begun: set[int] = field(default_factory=set)
+    offered: bool = False
+    ending: bool = False
+    doubt_since: float = -1e9
+    cleared: asyncio.Event = field(default_factory=asyncio.Event)
+    runs: dict[TaskId, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Jobs:
+    """The jobs of one owner. `find_elsewhere` stops runs at the other owners.
+
+    `in_doubt_since` is when this host last became an owner: what it does not know
+    of was begun before.
+    """
+
+    pool: Pool
+    timers: TimerService
+    rule_of: Callable[[str], QueueRule | None]
+    find_elsewhere: Callable[[str], Awaitable[bool]]
+    in_doubt_since: float = -1e9
+    counts: JobCounts = field(default_factory=JobCounts)
+    records: dict[str, JobRecord] = field(default_factory=dict)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of jobs without an answer."""
+        return sum(1 for r in self.records.values() if not r.answer.done())
+
+    def untouched(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which nothing was started."""
+        return sum(
+            1
+            for rec in self.records.values()
+            if rec.rule.name == queue and not rec.offered and not rec.answer.done()
+        )
+
+    async def submit(self, call: SubmitCall) -> JobReply:
+        """See a job through, or join it; returns its one answer."""
+        job = call.job
+        rec = self.records.get(job.id)
+        if rec is not None and rec.ending and not rec.cleared.is_set():
+            await rec.cleared.wait()
+            rec = self.records.get(job.id)
+        if rec is not None and _still_counts(rec):
+            self.counts.joined += 1
+            log.info("job joined", extra={"job": job.id, "origin": call.origin})
+            return await asyncio.shield(rec.answer)
+        rule = self.rule_of(job.queue)
+        if rule is None:
+            return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+        new = JobRecord(
+            job, rule, self.timers.now(), asyncio.get_running_loop().create_future()
+        )
+        if rec is not None:
+            new.runs = rec.runs
+            new.doubt_since = rec.doubt_since
+        new.done.update(call.done)
+        new.runs.update(dict(call.runs))
+        self.records[job.id] = new
+        self.counts.submitted += 1
+        if not await self._settle_past(new):
+            detail = "what an earlier owner began is not settled"
+            refusal = JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
+            self._answer(new, refusal)
+            return new.answer.result()
+        self._begin_steps(new)
+        return await asyncio.shield(new.answer)
+
+    def cancel(self, job: str) -> None:
+        """Drop a job whose caller has left."""
+        rec = self.records.get(job)
+        if rec is not None and not rec.answer.done():
+            self.counts.cancelled += 1
+            self._end(rec, JobReply(AnswerKind.BROKEN, "cancelled by its caller"))
+
+    def hand_over(self) -> list[tuple[JobRecord, SubmitCall]]:
+        """Take out every job under way, with what is known of it."""
+        taken = []
+        for rec in [r for r in self.records.values() if not r.answer.done()]:
+            del self.records[rec.job.id]
+            rec.ending = True
+            call = SubmitCall(
+                rec.job,
+                "",
+                0,
+                done=tuple(rec.done),
+                runs=tuple(rec.runs.items()),
+            )
+            for work in rec.works.values():
+                if work.waiting:
+                    self.pool.withdraw(work)
+            taken.append((rec, call))
+        return taken
+
+    def tick(self) -> None:
+        """Refuse what waited too long untouched; forget old answers."""
+        now = self.timers.now()
+        for id_, rec in list(self.records.items()):
+            age = now - rec.arrived_at
+            if rec.answer.done():
+                if age > KEEP_ANSWER_S + rec.rule.timeout_s and not rec.works:
+                    del self.records[id_]
+            elif rec.offered or any(w.borrowed_from for w in rec.works.values()):
+                continue
+            elif age > self._patience(rec):
+                self._end(
+                    rec,
+                    JobReply(AnswerKind.REFUSED, "no room in time", RETRY_AFTER_S),
+                )
+
+    def _patience(self, rec: JobRecord) -> float:
+        return rec.rule.timeout_s * 0.7
+
+    # The past of a job.
+
+    async def _settle_past(self, rec: JobRecord) -> bool:
+        """Make sure that no unknown run of the job is left anywhere."""
+        began = self.timers.now()
+        while True:
+            since = max(self.in_doubt_since, rec.doubt_since)
+            if self.timers.now() - since > SETTLED_AFTER_S:
+                return True
+            if self.pool.dcs_settled() and await self.find_elsewhere(rec.job.id):
+                rec.doubt_since = -1e9
+                return True
+            if self.timers.now() - began > SETTLE_TRIES_S:
+                return False
+            await self.timers.sleep(SETTLE_STEP_S)
+
+    # Steps and tasks.
+
+    def _begin_steps(self, rec: JobRecord) -> None:
+        """Let the tasks of every step wait whose forerunners are done."""
+        if rec.answer.done():
+            return
+        job = rec.job
+        for number, step in enumerate(job.steps):
+            if number in rec.steps_begun:
+                continue
+            if not all(self._step_done(rec, before) for before in step.after):
+                continue
+            rec.steps_begun.add(number)
+            for index in range(step.count):
+                task = TaskId(job.id, number, index)
+                if task not in rec.done:
+                    self._begin_task(rec, task)
+        if all(self._step_done(rec, n) for n in range(len(job.steps))):
+            self._end(rec, JobReply(AnswerKind.COMPLETED))
+
+    def _step_done(self, rec: JobRecord, number: int) -> bool:
+        count = rec.job.steps[number].count
+        return all(TaskId(rec.job.id, number, i) in rec.done for i in range(count))
+
+    def _begin_task(self, rec: JobRecord, task: TaskId) -> None:
+        step = rec.job.steps[task.step]
+        work = Work(
+            task,
+            rec.rule.name,
+            rec.job.payload,
+            step.size,
+            (rec.rule.priority, rec.arrived_at, task.step, task.index),
+            lambda work, over, runner: self._task_over(rec, work, over, runner),
+            estimate_s=step.estimate_s,
+            label=step.label,
+            rack=step.near_rack,
+            most_per_runner=step.most_per_runner,
+            run=rec.runs.get(task, 0) + 1,
+        )
+        rec.works[task] = work
+        if not self.pool.adopt(work):
+            self.pool.add(work)
+
+    def note_offer(self, work: Work) -> None:
+        """Take note that a task was given to a runner or to another owner."""
+        rec = self.records.get(work.task.job)
+        if rec is not None:
+            rec.offered = True
+            rec.runs[work.task] = work.run
+
+    def _task_over(self, rec: JobRecord, work: Work, over: Over, runner: str) -> None:
+        task = work.task
+        if rec.works.get(task) is work:
+            del rec.works[task]
+        if over is Over.DONE:
+            rec.done.add(task)
+        if rec.ending:
+            if not rec.works:
+                rec.cleared.set()
+            return
+        match over:
+            case Over.DONE:
+                self._begin_steps(rec)
+            case Over.FAILED:
+                tries = rec.attempts[task] = rec.attempts.get(task, 0) + 1
+                if tries >= rec.rule.max_attempts:
+                    self._end(rec, JobReply(AnswerKind.FAILED, "a task failed"))
+                else:
+                    self._again(rec, work, runner)
+            case Over.MALFORMED:
+                self._end(rec, JobReply(AnswerKind.FAILED, "a runner refused the task"))
+            case Over.NO_ROOM:
+                self._again(rec, work, "")
+            case _:
+                self._again(rec, work, runner)
+
+    def _again(self, rec: JobRecord, work: Work, avoid: str) -> None:
+        rec.runs[work.task] = max(rec.runs.get(work.task, 0), work.run)
+        work.run = rec.runs[work.task] + 1
+        if avoid:
+            work.avoid.add(avoid)
+        rec.works[work.task] = work
+        log.info(
+            "task placed again",
+            extra={"job": work.task.job, "task": work.task.index, "avoid": avoid},
+        )
+        self.pool.add(work)
+
+    def _end(self, rec: JobRecord, reply: JobReply) -> None:
+        """Answer a job and stop what is left of it."""
+        rec.ending = True
+        self._answer(rec, reply)
+        for work in list(rec.works.values()):
+            self.pool.withdraw(work)
+        if not rec.works:
+            rec.cleared.set()
+
+    def _answer(self, rec: JobRecord, reply: JobReply) -> None:
+        if rec.answer.done():
+            return
+        rec.answer.set_result(reply)
+        if not rec.works:
+            rec.cleared.set()
+        match reply.kind:
+            case AnswerKind.COMPLETED:
+                self.counts.completed += 1
+            case AnswerKind.FAILED:
+                self.counts.failed += 1
+            case AnswerKind.REFUSED:
+                self.counts.refused += 1
+            case _:
+                self.counts.broken += 1
+        log.info(
+            "job answered",
+            extra={
+                "job": rec.job.id,
+                "queue": rec.rule.name,
+                "outcome": reply.kind.value,
+                "detail": reply.detail,
+                "took_ms": round((self.timers.now() - rec.arrived_at) * 1000),
+                "config": None,
+            },
+        )
+
+
+def _still_counts(rec: JobRecord) -> bool:
+    """Tell whether a job sent again joins this record."""
+    if not rec.answer.done():
+        return True
+    return rec.answer.result().kind in (AnswerKind.COMPLETED, AnswerKind.FAILED)
--- /dev/null
+++ b/monsoongap/coordination/fleet/lending.py
@@ -0,0 +1,232 @@
+"""Tasks that run on another owner's runners.
+
+The borrower sends a task to an owner whose heartbeat told of room; the lender starts
+it at once or says that it has none, and answers when the run is over. A lender that no
+longer hears a borrower stops what it runs for it, so that the borrower, or whoever
+comes after it, can count on the run being over.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from monsoongap.coordination.fleet.link import Over
+from monsoongap.coordination.fleet.members import Members, Peer
+from monsoongap.coordination.fleet.pool import Pool, Work
+from monsoongap.coordination.fleet.ports import PeerCallPort, PeerLost
+from monsoongap.protocol.fleet import (
+    CancelCall,
+    FindCall,
+    FindReply,
+    FreeRoom,
+    LendCall,
+    LendReply,
+    LendResult,
+)
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+# Room that was told longer ago than this is no longer counted on.
+ROOM_FRESH_S = 0.3
+# A lender gives a borrower that went silent up after this.
+BORROWER_SILENT_S = 1.0
+LEND_TIMEOUT_S = 30.0
+FIND_TIMEOUT_S = 0.5
+FIND_WAIT_S = 0.3
+FIND_STEP_S = 0.02
+
+_RESULT_OF = {Over.DONE: LendResult.DONE, Over.FAILED: LendResult.FAILED}
+_OVER_OF = {
+    LendResult.DONE: Over.DONE,
+    LendResult.FAILED: Over.FAILED,
+    LendResult.NO_ROOM: Over.NO_ROOM,
+    LendResult.GONE: Over.LOST,
+}
+
+
+@dataclass(slots=True, eq=False)
+class Lent:
+    """A task that runs here for another owner."""
+
+    work: Work
+    borrower: str
+    reply: asyncio.Future[LendReply]
+
+
+@dataclass(slots=True)
+class Lending:
+    """Both sides of lending."""
+
+    name: str
+    pool: Pool
+    members: Members
+    timers: TimerService
+    peers: PeerCallPort
+    on_lost: Callable[[Work, str], None]
+    config_version: Callable[[], int]
+    _lent: dict[int, Lent] = field(default_factory=dict)
+    _rooms: dict[str, tuple[float, list[FreeRoom]]] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    # The borrower's side.
+
+    def hear_room(self, peer: Peer) -> None:
+        """Take in the room that an owner told of."""
+        assert peer.beat is not None
+        self._rooms[peer.card.name] = (self.timers.now(), list(peer.beat.free))
+
+    def try_borrow(self, work: Work, upstream: str) -> bool:
+        """Send a task to an owner that should have room for it."""
+        if work.lent:
+            return False
+        now = self.timers.now()
+        for name, (told_at, rooms) in self._rooms.items():
+            if now - told_at > ROOM_FRESH_S or not self.members.is_live(name):
+                continue
+            for i, free in enumerate(rooms):
+                fits = free.upstream == upstream and free.room.holds(work.size)
+                if fits and (not work.label or work.label in free.labels):
+                    left = free.room.minus(work.size)
+                    rooms[i] = FreeRoom(free.upstream, left, free.labels)
+                    self._borrow(work, name)
+                    return True
+        return False
+
+    def _borrow(self, work: Work, lender: str) -> None:
+        peer = self.members.peer(lender)
+        assert peer is not None
+        work.borrowed_from = lender
+        log.info(
+            "task borrowed room",
+            extra={"job": work.task.job, "task": work.task.index, "lender": lender},
+        )
+        task = asyncio.create_task(self._run_there(work, peer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_there(self, work: Work, peer: Peer) -> None:
+        call = LendCall(
+            work.task,
+            work.run,
+            work.payload,
+            work.size,
+            work.queue,
+            self.config_version(),
+            self.name,
+            work.estimate_s,
+            work.label,
+            work.rack,
+        )
+        address = f"{peer.card.ip}:{peer.card.port}"
+        try:
+            reply = await self.peers.call(address, call, LendReply, LEND_TIMEOUT_S)
+        except PeerLost:
+            log.warning(
+                "lender lost", extra={"job": work.task.job, "lender": peer.card.name}
+            )
+            work.borrowed_from = ""
+            self.on_lost(work, peer.card.dc)
+            return
+        work.borrowed_from = ""
+        work.run = max(work.run, reply.run)
+        if reply.result is LendResult.NO_ROOM:
+            self._rooms.pop(peer.card.name, None)
+        else:
+            self.pool.on_offer(work)
+        work.on_over(work, _OVER_OF[reply.result], "")
+
+    def cancel_borrowed(self, work: Work) -> None:
+        """Tell the lender that a task is no longer wanted."""
+        peer = self.members.peer(work.borrowed_from)
+        if peer is not None:
+            task = asyncio.create_task(self._cancel_there(work, peer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _cancel_there(self, work: Work, peer: Peer) -> None:
+        address = f"{peer.card.ip}:{peer.card.port}"
+        try:
+            await self.peers.call(
+                address, CancelCall(work.task.job), bool, FIND_TIMEOUT_S
+            )
+        except PeerLost:
+            # The call that carries the task fails too, and settles it.
+            log.info("lender not told", extra={"job": work.task.job})
+
+    async def find(self, peer: Peer, job: str) -> bool:
+        """Have an owner stop all runs of a job; tell whether none is left."""
+        address = f"{peer.card.ip}:{peer.card.port}"
+        try:
+            reply: FindReply = await self.peers.call(
+                address, FindCall(job), FindReply, FIND_TIMEOUT_S
+            )
+        except PeerLost:
+            return False
+        return reply.settled
+
+    # The lender's side.
+
+    async def lend(self, call: LendCall) -> LendReply:
+        """Run a task of another owner at once, or refuse."""
+        fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
+
+        def over(work: Work, how: Over, runner: str) -> None:
+            self._lent.pop(id(work), None)
+            result = _RESULT_OF.get(how, LendResult.GONE)
+            if how in (Over.NO_ROOM, Over.UNHEALTHY, Over.OLD_RUN):
+                result = LendResult.NO_ROOM
+            if not fut.done():
+                fut.set_result(LendReply(result, work.run))
+
+        work = Work(
+            call.task,
+            call.queue,
+            call.payload,
+            call.size,
+            (0.0,),
+            over,
+            estimate_s=call.estimate_s,
+            label=call.label,
+            rack=call.rack,
+            run=call.run,
+            lent=True,
+        )
+        already = self.pool.runs_of(call.task.job)
+        twice = any(run.task == call.task for _, run in already)
+        if twice or not self.pool.place_now(work):
+            return LendReply(LendResult.NO_ROOM, call.run)
+        self._lent[id(work)] = Lent(work, call.home, fut)
+        return await fut
+
+    async def stop_runs_of(self, call: FindCall) -> FindReply:
+        """Stop what runs of a job here; tell whether nothing is left."""
+        until = self.timers.now() + FIND_WAIT_S
+        asked: set[int] = set()
+        while True:
+            left = self.pool.runs_of(call.job)
+            if not left:
+                return FindReply(self.pool.dcs_settled())
+            for link, run in left:
+                if id(run) not in asked:
+                    asked.add(id(run))
+                    link.stop(run)
+            if self.timers.now() > until:
+                return FindReply(False)
+            await self.timers.sleep(FIND_STEP_S)
+
+    def cancel_runs_of(self, job: str) -> None:
+        """Stop what runs here for a job that its owner gave up."""
+        for link, run in self.pool.runs_of(job):
+            link.stop(run)
+
+    def tick(self) -> None:
+        """Stop what runs for borrowers that went silent."""
+        for lent in list(self._lent.values()):
+            peer = self.members.peer(lent.borrower)
+            silent = (
+                peer is None or self.timers.now() - peer.heard_at > BORROWER_SILENT_S
+            )
+            if silent and lent.work.link is not None and lent.work.placed is not None:
+                lent.work.link.stop(lent.work.placed)
--- /dev/null
+++ b/monsoongap/coordination/fleet/members.py
@@ -0,0 +1,181 @@
+"""Which entry hosts live, told by heartbeats.
+
+Hosts of one data centre and owners beat to each other often, all others seldom,
+so what a host spends grows with its data centre and the number of owners. A host
+says in each beat whom it hears, so that one broken link is told from a dead host.
+"""
+
+import logging
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from monsoongap.coordination.fleet.ports import DatagramPort
+from monsoongap.protocol.fleet import Beat, HostCard
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+# A freed runner should find its next owner within 400 ms of an owner's death.
+BEAT_S = 0.1
+SILENT_S = 0.4
+# Hosts that neither share a data centre nor own runners need no haste.
+FAR_BEAT_EVERY = 5
+FAR_SILENT_S = 1.8
+# A host known by its card only is tried at this pace until it answers.
+UNHEARD_BEAT_EVERY = 20
+FORGET_S = 60.0
+KNOWN_CARDS = 6
+
+
+@dataclass(slots=True)
+class Peer:
+    """What this host knows of another one."""
+
+    card: HostCard
+    beat: Beat | None = None
+    heard_at: float = -1e9
+    first_heard_at: float = 0.0
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class MemberCounts:
+    """Heartbeats of this host, for the metrics."""
+
+    sent: int = 0
+    received: int = 0
+    malformed: int = 0
+
+
+@dataclass(slots=True)
+class Members:
+    """The hosts this one knows, itself left out."""
+
+    card: HostCard
+    timers: TimerService
+    datagrams: DatagramPort
+    make_beat: Callable[[tuple[str, ...], tuple[HostCard, ...]], Beat]
+    on_beat: Callable[[Peer, bool], None]
+    is_owner: Callable[[], bool]
+    counts: MemberCounts = field(default_factory=MemberCounts)
+    _peers: dict[str, Peer] = field(default_factory=dict)
+    _ticks: int = 0
+
+    def start(self) -> None:
+        """Begin to beat."""
+        self.timers.every(BEAT_S, self._tick, "beat")
+
+    def learn(self, cards: tuple[HostCard, ...]) -> None:
+        """Add hosts that were named by the store or by a peer."""
+        for card in cards:
+            known = self._peers.get(card.name)
+            if card.name == self.card.name:
+                continue
+            if known is None or known.card.boot_ms < card.boot_ms:
+                self._peers[card.name] = Peer(card)
+
+    def live(self) -> Iterator[Peer]:
+        """Yield the hosts that are heard now."""
+        now = self.timers.now()
+        return (p for p in self._peers.values() if self._is_live(p, now))
+
+    def peer(self, name: str) -> Peer | None:
+        """Return a host by name, live or not."""
+        return self._peers.get(name)
+
+    def is_live(self, name: str) -> bool:
+        """Tell whether a host is heard now."""
+        peer = self._peers.get(name)
+        return peer is not None and self._is_live(peer, self.timers.now())
+
+    def knows_any(self) -> bool:
+        """Tell whether any other host is known, live or not."""
+        return bool(self._peers)
+
+    def heard_by_others(self, name: str) -> bool:
+        """Tell whether a live host hears the host of that name."""
+        return any(
+            name in p.beat.hears
+            for p in self.live()
+            if p.beat is not None and p.card.name != name
+        )
+
+    def lost(self, name: str) -> None:
+        """Take note that a connection to a host was refused: its process is gone."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.heard_at = -1e9
+
+    def beat_now(self) -> None:
+        """Send a beat to every live host outside the usual pace."""
+        self._send(self.live())
+
+    def beat_to_owners(self) -> None:
+        """Send a beat to every owner outside the usual pace."""
+        self._send(p for p in self.live() if p.beat is not None and p.beat.claims)
+
+    def receive(self, payload: bytes) -> None:
+        """Take in a datagram."""
+        try:
+            beat = msgspec.msgpack.decode(payload, type=Beat)
+        except msgspec.MsgspecError as exc:
+            self.counts.malformed += 1
+            log.debug("datagram not understood", extra={"error": str(exc)})
+            return
+        self.counts.received += 1
+        if beat.card.name == self.card.name:
+            return
+        now = self.timers.now()
+        known = self._peers.get(beat.card.name)
+        fresh = known is None or known.card.boot_ms < beat.card.boot_ms
+        if known is not None and known.card.boot_ms > beat.card.boot_ms:
+            return
+        if known is None or fresh:
+            known = self._peers[beat.card.name] = Peer(beat.card)
+        elif known.beat is not None and beat.serial <= known.beat.serial:
+            return
+        was_live = self._is_live(known, now)
+        if not was_live:
+            known.first_heard_at = now
+            log.info("host heard", extra={"host": beat.card.name, "dc": beat.card.dc})
+        known.beat = beat
+        known.heard_at = now
+        self.learn(beat.known)
+        self.on_beat(known, not was_live)
+
+    def _is_live(self, peer: Peer, now: float) -> bool:
+        limit = SILENT_S if peer.card.dc == self.card.dc else FAR_SILENT_S
+        return now - peer.heard_at < limit
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        now = self.timers.now()
+        for name, peer in list(self._peers.items()):
+            if peer.beat is not None and now - peer.heard_at > FORGET_S:
+                del self._peers[name]
+        self._send(p for p in self._peers.values() if self._is_due(p, now))
+
+    def _is_due(self, peer: Peer, now: float) -> bool:
+        if not self._is_live(peer, now):
+            haste = self._ticks < UNHEARD_BEAT_EVERY
+            return haste or self._ticks % UNHEARD_BEAT_EVERY == 0
+        owners = self.is_owner() and peer.beat is not None and bool(peer.beat.claims)
+        if peer.card.dc == self.card.dc or owners:
+            return True
+        return self._ticks % FAR_BEAT_EVERY == 0
+
+    def _send(self, peers: Iterator[Peer]) -> None:
+        targets = list(peers)
+        if not targets:
+            return
+        live = list(self.live())
+        hears = tuple(p.card.name for p in live if p.card.dc == self.card.dc)
+        known = tuple(p.card for p in live)
+        start = self._ticks % max(1, len(known))
+        some = (known + known)[start : start + min(KNOWN_CARDS, len(known))]
+        beat = msgspec.msgpack.encode(self.make_beat(hears, some))
+        for peer in targets:
+            self.datagrams.send((peer.card.ip, peer.card.port), beat)
+            self.counts.sent += 1
--- /dev/null
+++ b/monsoongap/coordination/fleet/ports.py
@@ -0,0 +1,89 @@
+"""What the fleet's decisions need from outside, met over sockets or by fakes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from monsoongap.protocol.fleet import (
+    Configuration,
+    NotStarted,
+    RunnerInfo,
+    RunnerView,
+    Started,
+    StartOrder,
+    TaskId,
+)
+
+
+class NoAnswer(Exception):
+    """An order got no answer: it may be, or may yet be, carried out."""
+
+
+class NotSent(Exception):
+    """No connection could be had: nothing was sent."""
+
+
+class HigherFence(Exception):
+    """The runner obeys a holder with a higher fence."""
+
+
+class OtherLife(Exception):
+    """The runner is another one, or a later life of it, than was meant."""
+
+
+class PeerLost(Exception):
+    """A call to another entry host got no answer; it may have taken effect."""
+
+
+class RunnerPort(Protocol):
+    """Orders to runners. Raises `NotSent`, `NoAnswer`, `HigherFence`, `OtherLife`."""
+
+    async def start(
+        self, runner: RunnerInfo, order: StartOrder
+    ) -> Started | NotStarted:
+        """Order a run; also answers `Started` for a run that is there already."""
+        ...
+
+    async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
+        """Stop a run and bar it from starting later; returns the runner's clock."""
+        ...
+
+    async def look(
+        self,
+        runner: RunnerInfo,
+        fence: int,
+        seen: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        fresh: bool,
+    ) -> RunnerView:
+        """Extend the lease, take note of ends up to `seen`, tell what runs.
+
+        Waits up to `wait_ms` for an end. `fresh` asks for a new connection.
+        """
+        ...
+
+    def forget(self, runner: RunnerInfo) -> None:
+        """Close the connections to a runner that is gone."""
+        ...
+
+
+class PeerCallPort(Protocol):
+    """Calls to other entry hosts. Raises `PeerLost`."""
+
+    async def call(
+        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+    ) -> Any:
+        """Send a message and wait for the reply of the given type."""
+        ...
+
+
+class DatagramPort(Protocol):
+    """Heartbeats to other entry hosts; may be lost."""
+
+    def send(self, address: tuple[str, int], payload: bytes) -> None:
+        """Send one datagram."""
+        ...
+
+
+ConfigDecoder = Callable[[bytes], Configuration]
+RunnerReader = Callable[[], Awaitable[tuple[RunnerInfo, ...]]]
--- a/monsoongap/load/fault_schedule.py
+++ b/monsoongap/load/fault_schedule.py
@@ -17,9 +17,9 @@
 from monsoongap.load.caller import Caller, wall_ms
 from monsoongap.load.records import LeaveRecord
 from monsoongap.load.settings import TargetSection
-from monsoongap.platform.control_server import HostsBody
-from monsoongap.platform.faults import Fault, decode_faults, encode_faults
 from monsoongap.protocol.messages import HostList
+from monsoongap.standin.control_server import HostsBody
+from monsoongap.standin.faults import Fault, decode_faults, encode_faults
 
 Names = tuple[str, ...]
 
--- a/monsoongap/load/summary.py
+++ b/monsoongap/load/summary.py
@@ -10,8 +10,8 @@
 from monsoongap.load.runner import JobResult, LoadResult
 from monsoongap.load.settings import MS_PER_S, ArrivalsSection, LoadProfile
 from monsoongap.load.violations import Violation
-from monsoongap.platform.ledger import duplicate_starts
 from monsoongap.protocol.messages import JobAnswer, JobError
+from monsoongap.standin.ledger import duplicate_starts
 
 BLOCKED_RATIO = 2.0
 
--- /dev/null
+++ b/monsoongap/platform/runners.py
@@ -0,0 +1,123 @@
+"""The client of runners: orders and looks over kept-alive connections."""
+
+from monsoongap.coordination.fleet.link import REPLY_S
+from monsoongap.coordination.fleet.ports import (
+    HigherFence,
+    NoAnswer,
+    NotSent,
+    OtherLife,
+)
+from monsoongap.platform import wire
+from monsoongap.protocol.fleet import (
+    NotStarted,
+    Refusal,
+    RunnerInfo,
+    RunnerView,
+    Started,
+    StartOrder,
+    TaskId,
+)
+from monsoongap.transport.http_client import HttpClient
+from monsoongap.transport.http_conn import (
+    ExchangeLost,
+    HttpReply,
+    HttpRequest,
+    NotConnected,
+)
+
+INTENDED_LIFE_HEADER = "X-Monsoongap-Expect-Instance"
+OK = 200
+CONFLICT = 409
+MISDIRECTED = 421
+BAD = 400
+
+_REFUSALS = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.OLD_RUN,
+    "late": Refusal.LEASE_OVER,
+    "room": Refusal.NO_ROOM,
+}
+
+
+class RunnerClient:
+    """Implements `RunnerPort` over HTTP."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def start(
+        self, runner: RunnerInfo, order: StartOrder
+    ) -> Started | NotStarted:
+        """Order a run; see `RunnerPort`."""
+        body = wire.encode_start(order)
+        reply = await self._send(runner, "/monsoongap/run-start", body, REPLY_S, False)
+        if reply.status == BAD:
+            return NotStarted(Refusal.MALFORMED)
+        if reply.status not in (OK, CONFLICT):
+            return NotStarted(Refusal.UNHEALTHY)
+        told = _decoded(reply)
+        if reply.status == OK:
+            return Started(told.clock_ms)
+        reason = _REFUSALS.get(told.reason, Refusal.UNHEALTHY)
+        if reason is Refusal.FENCED:
+            raise HigherFence
+        return NotStarted(reason, told.clock_ms)
+
+    async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
+        """Stop a run; see `RunnerPort`."""
+        body = wire.encode_stop(task, run, fence)
+        reply = await self._send(runner, "/monsoongap/run-stop", body, REPLY_S, True)
+        told = _decoded(reply)
+        if reply.status == CONFLICT and told.reason == "fence":
+            raise HigherFence
+        if reply.status not in (OK, CONFLICT) or told.clock_ms is None:
+            raise NoAnswer(f"status {reply.status}")
+        return told.clock_ms
+
+    async def look(
+        self,
+        runner: RunnerInfo,
+        fence: int,
+        seen: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        fresh: bool,
+    ) -> RunnerView:
+        """Look at a runner; see `RunnerPort`."""
+        body = wire.encode_look(fence, seen, lease_until_ms, wait_ms)
+        timeout_s = wait_ms / wire.MS_PER_S + REPLY_S
+        reply = await self._send(runner, "/monsoongap/hold", body, timeout_s, fresh)
+        if reply.status == CONFLICT and _decoded(reply).reason == "fence":
+            raise HigherFence
+        if reply.status != OK:
+            raise NoAnswer(f"status {reply.status}")
+        try:
+            return wire.decode_look(reply.body)
+        except wire.Malformed as exc:
+            raise NoAnswer(str(exc)) from exc
+
+    def forget(self, runner: RunnerInfo) -> None:
+        """Close the connections to a runner that is gone."""
+        self._http.forget(runner.address)
+
+    async def _send(
+        self, runner: RunnerInfo, path: str, body: bytes, timeout_s: float, fresh: bool
+    ) -> HttpReply:
+        headers = ((INTENDED_LIFE_HEADER, runner.id),)
+        req = HttpRequest("POST", path, body, headers)
+        try:
+            reply = await self._http.exchange(runner.address, req, timeout_s, fresh)
+        except NotConnected as exc:
+            raise NotSent(str(exc)) from exc
+        except ExchangeLost as exc:
+            raise NoAnswer(str(exc)) from exc
+        if reply.status == MISDIRECTED:
+            raise OtherLife(runner.id)
+        return reply
+
+
+def _decoded(reply: HttpReply) -> wire.RunnerReply:
+    try:
+        return wire.decode_reply(reply.body)
+    except wire.Malformed as exc:
+        raise NoAnswer(str(exc)) from exc
--- /dev/null
+++ b/monsoongap/protocol/fleet.py
@@ -0,0 +1,381 @@
+"""Types of the fleet path: jobs, runners, runs, and the messages between hosts.
+
+Times are seconds unless a name says otherwise. Nothing here knows how the
+platform spells any of it; `monsoongap.platform` translates.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Processors in thousandths of a core, memory in MiB, accelerators."""
+
+    cpu_milli: int
+    mem_mb: int
+    accelerators: int = 0
+
+    def holds(self, other: "Room") -> bool:
+        """Tell whether `other` fits into this room."""
+        return (
+            self.cpu_milli >= other.cpu_milli
+            and self.mem_mb >= other.mem_mb
+            and self.accelerators >= other.accelerators
+        )
+
+    def minus(self, other: "Room") -> "Room":
+        """Return what is left; may be negative."""
+        return Room(
+            self.cpu_milli - other.cpu_milli,
+            self.mem_mb - other.mem_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def plus(self, other: "Room") -> "Room":
+        """Return the sum."""
+        return Room(
+            self.cpu_milli + other.cpu_milli,
+            self.mem_mb + other.mem_mb,
+            self.accelerators + other.accelerators,
+        )
+
+
+NO_ROOM = Room(0, 0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerInfo:
+    """What a runner last told of itself.
+
+    `born_ms` parts two lives under one id. `labels` holds its kind and rack.
+    """
+
+    id: str
+    upstream: str
+    address: str
+    dc: str
+    draining: bool
+    room: Room
+    labels: tuple[str, ...] = ()
+    born_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRule:
+    """One queue of the configuration: who may submit where, and its objectives.
+
+    `priority` 0 goes first. `stretch` times the longest chain of work plus
+    `grace_s` is the objective for a response.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    upstream: str
+    timeout_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    grace_s: float = 0.0
+    needs_advice: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRule:
+    """One upstream of the configuration."""
+
+    name: str
+    guards_room: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The newest configuration this process has accepted."""
+
+    version: int
+    queues: tuple[QueueRule, ...] = ()
+    upstreams: tuple[UpstreamRule, ...] = ()
+    body_limit_bytes: int = 262_144
+    header_limit_bytes: int = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Tasks of one size. `after` lists the steps that must be done first.
+
+    `near_rack` names the rack of the data, `label` one the runner must have,
+    `most_per_runner` bounds tasks of this step on one runner; 0 is no bound.
+    """
+
+    count: int
+    size: Room
+    estimate_s: float
+    after: tuple[int, ...] = ()
+    near_rack: str = ""
+    label: str = ""
+    most_per_runner: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A submitted job. `queue` is the name of its queue's rule."""
+
+    id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class TaskId:
+    """Names a task: the `index`-th of step `step` of job `job`."""
+
+    job: str
+    step: int
+    index: int
+
+
+class EndKind(StrEnum):
+    """How a run ended, as its runner lists it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnd:
+    """The end of a run; `number` counts the ends of one life of a runner."""
+
+    number: int
+    task: TaskId
+    run: int
+    kind: EndKind
+
+
+@dataclass(frozen=True, slots=True)
+class RunRow:
+    """A run that a runner has now; `progress` goes from 0 to 100."""
+
+    task: TaskId
+    run: int
+    progress: int
+    cpu_milli: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerView:
+    """A runner's answer to a look: its clock, what runs, what ended."""
+
+    clock_ms: int
+    born_ms: int
+    running: tuple[RunRow, ...]
+    ends: tuple[RunEnd, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Orders a run. `lease_until_ms` is a time on the runner's clock."""
+
+    task: TaskId
+    run: int
+    payload: str
+    lease_until_ms: int
+    fence: int
+
+
+class Refusal(StrEnum):
+    """Why a runner did not start a run."""
+
+    FENCED = "fenced"
+    OLD_RUN = "old_run"
+    LEASE_OVER = "lease_over"
+    NO_ROOM = "no_room"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other_life"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The run is on the runner. `clock_ms` is None when the reply had none."""
+
+    clock_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class NotStarted:
+    """The runner refused; nothing was done."""
+
+    reason: Refusal
+    clock_ms: int | None = None
+
+
+# Messages between entry hosts.
+
+
+@dataclass(frozen=True, slots=True)
+class HostCard:
+    """How to reach an entry host, and which life of it this is."""
+
+    name: str
+    dc: str
+    ip: str
+    port: int
+    boot_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A data centre whose runners a host owns, and the fence it holds them by."""
+
+    dc: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class FreeRoom:
+    """Room on one runner, as its owner counts it."""
+
+    upstream: str
+    room: Room
+    labels: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """A host's heartbeat. `hears` names the hosts it heard lately."""
+
+    card: HostCard
+    serial: int
+    leaving: bool
+    config_version: int
+    claims: tuple[Claim, ...] = ()
+    hears: tuple[str, ...] = ()
+    free: tuple[FreeRoom, ...] = ()
+    queued: int = 0
+    known: tuple[HostCard, ...] = ()
+
+
+class AnswerKind(StrEnum):
+    """How a job ended for its caller."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNKNOWN_QUEUE = "unknown_queue"
+    UNSUPPORTED = "unsupported"
+    BROKEN = "broken"
+    HANDED_ON = "handed_on"
+
+
+@dataclass(frozen=True, slots=True)
+class JobReply:
+    """The answer to a job.
+
+    `REFUSED` promises that nothing ran and nothing will, with a time after which
+    to come back; `BROKEN` promises nothing, the caller may send the job again.
+    `HANDED_ON` goes to another host only, which asks the next owner.
+    """
+
+    kind: AnswerKind
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitCall:
+    """Hands a job to the owner that will see it through.
+
+    `done` names the tasks that are known to have ended, `runs` the highest run
+    number given to each task so far, both from an earlier owner of the job.
+    """
+
+    job: Job
+    origin: str
+    version: int
+    age_s: float = 0.0
+    done: tuple[TaskId, ...] = ()
+    runs: tuple[tuple[TaskId, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Drops a job whose caller has left."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class LendCall:
+    """Runs one task on a runner of the callee at once, or refuses for want of room."""
+
+    task: TaskId
+    run: int
+    payload: str
+    size: Room
+    queue: str
+    version: int
+    home: str
+    estimate_s: float = 0.0
+    label: str = ""
+    rack: str = ""
+
+
+class LendResult(StrEnum):
+    """What became of a lent task."""
+
+    DONE = "done"
+    FAILED = "failed"
+    NO_ROOM = "no_room"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class LendReply:
+    """The outcome; `run` is the number of the run that ended."""
+
+    result: LendResult
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class FindCall:
+    """Asks for every run of a job that the callee knows of, and stops them."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class FindReply:
+    """`settled` tells that no run of the job is left on the callee's runners."""
+
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCall:
+    """Asks for the configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigReply:
+    """The callee's configuration, as the operator's text."""
+
+    version: int
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RunnersCall:
+    """Asks for the list of runners."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunnersReply:
+    """The callee's list and its age."""
+
+    age_s: float
+    runners: tuple[RunnerInfo, ...] = field(default=())
--- a/monsoongap/platform/control_server.py
+++ b/monsoongap/standin/control_server.py
@@ -10,18 +10,18 @@
 from tornado.httpserver import HTTPServer
 
 from monsoongap.errors import LogTrimmed, LogUnavailable
-from monsoongap.platform.faults import decode_faults, sort_faults
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.http_calls import (
+from monsoongap.protocol.messages import HostEntry, HostList
+from monsoongap.standin.faults import decode_faults, sort_faults
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.http_calls import (
     BAD_REQUEST,
     JsonCall,
     listen_on,
     no_access_log,
 )
-from monsoongap.platform.ledger import StartLedger
-from monsoongap.platform.log_model import LogModel
-from monsoongap.platform.worker_server import WorkerServer
-from monsoongap.protocol.messages import HostEntry, HostList
+from monsoongap.standin.ledger import StartLedger
+from monsoongap.standin.log_model import LogModel
+from monsoongap.standin.worker_server import WorkerServer
 
 log = logging.getLogger(__name__)
 
--- a/monsoongap/platform/host_list_model.py
+++ b/monsoongap/standin/host_list_model.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, replace
 
 from monsoongap.errors import LogUnavailable
-from monsoongap.platform.faults import (
+from monsoongap.protocol.messages import HostEntry, HostList
+from monsoongap.standin.faults import (
     HostListEmpty,
     HostListFault,
     HostListLag,
     HostListOutage,
     HostListShrink,
 )
-from monsoongap.protocol.messages import HostEntry, HostList
 
 MAX_HISTORY = 1_000
 
--- a/monsoongap/platform/log_model.py
+++ b/monsoongap/standin/log_model.py
@@ -9,14 +9,14 @@
 from msgspec import Meta
 
 from monsoongap.errors import LogTrimmed, LogUnavailable
-from monsoongap.platform.faults import (
+from monsoongap.protocol.messages import LogPage, LogRecord
+from monsoongap.standin.faults import (
     AppendReplyLost,
     Chance,
     LogFault,
     LogOutage,
     LogSlow,
 )
-from monsoongap.protocol.messages import LogPage, LogRecord
 
 log = logging.getLogger(__name__)
 
--- a/monsoongap/platform/main.py
+++ b/monsoongap/standin/main.py
@@ -15,18 +15,18 @@
 
 from monsoongap.errors import UserError
 from monsoongap.logs import configure_logging
-from monsoongap.platform.control_server import ControlServer, StandIn
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.ledger import StartLedger
-from monsoongap.platform.log_model import LogModel
-from monsoongap.platform.settings import (
+from monsoongap.standin.control_server import ControlServer, StandIn
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.ledger import StartLedger
+from monsoongap.standin.log_model import LogModel
+from monsoongap.standin.settings import (
     StandInSettings,
     host_entries,
     load_settings,
     worker_shapes,
 )
-from monsoongap.platform.worker_model import WorkerModel
-from monsoongap.platform.worker_server import WorkerServer
+from monsoongap.standin.worker_model import WorkerModel
+from monsoongap.standin.worker_server import WorkerServer
 from monsoongap.util.command import (
     CheckOption,
     SetOption,
@@ -120,7 +120,7 @@
 
 def main() -> None:
     """Run the program."""
-    run_program(app, "monsoongap-platform")
+    run_program(app, "monsoongap-standin")
 
 
 if __name__ == "__main__":
--- a/monsoongap/platform/settings.py
+++ b/monsoongap/standin/settings.py
@@ -7,10 +7,10 @@
 
 from msgspec import Meta
 
-from monsoongap.platform.log_model import LogShape
-from monsoongap.platform.worker_model import WorkerShape
 from monsoongap.protocol.messages import HostEntry, HostRole
 from monsoongap.settings import Count, LogSection, Port, Seconds
+from monsoongap.standin.log_model import LogShape
+from monsoongap.standin.worker_model import WorkerShape
 from monsoongap.util.ini import SettingsErrors, SettingsFault, load_ini
 
 CLOCK_STEP_S = 1000.0
--- a/monsoongap/platform/standing_faults.py
+++ b/monsoongap/standin/standing_faults.py
@@ -7,7 +7,8 @@
 import msgspec
 from msgspec import Meta
 
-from monsoongap.platform.faults import (
+from monsoongap.protocol.messages import TaskReport, TaskStart
+from monsoongap.standin.faults import (
     Chance,
     CrossedReply,
     Drain,
@@ -18,7 +19,6 @@
     Slow,
     WorkerFault,
 )
-from monsoongap.protocol.messages import TaskReport, TaskStart
 
 CROSSED_TASK = "another-submission/0"
 
--- a/monsoongap/platform/worker_model.py
+++ b/monsoongap/standin/worker_model.py
@@ -11,15 +11,6 @@
 
 from msgspec import Meta
 
-from monsoongap.platform.faults import (
-    Die,
-    Pause,
-    WorkerFault,
-    concerns,
-)
-from monsoongap.platform.ledger import LOST, StartLedger
-from monsoongap.platform.standing_faults import RunPlan, StandingFaults
-from monsoongap.platform.task_table import KnownTask, LaggingGauge, TaskTable
 from monsoongap.protocol.messages import (
     Refusal,
     TaskReport,
@@ -27,6 +18,15 @@
     TaskState,
     WorkerUsage,
 )
+from monsoongap.standin.faults import (
+    Die,
+    Pause,
+    WorkerFault,
+    concerns,
+)
+from monsoongap.standin.ledger import LOST, StartLedger
+from monsoongap.standin.standing_faults import RunPlan, StandingFaults
+from monsoongap.standin.task_table import KnownTask, LaggingGauge, TaskTable
 
 log = logging.getLogger(__name__)
 
--- a/monsoongap/platform/worker_server.py
+++ b/monsoongap/standin/worker_server.py
@@ -12,17 +12,17 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import BaseIOStream
 
-from monsoongap.platform.faults import Die, Silence, WorkerFault, concerns
-from monsoongap.platform.http_calls import (
+from monsoongap.protocol.messages import TaskReport, TaskStart, TaskState
+from monsoongap.standin.faults import Die, Silence, WorkerFault, concerns
+from monsoongap.standin.http_calls import (
     BAD_REQUEST,
     OK,
     JsonCall,
     listen_on,
     no_access_log,
 )
-from monsoongap.platform.standing_faults import ReplyDropped
-from monsoongap.platform.worker_model import WorkerGone, WorkerModel
-from monsoongap.protocol.messages import TaskReport, TaskStart, TaskState
+from monsoongap.standin.standing_faults import ReplyDropped
+from monsoongap.standin.worker_model import WorkerGone, WorkerModel
 
 log = logging.getLogger(__name__)
 
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -28,11 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request to send. `path` starts with a slash and is already encoded."""
+    """A request to send. `path` starts with a slash and is already encoded.
+
+    `headers` are sent beside Host, Content-Length and Content-Type.
+    """
 
     method: str
     path: str
     body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +150,8 @@
         headers.add("Content-Length", str(len(req.body)))
         if req.body:
             headers.add("Content-Type", "application/json")
+        for name, value in req.headers:
+            headers.add(name, value)
         line = RequestStartLine(req.method, req.path, "HTTP/1.1")
         await self._http.write_headers(line, headers, req.body)
         self._http.finish()
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -9,9 +9,9 @@
 import pytest
 
 from monsoongap.coordination.parts import SlotEnd, WorkerInfo
-from monsoongap.platform.faults import Drain, FailAll, ReplyLost
-from monsoongap.platform.worker_model import WorkerModel, WorkerShape
 from monsoongap.protocol.messages import JobAnswer, JobError, TaskReport, TaskStart
+from monsoongap.standin.faults import Drain, FailAll, ReplyLost
+from monsoongap.standin.worker_model import WorkerModel, WorkerShape
 from monsoongap.state.claims import MAX_CLAIM_WORKERS, ClaimRecord
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, Host, answers, job
--- a/tests/coordination/test_home_issued.py
+++ b/tests/coordination/test_home_issued.py
@@ -5,8 +5,8 @@
 import pytest
 
 from monsoongap.errors import ErrorKind
-from monsoongap.platform.faults import Die, FailAll, ReplyLost
 from monsoongap.protocol.messages import JobAnswer, JobError
+from monsoongap.standin.faults import Die, FailAll, ReplyLost
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
 
--- a/tests/coordination/test_home_own.py
+++ b/tests/coordination/test_home_own.py
@@ -6,9 +6,9 @@
 import pytest
 
 from monsoongap.errors import ErrorKind, LogUnavailable
-from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
 from monsoongap.settings import ClaimsSection, EntrySettings, HostSection, LimitsSection
+from monsoongap.standin.faults import AppendReplyLost, LogOutage, LogSlow
 from monsoongap.state.claims import ClaimRecord
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
--- a/tests/coordination/test_recovery.py
+++ b/tests/coordination/test_recovery.py
@@ -6,8 +6,8 @@
 import pytest
 
 from monsoongap.coordination.parts import PeerStatus
-from monsoongap.platform.faults import Die, Pause
 from monsoongap.protocol.messages import JobAnswer, JobError, JobOutcome
+from monsoongap.standin.faults import Die, Pause
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, answers, job
 
--- a/tests/coordination/test_tokens.py
+++ b/tests/coordination/test_tokens.py
@@ -10,9 +10,9 @@
 from monsoongap.coordination.tokens import Tokens, hash_token, new_token
 from monsoongap.coordination.tree_service import ConfigRequest, ConfigService
 from monsoongap.errors import DispatchError, ErrorKind
-from monsoongap.platform.faults import LogOutage
 from monsoongap.protocol.tree import ChangeRequest, Entry
 from monsoongap.settings import TreeSection
+from monsoongap.standin.faults import LogOutage
 from tests.clock import run_virtual
 from tests.coordination.tree_world import World, wait_until
 
--- a/tests/coordination/test_tree.py
+++ b/tests/coordination/test_tree.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from monsoongap.errors import DispatchError, ErrorKind, LogUnavailable, Outcome
-from monsoongap.platform.faults import AppendReplyLost, LogOutage, LogSlow
-from monsoongap.platform.log_model import LogShape
 from monsoongap.protocol.tree import STREAM, Decision, Difference, TreeDigest, Verdict
 from monsoongap.settings import TreeSection
+from monsoongap.standin.faults import AppendReplyLost, LogOutage, LogSlow
+from monsoongap.standin.log_model import LogShape
 from monsoongap.state.tree import encode_record, take_snapshot
 from tests.clock import run_virtual
 from tests.coordination.tree_world import World, change, wait_until
--- a/tests/coordination/test_tree_replica.py
+++ b/tests/coordination/test_tree_replica.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from monsoongap.coordination.tree_replica import TreeReplica
-from monsoongap.platform.log_model import LogShape
 from monsoongap.protocol.messages import LogRecord
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.protocol.tree import (
@@ -15,6 +14,7 @@
     TreeDigest,
 )
 from monsoongap.settings import TreeSection
+from monsoongap.standin.log_model import LogShape
 from monsoongap.state.tree import encode_record, take_snapshot
 from monsoongap.timers import TimerService
 from tests.clock import run_virtual
--- a/tests/coordination/tree_world.py
+++ b/tests/coordination/tree_world.py
@@ -6,10 +6,10 @@
 
 from monsoongap.coordination.parts import HostIdentity, PeerInfo, PeerStatus
 from monsoongap.coordination.tree import SettingsTree
-from monsoongap.platform.log_model import LogModel, LogShape
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.protocol.tree import STREAM, Change, Entry, Verdict
 from monsoongap.settings import TreeSection
+from monsoongap.standin.log_model import LogModel, LogShape
 from monsoongap.timers import TimerService
 from tests.fakes import FakeLog
 from tests.fakes_peers import FakeNetwork
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,12 +11,6 @@
 from typing import Any, TypeVar
 
 from monsoongap.errors import LogUnavailable, StartAmbiguous, WorkerUnreachable
-from monsoongap.platform.faults import Fault, sort_faults
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.ledger import StartLedger
-from monsoongap.platform.log_model import LogModel, LogShape
-from monsoongap.platform.standing_faults import ReplyDropped
-from monsoongap.platform.worker_model import WorkerGone, WorkerModel, WorkerShape
 from monsoongap.protocol.messages import (
     HostEntry,
     HostList,
@@ -26,6 +20,12 @@
     TaskStart,
     WorkerUsage,
 )
+from monsoongap.standin.faults import Fault, sort_faults
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.ledger import StartLedger
+from monsoongap.standin.log_model import LogModel, LogShape
+from monsoongap.standin.standing_faults import ReplyDropped
+from monsoongap.standin.worker_model import WorkerGone, WorkerModel, WorkerShape
 
 T = TypeVar("T")
 
--- a/tests/home_cluster.py
+++ b/tests/home_cluster.py
@@ -22,11 +22,11 @@
 )
 from monsoongap.coordination.watch import WatchedWorkers
 from monsoongap.errors import DispatchError, ErrorKind
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.log_model import LogShape
 from monsoongap.protocol.messages import HostEntry, HostRole, JobRequest, TaskSpec
 from monsoongap.protocol.peer import PeerHandlers
 from monsoongap.settings import EntrySettings, HostSection
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.log_model import LogShape
 from monsoongap.timers import TimerService
 from tests.fakes import FakePlatform, worker_entry, worker_shapes
 from tests.fakes_peers import FakeNetwork
--- a/tests/load/test_fault_schedule.py
+++ b/tests/load/test_fault_schedule.py
@@ -12,9 +12,9 @@
 from monsoongap.load.records import RunRecord
 from monsoongap.load.settings import LoadProfile, TargetSection
 from monsoongap.load.violations import StartAfterLeave
-from monsoongap.platform.faults import Drain, LogOutage
 from monsoongap.protocol.messages import Ledger, LedgerEntry, TaskState
-from tests.platform.test_stand_in import Deployment, run
+from monsoongap.standin.faults import Drain, LogOutage
+from tests.standin.test_stand_in import Deployment, run
 
 EXAMPLE = Path(__file__).parents[2] / "examples" / "faults.json"
 
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -35,7 +35,6 @@
     summarize,
 )
 from monsoongap.load.violations import FalseNotRun, MissingOutcome, WrongAnswer
-from monsoongap.platform.ledger import StartLedger
 from monsoongap.protocol.ids import task_id
 from monsoongap.protocol.messages import (
     JobAnswer,
@@ -44,6 +43,7 @@
     Ledger,
     TaskState,
 )
+from monsoongap.standin.ledger import StartLedger
 from tests.programs import run_main
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
--- a/tests/platform/test_fakes.py
+++ b/tests/standin/test_fakes.py
@@ -6,8 +6,8 @@
 import pytest
 
 from monsoongap.errors import LogUnavailable, StartAmbiguous, WorkerUnreachable
-from monsoongap.platform import faults
 from monsoongap.protocol.messages import StartLease, TaskStart, TaskState
+from monsoongap.standin import faults
 from tests.clock import run_virtual
 from tests.fakes import FakePlatform, FakeWorkers, worker_shapes
 
--- a/tests/platform/test_models.py
+++ b/tests/standin/test_models.py
@@ -8,12 +8,6 @@
 import pytest
 
 from monsoongap.errors import LogTrimmed, LogUnavailable
-from monsoongap.platform import faults
-from monsoongap.platform.host_list_model import HostListModel
-from monsoongap.platform.ledger import StartLedger
-from monsoongap.platform.log_model import LogModel, LogShape
-from monsoongap.platform.standing_faults import ReplyDropped
-from monsoongap.platform.worker_model import WorkerGone, WorkerModel, WorkerShape
 from monsoongap.protocol.messages import (
     HostEntry,
     HostRole,
@@ -23,6 +17,12 @@
     TaskStart,
     TaskState,
 )
+from monsoongap.standin import faults
+from monsoongap.standin.host_list_model import HostListModel
+from monsoongap.standin.ledger import StartLedger
+from monsoongap.standin.log_model import LogModel, LogShape
+from monsoongap.standin.standing_faults import ReplyDropped
+from monsoongap.standin.worker_model import WorkerGone, WorkerModel, WorkerShape
 from tests.clock import run_virtual
 
 FOREVER_MS = 10**9
--- a/tests/platform/test_stand_in.py
+++ b/tests/standin/test_stand_in.py
@@ -16,10 +16,6 @@
     StartAmbiguous,
     WorkerUnreachable,
 )
-from monsoongap.platform import faults
-from monsoongap.platform.control_server import ControlServer
-from monsoongap.platform.main import build, main
-from monsoongap.platform.settings import StandInSettings, host_entries, load_settings
 from monsoongap.protocol.messages import (
     HostEntry,
     Ledger,
@@ -34,6 +30,10 @@
     PlatformSection,
     WorkersSection,
 )
+from monsoongap.standin import faults
+from monsoongap.standin.control_server import ControlServer
+from monsoongap.standin.main import build, main
+from monsoongap.standin.settings import StandInSettings, host_entries, load_settings
 from monsoongap.transport.platform_client import HostListClient, LogClient
 from monsoongap.transport.workers import HttpWorkers
 from tests.programs import run_main
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -14,7 +14,8 @@
 from monsoongap.errors import ErrorKind, Outcome
 from monsoongap.load.checker import check
 from monsoongap.load.records import CallRecord, Reception, RunRecord
-from monsoongap.platform.faults import (
+from monsoongap.protocol.messages import JobError, JobRequest, Ledger
+from monsoongap.standin.faults import (
     AppendReplyLost,
     CrossedReply,
     FailAll,
@@ -25,7 +26,6 @@
     ReplyLost,
     WorkerFault,
 )
-from monsoongap.protocol.messages import JobError, JobRequest, Ledger
 from tests.clock import run_virtual
 from tests.home_cluster import Cluster, Host, job
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,12 +8,12 @@
 
 PACKAGE = Path(monsoongap.__file__).parent
 LAYERS = (
-    ("entry", "cli", "load", "platform"),
+    ("entry", "cli", "load", "standin", "platform"),
     ("transport",),
     ("coordination", "metrics"),
     ("state",),
     ("protocol",),
-    ("logs", "settings", "errors", "timers", "util", ""),
+    ("logs", "stream_logs", "settings", "errors", "timers", "util", ""),
 )
 RANKS = {part: rank for rank, parts in enumerate(LAYERS) for part in parts}
 PROGRAMS = LAYERS[0]
@@ -44,7 +44,7 @@
             other = part_of(target)
             upwards = RANKS[other] < RANKS[part]
             sideways = part in PROGRAMS and other in PROGRAMS and part != other
-            if upwards or (sideways and (part, other) != ("load", "platform")):
+            if upwards or (sideways and (part, other) != ("load", "standin")):
                 yield f"{inside} imports {target}"
 
 
--- a/tests/test_tls_processes.py
+++ b/tests/test_tls_processes.py
@@ -65,7 +65,7 @@
 
     with programs() as group:
         config = deployment.platform_config
-        group.start("platform", "monsoongap.platform.main", "--config", config)
+        group.start("platform", "monsoongap.standin.main", "--config", config)
         for entry in deployment.entries:
             group.start(entry.name, "monsoongap.entry", "--config", entry.config)
         asyncio.run(main(deployment))
