--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -21,6 +21,7 @@
 from monsoongap.coordination.fleet.ports import (
     DatagramPort,
     PeerCallPort,
+    PeerGone,
     PeerLost,
     RunnerPort,
 )
@@ -134,6 +135,13 @@
         self.ownership.leaving = True
         self.members.beat_now()
 
+    def abandon(self) -> None:
+        """Stop at once and tell nobody, as a killed process does."""
+        self.timers.close()
+        self.pool.abandon()
+        for task in list(self._tasks):
+            task.cancel()
+
     # Jobs from callers.
 
     async def submit(self, call: SubmitCall) -> JobReply:
@@ -157,6 +165,8 @@
                 try:
                     reply = await self._forward(owner, call)
                 except PeerLost as exc:
+                    if isinstance(exc, PeerGone):
+                        self.members.lost(owner.peer.card.name)
                     log.warning(
                         "owner lost",
                         extra={"job": call.job.id, "reason": str(exc)},
@@ -323,7 +333,7 @@
 
     def _released(self, dc: str) -> None:
         taken = self.jobs.hand_over() if dc == self.card.dc else []
-        self.pool.release(dc)
+        self.lending.leave_running(self.pool.release(dc))
         for rec, call in taken:
             self._spawn(self._continue_elsewhere(rec, call))
 
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -43,6 +43,7 @@
     LendResult.FAILED: Over.FAILED,
     LendResult.NO_ROOM: Over.NO_ROOM,
     LendResult.GONE: Over.LOST,
+    LendResult.LEFT_RUNNING: Over.LOST,
 }
 
 
@@ -131,6 +132,9 @@
             return
         work.borrowed_from = ""
         work.run = max(work.run, reply.run)
+        if reply.result is LendResult.LEFT_RUNNING:
+            self.on_lost(work, peer.card.dc)
+            return
         if reply.result is LendResult.NO_ROOM:
             self._rooms.pop(peer.card.name, None)
         else:
@@ -200,6 +204,14 @@
         self._lent[id(work)] = Lent(work, call.home, fut)
         return await fut
 
+    def leave_running(self, works: list[Work]) -> None:
+        """Tell borrowers that their tasks go on under another owner."""
+        for work in works:
+            lent = self._lent.pop(id(work), None)
+            if lent is not None and not lent.reply.done():
+                reply = LendReply(LendResult.LEFT_RUNNING, work.run)
+                lent.reply.set_result(reply)
+
     async def stop_runs_of(self, call: FindCall) -> FindReply:
         """Stop what runs of a job here; tell whether nothing is left."""
         until = self.timers.now() + FIND_WAIT_S
--- a/monsoongap/coordination/fleet/link.py
+++ b/monsoongap/coordination/fleet/link.py
@@ -310,7 +310,9 @@
         self._wake.clear()
         held = self.state is LinkState.HELD
         wait_s = LOOK_WAIT_S if held and self.runs else 0.0
-        lease = self._next_lease() if self._clock_at >= 0 else None
+        # A silent runner's lease is left to lapse, so that its runs end for certain.
+        extend = held and self._clock_at >= 0
+        lease = self._next_lease() if extend else None
         sent_at = self.timers.now()
         self.looks += 1
         try:
--- a/monsoongap/coordination/fleet/members.py
+++ b/monsoongap/coordination/fleet/members.py
@@ -1,8 +1,8 @@
 """Which entry hosts live, told by heartbeats.
 
-Hosts of one data centre and owners beat to each other often, all others seldom,
-so what a host spends grows with its data centre and the number of owners. A host
-says in each beat whom it hears, so that one broken link is told from a dead host.
+An owner beats often to its data centre and to other owners, all others beat seldom,
+so what a host spends grows with the number of owners. A host says in each beat whom
+it hears, so that one broken link is told from a dead host.
 """
 
 import logging
@@ -20,9 +20,13 @@
 # A freed runner should find its next owner within 400 ms of an owner's death.
 BEAT_S = 0.1
 SILENT_S = 0.4
-# Hosts that neither share a data centre nor own runners need no haste.
-FAR_BEAT_EVERY = 5
-FAR_SILENT_S = 1.8
+# Owners of other data centres only lend; losing sight of one is no haste.
+FAR_OWNER_SILENT_S = 1.0
+# Hosts that own nothing take part in the next choice of an owner, no more.
+NEAR_BEAT_EVERY = 5
+NEAR_SILENT_S = 1.6
+FAR_BEAT_EVERY = 20
+FAR_SILENT_S = 6.0
 # A host known by its card only is tried at this pace until it answers.
 UNHEARD_BEAT_EVERY = 20
 FORGET_S = 60.0
@@ -37,7 +41,8 @@
     beat: Beat | None = None
     heard_at: float = -1e9
     first_heard_at: float = 0.0
-    gone: bool = False
+    silent_s: float = 0.0
+    told_silent: bool = False
 
 
 @dataclass(slots=True)
@@ -107,6 +112,7 @@
         peer = self._peers.get(name)
         if peer is not None:
             peer.heard_at = -1e9
+            self._note_silence(self.timers.now())
 
     def beat_now(self) -> None:
         """Send a beat to every live host outside the usual pace."""
@@ -142,16 +148,24 @@
             log.info("host heard", extra={"host": beat.card.name, "dc": beat.card.dc})
         known.beat = beat
         known.heard_at = now
+        known.silent_s = self._silent_after(beat)
         self.learn(beat.known)
         self.on_beat(known, not was_live)
 
     def _is_live(self, peer: Peer, now: float) -> bool:
-        limit = SILENT_S if peer.card.dc == self.card.dc else FAR_SILENT_S
-        return now - peer.heard_at < limit
+        return now - peer.heard_at < peer.silent_s
+
+    def _silent_after(self, beat: Beat) -> float:
+        """Return how long a host that beats like this may be silent."""
+        near = beat.card.dc == self.card.dc
+        if beat.claims:
+            return SILENT_S if near else FAR_OWNER_SILENT_S
+        return NEAR_SILENT_S if near else FAR_SILENT_S
 
     def _tick(self) -> None:
         self._ticks += 1
         now = self.timers.now()
+        self._note_silence(now)
         for name, peer in list(self._peers.items()):
             if peer.beat is not None and now - peer.heard_at > FORGET_S:
                 del self._peers[name]
@@ -161,10 +175,26 @@
         if not self._is_live(peer, now):
             haste = self._ticks < UNHEARD_BEAT_EVERY
             return haste or self._ticks % UNHEARD_BEAT_EVERY == 0
-        owners = self.is_owner() and peer.beat is not None and bool(peer.beat.claims)
-        if peer.card.dc == self.card.dc or owners:
+        near = peer.card.dc == self.card.dc
+        far_owner = peer.beat is not None and bool(peer.beat.claims)
+        if self.is_owner() and (near or far_owner):
             return True
-        return self._ticks % FAR_BEAT_EVERY == 0
+        return self._ticks % (NEAR_BEAT_EVERY if near else FAR_BEAT_EVERY) == 0
+
+    def _note_silence(self, now: float) -> None:
+        """Tell the others at once that an owner of this data centre went silent."""
+        newly = False
+        for peer in self._peers.values():
+            owner = peer.beat is not None and bool(peer.beat.claims)
+            if not owner or peer.card.dc != self.card.dc:
+                continue
+            silent = not self._is_live(peer, now)
+            if silent and not peer.told_silent:
+                log.warning("owner silent", extra={"host": peer.card.name})
+                newly = True
+            peer.told_silent = silent
+        if newly:
+            self._send(p for p in self.live() if p.card.dc == self.card.dc)
 
     def _send(self, peers: Iterator[Peer]) -> None:
         targets = list(peers)
--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/fleet/ownership.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,7 +28,6 @@
 # After a runner obeyed another holder, the heartbeats need time to name it.
 YIELD_S = 1.0
 FENCE_HOSTS = 1024
-MS_PER_S = 1000
 # Times of day on two hosts differ by up to this much.
 FENCE_LEAP_MS = 3000
 
@@ -168,12 +166,11 @@
 
     def _acquire(self, dc: str) -> None:
         own = self.members.card.name
-        stamp = int(time.time() * MS_PER_S)
-        fence = stamp * FENCE_HOSTS + zlib.crc32(own.encode()) % FENCE_HOSTS
+        fence = (
+            self.timers.wall_ms() * FENCE_HOSTS + zlib.crc32(own.encode()) % FENCE_HOSTS
+        )
         if fence <= self._highest_fence:
-            fence = (self._highest_fence // FENCE_HOSTS + 1) * FENCE_HOSTS + (
-                zlib.crc32(own.encode()) % FENCE_HOSTS
-            )
+            fence = (self._highest_fence // FENCE_HOSTS + 1) * FENCE_HOSTS + low
         self._highest_fence = fence
         claim = Claim(dc, fence)
         self.claims[dc] = claim
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -113,10 +113,18 @@
             for run in link.runs.values():
                 if run.owner is not None:
                     dropped.append(run.owner)
+                run.on_over = None
             link.close()
             del self.links[link.info.id]
         return dropped
 
+    def abandon(self) -> None:
+        """Let every runner go and tell nobody."""
+        for link in self.links.values():
+            link.close()
+        self.links.clear()
+        self._claims.clear()
+
     def set_listed(self, runners: tuple[RunnerInfo, ...]) -> None:
         """Take in the newest list of runners."""
         self._listed = {r.id: r for r in runners}
--- a/monsoongap/coordination/fleet/ports.py
+++ b/monsoongap/coordination/fleet/ports.py
@@ -34,6 +34,10 @@
     """A call to another entry host got no answer; it may have taken effect."""
 
 
+class PeerGone(PeerLost):
+    """Nothing listens there any more: the other host's process has ended."""
+
+
 class RunnerPort(Protocol):
     """Orders to runners. Raises `NotSent`, `NoAnswer`, `HigherFence`, `OtherLife`."""
 
@@ -68,7 +72,7 @@
 
 
 class PeerCallPort(Protocol):
-    """Calls to other entry hosts. Raises `PeerLost`."""
+    """Calls to other entry hosts. Raises `PeerLost`, of which `PeerGone` is one."""
 
     async def call(
         self, address: str, request: Any, reply_type: type[Any], timeout_s: float
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -161,6 +161,10 @@
         """Listen on `IP:port`."""
         _listen(self._server, address)
 
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
     def _handle(self, req: HTTPServerRequest) -> None:
         if req.path != READY_PATH:
             send_reply(req, NOT_FOUND, b"", {})
--- a/monsoongap/platform/daemon.py
+++ b/monsoongap/platform/daemon.py
@@ -65,6 +65,14 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._leave.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        log.info("started", extra={"host": self._cfg.host, "dc": self._cfg.dc})
+        await self._leave.wait()
+        await self._leave_in_order()
+        log.info("stopped", extra={"host": self._cfg.host})
+
+    async def start(self) -> None:
+        """Listen, beat and read what the store tells."""
         await self._heartbeats.listen(self._cfg.ip, self._cfg.peer_port)
         self._calls.listen(self._cfg.ip, self._cfg.peer_port)
         self._callers.listen(self._cfg.caller_address)
@@ -77,10 +85,16 @@
         self.host.members.learn(seeds)
         self.host.start()
         self._feeds.start()
-        log.info("started", extra={"host": self._cfg.host, "dc": self._cfg.dc})
-        await self._leave.wait()
-        await self._leave_in_order()
-        log.info("stopped", extra={"host": self._cfg.host})
+
+    def close(self) -> None:
+        """Stop at once, without leaving in order."""
+        self._feeds.close()
+        self.host.abandon()
+        self._callers.stop_listening()
+        self._ready.close()
+        self._calls.close()
+        self._heartbeats.close()
+        self._http.close()
 
     async def _leave_in_order(self) -> None:
         """Hand on what is owned, answer what is open, within the grace."""
--- a/monsoongap/protocol/fleet.py
+++ b/monsoongap/protocol/fleet.py
@@ -325,12 +325,17 @@
 
 
 class LendResult(StrEnum):
-    """What became of a lent task."""
+    """What became of a lent task.
+
+    `LEFT_RUNNING` tells that the lender no longer owns the runner: the run may go on
+    there under the next owner.
+    """
 
     DONE = "done"
     FAILED = "failed"
     NO_ROOM = "no_room"
     GONE = "gone"
+    LEFT_RUNNING = "left_running"
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000
+
 Callback = Callable[[], Awaitable[None]] | Callable[[], None]
 
 
@@ -38,6 +41,10 @@
         """Return the monotonic time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def wall_ms(self) -> int:
+        """Return the time of day in milliseconds since 1970; it may step."""
+        return int(time.time() * MS_PER_S)
+
     async def sleep(self, delay_s: float) -> None:
         """Wait for `delay_s` seconds."""
         await asyncio.sleep(delay_s)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -15,10 +15,15 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
-from monsoongap.coordination.fleet.ports import PeerLost
+from monsoongap.coordination.fleet.ports import PeerGone, PeerLost
 from monsoongap.protocol import fleet
 from monsoongap.transport.http_client import HttpClient
-from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
+from monsoongap.transport.http_conn import (
+    ExchangeLost,
+    HttpRequest,
+    NotConnected,
+    Refused,
+)
 
 log = logging.getLogger(__name__)
 
@@ -129,6 +134,8 @@
         req = HttpRequest("POST", path, msgspec.msgpack.encode(request))
         try:
             reply = await self._http.exchange(address, req, timeout_s)
+        except Refused as exc:
+            raise PeerGone(str(exc)) from exc
         except (NotConnected, ExchangeLost) as exc:
             raise PeerLost(str(exc)) from exc
         if reply.status != OK:
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -51,6 +51,10 @@
     """The connection could not be opened: nothing was sent."""
 
 
+class Refused(NotConnected):
+    """Nothing listens at the address."""
+
+
 class ExchangeLost(Exception):
     """The request was sent, or may have been, and no whole reply came."""
 
@@ -98,7 +102,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 stream = await TCPClient().connect(host, int(port), ssl_options=tls)
+        except ConnectionRefusedError as exc:
+            raise Refused(f"{address}: connection refused") from exc
         except (OSError, TimeoutError, StreamClosedError, ValueError) as exc:
+            if isinstance(getattr(exc, "real_error", None), ConnectionRefusedError):
+                raise Refused(f"{address}: connection refused") from exc
             raise NotConnected(f"{address}: {exc or type(exc).__name__}") from exc
         stream.set_nodelay(True)
         _enable_tcp_keepalive(stream.socket)
--- /dev/null
+++ b/tests/coordination/test_fleet.py
@@ -0,0 +1,242 @@
+"""Tests of entry hosts that act together over shared runners."""
+
+import asyncio
+
+from monsoongap.protocol.fleet import AnswerKind, JobReply
+from tests.clock import run_virtual
+from tests.fleet_world import OrderFaults, World
+
+THREE_DCS = {"ibk": 2, "kuf": 2, "lnz": 2}
+
+
+async def open_world(**more: object) -> World:
+    world = World(dict(THREE_DCS), **more)  # type: ignore[arg-type]
+    await world.start()
+    return world
+
+
+def kinds(replies: list[JobReply]) -> list[str]:
+    return [reply.kind.value for reply in replies]
+
+
+def test_one_owner_a_data_centre_and_every_job_is_answered() -> None:
+    async def main() -> None:
+        world = await open_world()
+        for dc in THREE_DCS:
+            owners = [n for n, h in world.hosts.items() if dc in h.ownership.claims]
+            assert len(owners) == 1 and owners[0].startswith(dc)
+        replies = await asyncio.gather(
+            *(world.submit(host, f"{i:016x}", 2) for i, host in enumerate(world.hosts))
+        )
+        assert kinds(replies) == ["completed"] * 6
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_wide_job_uses_the_room_of_other_data_centres() -> None:
+    async def main() -> None:
+        world = await open_world()
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(5)
+        began = loop.time()
+        # 20 tasks of a core each; a data centre has room for 8.
+        reply = await world.submit("ibk-h0", "a" * 16, 20, work_ms=300)
+        assert reply.kind is AnswerKind.COMPLETED
+        assert loop.time() - began < 0.4
+        assert len({e.runner.partition("-")[0] for e in world.ledger}) == 3
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_killed_owner_is_replaced_and_its_runs_are_adopted() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        other = next(n for n in world.hosts if n.startswith("ibk") and n != owner)
+        call = asyncio.create_task(world.submit(other, "b" * 16, 4, work_ms=1500))
+        await asyncio.sleep(0.2)
+        world.kill(owner)
+        reply = await call
+        assert reply.kind is AnswerKind.COMPLETED
+        assert world.owner("ibk") == other
+        assert len(world.ledger) == 4, "runs were adopted, none began anew"
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_lost_owner_is_replaced_within_a_second() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        other = next(n for n in world.hosts if n.startswith("ibk") and n != owner)
+        world.kill(owner)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        reply = await world.submit(other, "c" * 16)
+        assert reply.kind is AnswerKind.COMPLETED
+        assert loop.time() - began < 1.0
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_cut_off_data_centre_serves_from_its_own_runners() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        for other in ("kuf", "lnz"):
+            world.cut_off("ibk", other)
+        await asyncio.sleep(1)
+        replies = await asyncio.gather(
+            world.submit("ibk-h0", "d" * 16, 4), world.submit("kuf-h0", "e" * 16, 4)
+        )
+        assert kinds(replies) == ["completed", "completed"]
+        world.cut.clear()
+        await asyncio.sleep(3)
+        assert len([n for n, h in world.hosts.items() if h.ownership.claims]) == 3
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_cut_while_tasks_are_lent_runs_none_of_them_twice() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("ibk-h0", "f" * 16, 20, work_ms=2000))
+        await asyncio.sleep(0.3)
+        for other in ("kuf", "lnz"):
+            world.cut_off("ibk", other)
+        await asyncio.sleep(4)
+        world.cut.clear()
+        await asyncio.wait_for(call, 20)
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_reborn_runner_s_tasks_run_again() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("ibk-h0", "1" * 16, 6, work_ms=800))
+        await asyncio.sleep(0.2)
+        model = world.models[world.ledger[0].runner]
+        model.crash()
+        model.begin_life()
+        reply = await call
+        assert reply.kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_dark_runner_s_tasks_run_elsewhere_after_its_lease() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("ibk-h0", "2" * 16, 6, work_ms=600))
+        await asyncio.sleep(0.1)
+        world.models[world.ledger[0].runner].faults.dark = True
+        reply = await asyncio.wait_for(call, 8)
+        assert reply.kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+def test_orders_late_and_answers_lost_run_nothing_twice() -> None:
+    async def main(seed: int) -> None:
+        world = await open_world(seed=seed)
+        await asyncio.sleep(5)
+        world.orders = OrderFaults(lost_answer=0.1, late=0.1)
+        calls = [
+            asyncio.create_task(world.submit(host, f"{i:016x}", 3, work_ms=200))
+            for i, host in enumerate(list(world.hosts) * 4)
+        ]
+        await asyncio.wait(calls, timeout=60)
+        assert all(call.done() for call in calls)
+        world.check()
+
+    for seed in range(5):
+        run_virtual(main(seed))
+
+
+def test_a_job_sent_again_joins_the_first() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        first = asyncio.create_task(world.submit("ibk-h0", "3" * 16, 2, work_ms=500))
+        await asyncio.sleep(0.1)
+        replies = [await world.submit("ibk-h1", "3" * 16, 2, work_ms=500), await first]
+        replies.append(await world.submit("ibk-h1", "3" * 16, 2, work_ms=500))
+        assert kinds(replies) == ["completed"] * 3
+        assert len(world.ledger) == 2
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_job_that_can_never_be_done_fails_after_its_attempts() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        reply = await world.submit("ibk-h0", "4" * 16, 1, fails=True)
+        assert reply.kind is AnswerKind.FAILED
+        assert len(world.ledger) == 2
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_leaving_owner_hands_its_jobs_on() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        calls = [
+            asyncio.create_task(world.submit(h, c * 16, 2, work_ms=900))
+            for h, c in (("ibk-h0", "5"), ("ibk-h1", "6"))
+        ]
+        await asyncio.sleep(0.1)
+        world.hosts[owner].leave()
+        replies = [await call for call in calls]
+        assert kinds(replies) == ["completed"] * 2
+        assert world.owner("ibk") != owner
+        assert len(world.ledger) == 4
+        world.check()
+
+    run_virtual(main())
+
+
+def test_every_host_killed_at_once_serves_again_within_three_seconds() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        calls = [
+            asyncio.create_task(world.submit(h, f"{i:016x}", 3, work_ms=900))
+            for i, h in enumerate(world.hosts)
+        ]
+        await asyncio.sleep(0.2)
+        names = list(world.hosts)
+        for name in names:
+            world.kill(name)
+        await asyncio.gather(*calls)
+        await asyncio.sleep(0.5)
+        for name in names:
+            world.start_host(name)
+        await asyncio.sleep(1.3)
+        again = [
+            asyncio.create_task(world.submit(h, f"{i:016x}", 3, work_ms=900))
+            for i, h in enumerate(names)
+        ]
+        replies = await asyncio.gather(*again)
+        assert kinds(replies) == ["completed"] * 6
+        world.check()
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,317 @@
+"""Entry hosts of the fleet path over model runners and a model network.
+
+Runs on virtual time. Hosts are real; runners are the stand-in's models. The network
+can be cut between any two places, hosts can be killed and started again, orders can
+be lost, or carried out late.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import msgspec
+
+from monsoongap.coordination.fleet.host import Host, HostPorts
+from monsoongap.coordination.fleet.ports import NoAnswer, NotSent, PeerGone, PeerLost
+from monsoongap.protocol.fleet import (
+    AnswerKind,
+    Configuration,
+    HostCard,
+    Job,
+    JobReply,
+    NotStarted,
+    QueueRule,
+    Room,
+    RunnerInfo,
+    RunnerView,
+    Started,
+    StartOrder,
+    Step,
+    SubmitCall,
+    TaskId,
+    UpstreamRule,
+)
+from monsoongap.standin.fleet_runner import LedgerEntry, RunnerModel, TaskPlan, twice
+from monsoongap.timers import TimerService
+
+LINK_S = 0.001
+LATE_S = (2.0, 6.0)
+QUEUE = "scan"
+UPSTREAM = "inspect"
+ROOM = Room(4000, 4096)
+CONNECT_S = 0.4
+REPLY_S = 0.3
+WALL_START_MS = 1_700_000_000_000
+
+
+class WorldTimers(TimerService):
+    """The timer service with a time of day that the test can step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.step_ms = 0
+
+    def wall_ms(self) -> int:
+        return WALL_START_MS + self.step_ms + int(self.now() * 1000)
+
+
+@dataclass(slots=True)
+class OrderFaults:
+    """Shares of orders that go wrong on their way to runners."""
+
+    lost_answer: float = 0.0
+    late: float = 0.0
+
+
+@dataclass(slots=True)
+class World:
+    """All hosts and runners."""
+
+    dcs: dict[str, int]
+    runners_per_dc: int = 2
+    seed: int = 1
+    ledger: list[LedgerEntry] = field(default_factory=list)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    models: dict[str, RunnerModel] = field(default_factory=dict)
+    orders: OrderFaults = field(default_factory=OrderFaults)
+    cut: set[frozenset[str]] = field(default_factory=set)
+    replies: dict[str, list[JobReply]] = field(default_factory=dict)
+    config: Configuration = field(
+        default_factory=lambda: Configuration(
+            1,
+            (QueueRule(QUEUE, "h", "/q/", UPSTREAM, 1.5, 0, 2),),
+            (UpstreamRule(UPSTREAM, True),),
+        )
+    )
+    _tasks: dict[str, set[asyncio.Task[Any]]] = field(default_factory=dict)
+    _rng: random.Random = field(default_factory=random.Random)
+    _cards: dict[str, HostCard] = field(default_factory=dict)
+    _boots: int = 0
+
+    async def start(self) -> None:
+        """Start every host and runner, and wait for owners."""
+        self._rng.seed(self.seed)
+        loop = asyncio.get_running_loop()
+        for dc in self.dcs:
+            for i in range(self.runners_per_dc):
+                id_ = f"{dc}-r{i}"
+                info = RunnerInfo(id_, UPSTREAM, id_, dc, False, ROOM, ("a",), 1)
+                self.models[id_] = RunnerModel(info, loop.time, self.ledger)
+        for dc, count in self.dcs.items():
+            for i in range(count):
+                name = f"{dc}-h{i}"
+                self._cards[name] = HostCard(name, dc, name, 1, 0)
+        for name in self._cards:
+            self.start_host(name)
+        await asyncio.sleep(1.5)
+
+    def start_host(self, name: str) -> Host:
+        """Start a host, or start it again."""
+        self._boots += 1
+        card = replace(self._cards[name], boot_ms=self._boots)
+        ports = HostPorts(
+            _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
+        )
+        host = Host(card, 1.0, ports, WorldTimers(), _decode)
+        self.hosts[name] = host
+        host.members.learn(tuple(self._cards.values()))
+        host.start()
+        host.directory.accept_text(msgspec.json.encode(self.config), "test")
+        infos = tuple(m.info for m in self.models.values())
+        host.set_runners(infos, host.timers.now())
+        return host
+
+    def kill(self, name: str) -> None:
+        """Kill a host's process: all that it did stops at once."""
+        host = self.hosts.pop(name)
+        host.abandon()
+        for task in self._tasks.pop(name, set()):
+            task.cancel()
+
+    def owner(self, dc: str) -> str:
+        """Return the name of the host that owns a data centre."""
+        return next(n for n, h in self.hosts.items() if dc in h.ownership.claims)
+
+    def cut_off(self, one: str, other: str) -> None:
+        """Cut two places (hosts, runners or data centres) from each other."""
+        self.cut.add(frozenset((one, other)))
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Tell whether the network joins two places."""
+        sides = [(a, b) for a in _names(one) for b in _names(other)]
+        return not any(
+            frozenset(pair) in self.cut for pair in sides if pair[0] != pair[1]
+        )
+
+    async def submit(
+        self, host: str, id_: str, plans: int = 1, work_ms: float = 50.0, **more: Any
+    ) -> JobReply:
+        """Submit a job of like tasks at a host as a caller would."""
+        plan = TaskPlan(work_ms, **more)
+        payload = msgspec.json.encode(plan).decode()
+        step = Step(plans, Room(plan.cpu_milli, plan.mem_mb), work_ms / 1000)
+        job = Job(id_, QUEUE, payload, (step,))
+        call = SubmitCall(job, host, 1)
+        task = asyncio.create_task(self.hosts[host].submit(call))
+        self._tasks.setdefault(host, set()).add(task)
+        try:
+            reply = await task
+        except asyncio.CancelledError:
+            if host in self.hosts:
+                raise
+            reply = JobReply(AnswerKind.BROKEN, "the host died")
+        self.replies.setdefault(id_, []).append(reply)
+        return reply
+
+    def check(self) -> None:
+        """Check what must hold at any time, from what runners and callers saw."""
+        for model in self.models.values():
+            model.advance()
+        assert twice(self.ledger) == []
+        ran = {entry.task.job for entry in self.ledger}
+        for id_, replies in self.replies.items():
+            if all(r.kind is AnswerKind.REFUSED for r in replies):
+                assert id_ not in ran, f"{id_} was refused and ran"
+            if any(r.kind is AnswerKind.COMPLETED for r in replies):
+                done = {e.task for e in self.ledger if e.how == "done"}
+                tasks = {e.task for e in self.ledger if e.task.job == id_}
+                assert tasks <= done, f"{id_} completed, but not all of it is done"
+
+    async def deliver_call(self, source: str, target: str, request: Any) -> Any:
+        """Carry a call between hosts."""
+        await asyncio.sleep(LINK_S)
+        host = self.hosts.get(target)
+        if not self.reachable(source, target):
+            await asyncio.sleep(CONNECT_S)
+            raise PeerLost("cut")
+        if host is None:
+            raise PeerGone("refused")
+        task = asyncio.create_task(host.answer(request))
+        self._tasks.setdefault(target, set()).add(task)
+        try:
+            reply = await task
+        except asyncio.CancelledError:
+            if target in self.hosts and self.hosts[target] is host:
+                raise
+            raise PeerLost("died") from None
+        await asyncio.sleep(LINK_S)
+        if not self.reachable(source, target):
+            raise PeerLost("cut")
+        return reply
+
+    def deliver_beat(self, source: str, target: str, payload: bytes) -> None:
+        """Carry a heartbeat, unless the network is cut."""
+        if self.reachable(source, target):
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINK_S, self._receive, target, payload)
+
+    def _receive(self, target: str, payload: bytes) -> None:
+        host = self.hosts.get(target)
+        if host is not None:
+            host.members.receive(payload)
+
+    async def order(
+        self, source: str, target: str, act: Callable[[RunnerModel], Awaitable[Any]]
+    ) -> Any:
+        """Carry an order to a runner, with its faults."""
+        await asyncio.sleep(LINK_S)
+        model = self.models.get(target)
+        if model is None or model.faults.dark or not self.reachable(source, target):
+            await asyncio.sleep(CONNECT_S)
+            raise NotSent("no way")
+        if self._rng.random() < self.orders.late:
+            asyncio.create_task(_late(model, act, self._rng.uniform(*LATE_S)))
+            await asyncio.sleep(REPLY_S)
+            raise NoAnswer("late")
+        result = await act(model)
+        if model.faults.dark or not self.reachable(source, target):
+            await asyncio.sleep(REPLY_S)
+            raise NoAnswer("cut")
+        if self._rng.random() < self.orders.lost_answer:
+            await asyncio.sleep(REPLY_S)
+            raise NoAnswer("lost")
+        await asyncio.sleep(LINK_S)
+        return result
+
+
+async def _late(
+    model: RunnerModel, act: Callable[[RunnerModel], Awaitable[Any]], delay_s: float
+) -> None:
+    await asyncio.sleep(delay_s)
+    try:
+        if not model.faults.dark:
+            await act(model)
+    except Exception as exc:
+        # Nobody waits for the answer to an order that is carried out late.
+        assert exc is not None
+
+
+@dataclass(slots=True)
+class _Runners:
+    world: World
+    name: str
+
+    async def start(
+        self, runner: RunnerInfo, order: StartOrder
+    ) -> Started | NotStarted:
+        async def act(model: RunnerModel) -> Started | NotStarted:
+            return model.start(order)
+
+        return await self.world.order(self.name, runner.id, act)
+
+    async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
+        async def act(model: RunnerModel) -> int:
+            return model.stop(task, run, fence)
+
+        return await self.world.order(self.name, runner.id, act)
+
+    async def look(
+        self,
+        runner: RunnerInfo,
+        fence: int,
+        seen: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        fresh: bool,
+    ) -> RunnerView:
+        async def act(model: RunnerModel) -> RunnerView:
+            model.look(fence, seen, lease_until_ms)
+            await model.wait_for_end(wait_ms / 1000)
+            return model.look(fence, seen, None)
+
+        return await self.world.order(self.name, runner.id, act)
+
+    def forget(self, runner: RunnerInfo) -> None:
+        return None
+
+
+@dataclass(slots=True)
+class _Peers:
+    world: World
+    name: str
+
+    async def call(
+        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+    ) -> Any:
+        target = address.rpartition(":")[0]
+        async with asyncio.timeout(timeout_s):
+            return await self.world.deliver_call(self.name, target, request)
+
+
+@dataclass(slots=True)
+class _Datagrams:
+    world: World
+    name: str
+
+    def send(self, address: tuple[str, int], payload: bytes) -> None:
+        self.world.deliver_beat(self.name, address[0], payload)
+
+
+def _names(place: str) -> tuple[str, str]:
+    return place, place.partition("-")[0]
+
+
+def _decode(text: bytes) -> Configuration:
+    return msgspec.json.decode(text, type=Configuration)
