--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/fleet/ownership.py
@@ -166,9 +166,8 @@
 
     def _acquire(self, dc: str) -> None:
         own = self.members.card.name
-        fence = (
-            self.timers.wall_ms() * FENCE_HOSTS + zlib.crc32(own.encode()) % FENCE_HOSTS
-        )
+        low = zlib.crc32(own.encode()) % FENCE_HOSTS
+        fence = self.timers.wall_ms() * FENCE_HOSTS + low
         if fence <= self._highest_fence:
             fence = (self._highest_fence // FENCE_HOSTS + 1) * FENCE_HOSTS + low
         self._highest_fence = fence
