--- /dev/null
+++ b/monsoongap/coordination/fleet/admission.py
@@ -0,0 +1,52 @@
+"""Which jobs can still be answered in time, and which are better refused at once.
+
+A caller of whom it is known early that it will wait too long is told so while it can
+still use the time. What waits ahead is counted as work over the room that works it off.
+"""
+
+from dataclasses import dataclass
+
+from monsoongap.protocol.fleet import Job, QueueRule
+
+# A caller is refused within a quarter of its objective, or not at all.
+DECIDE_SHARE = 0.25
+# A late answer is worth something up to three objectives.
+LATE_FACTOR = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Aim:
+    """When a job's answer is due. Times are in seconds from its arrival."""
+
+    chain_s: float
+    objective_s: float
+
+    @property
+    def slack_s(self) -> float:
+        """How long the job may wait and still be in time."""
+        return max(self.objective_s - self.chain_s, 0.0)
+
+    @property
+    def decide_s(self) -> float:
+        """Until when the job may still be refused."""
+        return self.objective_s * DECIDE_SHARE
+
+    @property
+    def useless_s(self) -> float:
+        """From when on an answer is worth nothing."""
+        return self.objective_s * LATE_FACTOR
+
+
+def aim_of(job: Job, rule: QueueRule) -> Aim:
+    """Return a job's aim from its declared times and its queue's objective.
+
+    A queue that names no objective is held to its timeout.
+    """
+    ends: list[float] = []
+    for step in job.steps:
+        before = max((ends[i] for i in step.after), default=0.0)
+        ends.append(before + step.estimate_s)
+    chain = max(ends)
+    if rule.grace_s <= 0:
+        return Aim(chain, max(rule.timeout_s, rule.stretch * chain))
+    return Aim(chain, rule.stretch * chain + rule.grace_s)
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from monsoongap.coordination.fleet.admission import Aim, aim_of
 from monsoongap.coordination.fleet.link import Over
 from monsoongap.coordination.fleet.pool import Pool, Work
 from monsoongap.protocol.fleet import (
@@ -71,6 +72,8 @@
     offered: bool = False
     ending: bool = False
     doubt_since: float = -1e9
+    late: bool = False
+    aim: Aim = Aim(0.0, 0.0)
     cleared: asyncio.Event = field(default_factory=asyncio.Event)
     runs: dict[TaskId, int] = field(default_factory=dict)
 
@@ -121,6 +124,7 @@
         new = JobRecord(
             job, rule, self.timers.now(), asyncio.get_running_loop().create_future()
         )
+        new.aim = aim_of(job, rule)
         if rec is not None:
             new.runs = rec.runs
             new.doubt_since = rec.doubt_since
@@ -133,6 +137,9 @@
             refusal = JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
             self._answer(new, refusal)
             return new.answer.result()
+        if self._hopeless(new, self.timers.now()):
+            self._answer(new, self._refusal(new))
+            return new.answer.result()
         self._begin_steps(new)
         return await asyncio.shield(new.answer)
 
@@ -172,14 +179,28 @@
                     del self.records[id_]
             elif rec.offered or any(w.borrowed_from for w in rec.works.values()):
                 continue
-            elif age > self._patience(rec):
-                self._end(
-                    rec,
-                    JobReply(AnswerKind.REFUSED, "no room in time", RETRY_AFTER_S),
-                )
-
-    def _patience(self, rec: JobRecord) -> float:
-        return rec.rule.timeout_s * 0.7
+            elif age > rec.aim.useless_s:
+                self._end(rec, self._refusal(rec))
+            elif age <= rec.aim.decide_s:
+                if self._hopeless(rec, now):
+                    self._end(rec, self._refusal(rec))
+            elif age > rec.aim.slack_s and not rec.late:
+                rec.late = True
+                self.pool.demote(list(rec.works.values()), self._order(rec))
+
+    def _order(self, rec: JobRecord) -> tuple[float, float, float]:
+        return (rec.rule.priority, float(rec.late), rec.arrived_at)
+
+    def _hopeless(self, rec: JobRecord, now: float) -> bool:
+        """Tell whether what waits ahead leaves a job no time for its objective."""
+        ahead = self.pool.wait_ahead_s(self._order(rec))
+        return bool(ahead) and now - rec.arrived_at + ahead > rec.aim.slack_s
+
+    def _refusal(self, rec: JobRecord) -> JobReply:
+        ahead = self.pool.wait_ahead_s(self._order(rec))
+        return JobReply(
+            AnswerKind.REFUSED, "no room in time", max(ahead, RETRY_AFTER_S)
+        )
 
     # The past of a job.
 
@@ -228,7 +249,7 @@
             rec.rule.name,
             rec.job.payload,
             step.size,
-            (rec.rule.priority, rec.arrived_at, task.step, task.index),
+            (*self._order(rec), task.step, task.index),
             lambda work, over, runner: self._task_over(rec, work, over, runner),
             estimate_s=step.estimate_s,
             label=step.label,
--- a/monsoongap/coordination/fleet/link.py
+++ b/monsoongap/coordination/fleet/link.py
@@ -13,6 +13,7 @@
 from enum import Enum, auto
 from typing import Any
 
+from monsoongap.coordination.fleet.health import RunnerHealth, is_hung
 from monsoongap.coordination.fleet.ports import (
     HigherFence,
     NoAnswer,
@@ -136,6 +137,7 @@
     looks: int = 0
     starts: int = 0
     avoid_until: float = 0.0
+    health: RunnerHealth = field(default_factory=RunnerHealth)
     _clock_ms: int = 0
     _clock_at: float = -1.0
     _born_ms: int = 0
@@ -399,9 +401,11 @@
             if run.number != row.run:
                 continue
             here.add(row.task)
-            if row.progress != run.progress:
+            if row.progress != run.progress or run.state is not RunState.RUNNING:
                 run.progress = row.progress
                 run.moved_at = now
+            elif is_hung(now, run.moved_at, run.estimate_s):
+                self._stop_hung(run, now)
             if run.state in (RunState.STARTING, RunState.UNSETTLED):
                 if run.state is RunState.STARTING:
                     run.state = RunState.RUNNING
@@ -412,6 +416,19 @@
             if run.task not in here and run.confirmed_at < sent_at:
                 self._over(run, Over.LOST)
 
+    def _stop_hung(self, run: Run, now: float) -> None:
+        log.warning(
+            "run stands still",
+            extra={
+                "runner": self.info.id,
+                "job": run.task.job,
+                "progress": run.progress,
+                "still_s": round(now - run.moved_at, 3),
+            },
+        )
+        self.health.note_bad(now)
+        self.stop(run)
+
     def _adopt(self, row: RunRow, now: float) -> Run:
         """Take in a run of an earlier owner, for its caller to claim."""
         share = Room(
@@ -434,6 +451,10 @@
             return
         del self.runs[run.task]
         self.free = self.free.plus(run.size)
+        if over is Over.DONE and run.on_over is not None:
+            self.health.note_good(self.timers.now() - run.began_at, run.estimate_s)
+        elif over is Over.FAILED:
+            self.health.note_bad(self.timers.now())
         if run.on_over is not None:
             run.on_over(run, over)
         elif over is Over.DONE:
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -9,7 +9,7 @@
 import asyncio
 import bisect
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from monsoongap.coordination.fleet.link import Link, LinkState, Over, Run
@@ -93,6 +93,7 @@
     _absent: dict[str, float] = field(default_factory=dict)
     _waiting: list[Work] = field(default_factory=list)
     _pump_due: bool = False
+    _usual_slowness: float = 1.0
 
     def start(self) -> None:
         """Begin to look after what waits."""
@@ -196,10 +197,6 @@
         """Number of tasks that wait."""
         return len(self._waiting)
 
-    def waiting_before(self, order: tuple[float, ...]) -> Iterator[Work]:
-        """Yield what waits and goes before `order`."""
-        return (w for w in self._waiting if w.order < order)
-
     def add(self, work: Work) -> None:
         """Let a task wait for room."""
         work.waiting = True
@@ -235,6 +232,7 @@
             if run is not None and run.on_over is None:
                 self.counts.adopted += 1
                 link.resize(run, work.size)
+                run.estimate_s = work.estimate_s
                 self._bind(work, link, run)
                 return True
             if link.done_before.pop(work.task, None) is not None:
@@ -271,8 +269,35 @@
         return tuple(rooms[:FREE_TOLD])
 
     def _tick(self) -> None:
+        slow = sorted(link.health.slowness for link in self.links.values())
+        if slow:
+            self._usual_slowness = slow[len(slow) // 2]
         self._sync()
 
+    def wait_ahead_s(self, order: tuple[float, ...]) -> float:
+        """Estimate how long what waits before `order` keeps the owned room busy."""
+        ahead = sum(
+            work.size.cpu_milli * work.estimate_s
+            for work in self._waiting
+            if work.order < order
+        )
+        return ahead / self._cores() if ahead else 0.0
+
+    def _cores(self) -> float:
+        """Return the processors of all usable runners, in thousandths."""
+        usable = sum(
+            link.info.room.cpu_milli for link in self.links.values() if link.placeable
+        )
+        return max(usable, 1)
+
+    def demote(self, works: list[Work], order: tuple[float, ...]) -> None:
+        """Put tasks that wait behind others of their priority."""
+        for work in works:
+            if work.waiting:
+                self._waiting.remove(work)
+                work.order = (*order, *work.order[len(order) :])
+                bisect.insort(self._waiting, work, key=_order)
+
     def _pump(self) -> None:
         self._pump_due = False
         passed = 0
@@ -308,7 +333,13 @@
         ]
         if not fitting:
             return None
-        good = [link for link in fitting if link.info.id not in work.avoid]
+        now = self.timers.now()
+        good = [
+            link
+            for link in fitting
+            if link.info.id not in work.avoid
+            and not link.health.is_suspect(now, self._usual_slowness)
+        ]
         if work.rack:
             near = [link for link in good if work.rack in link.info.labels]
             good = near or good
--- a/monsoongap/metrics.py
+++ b/monsoongap/metrics.py
@@ -59,6 +59,10 @@
         self._responses.observe({"outcome": label}, loop.time() - began)
         return outcome
 
+    def observe_response(self, outcome: str, took_s: float) -> None:
+        """Count one response time under its outcome."""
+        self._responses.observe({"outcome": outcome}, took_s)
+
     def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the current metrics in a form that the reader accepts."""
         self.refresh()
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from monsoongap.coordination.fleet.host import Host
+from monsoongap.metrics import Metrics
 from monsoongap.platform import wire
 from monsoongap.protocol.fleet import AnswerKind, JobReply, QueueRule, SubmitCall
 from monsoongap.transport.host_calls import send_reply
@@ -51,8 +52,9 @@
 class Callers:
     """Serves callers on one address."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host, metrics: Metrics) -> None:
         self._host = host
+        self._metrics = metrics
         self.counts = CallerCounts()
         self.open_requests = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,8 +125,11 @@
         if isinstance(conn, HTTP1Connection):
             conn.set_close_callback(left)
         call = SubmitCall(job, self._host.card.name, self._host.directory.version)
+        began = self._host.timers.now()
         reply = await self._host.submit(call)
         done = True
+        took_s = self._host.timers.now() - began
+        self._metrics.observe_response(reply.kind.value, took_s)
         self._answer(req, reply)
 
     def _answer(self, req: HTTPServerRequest, reply: JobReply) -> None:
@@ -150,6 +155,27 @@
         send_reply(req, status, msgspec.json.encode(body), headers)
 
 
+class MetricsServer:
+    """Serves the metrics as text to whoever scrapes them."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._server = HTTPServer(self._handle)
+
+    def listen(self, address: str) -> None:
+        """Listen on `IP:port`."""
+        _listen(self._server, address)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _handle(self, req: HTTPServerRequest) -> None:
+        accepts = req.headers.get_list("Accept")
+        content, headers = self._metrics.render(accepts)
+        send_reply(req, OK, content, headers)
+
+
 class ReadyServer:
     """Tells the platform whether new connections should come here."""
 
--- a/monsoongap/platform/daemon.py
+++ b/monsoongap/platform/daemon.py
@@ -11,14 +11,15 @@
 
 from monsoongap.coordination.fleet.host import Host, HostPorts
 from monsoongap.errors import UserError
+from monsoongap.metrics import Metrics
 from monsoongap.platform import node_file, wire
-from monsoongap.platform.callers import Callers, ReadyServer
+from monsoongap.platform.callers import Callers, MetricsServer, ReadyServer
 from monsoongap.platform.feeds import Feeds
 from monsoongap.platform.node_file import NodeFile
 from monsoongap.platform.runners import RunnerClient
 from monsoongap.platform.store import StoreClient
 from monsoongap.protocol.fleet import HostCard
-from monsoongap.stream_logs import configure_stream_logging
+from monsoongap.stream_logs import configure_stream_logging, dropped_lines
 from monsoongap.timers import TimerService
 from monsoongap.transport.host_calls import (
     HeartbeatSocket,
@@ -53,12 +54,15 @@
         )
         self.host = Host(card, cfg.lease_s, ports, self._timers, wire.decode_config)
         self._heartbeats.on_datagram = self.host.members.receive
-        self._callers = Callers(self.host)
+        metrics = Metrics(cfg.host, cfg.dc)
+        self._callers = Callers(self.host, metrics)
+        self._metrics_server = MetricsServer(metrics)
         self._calls = HostCallServer(self.host.answer)
         self._ready = ReadyServer(lambda: self.host.ready)
         store = StoreClient(cfg.store_address, self._http)
         self._feeds = Feeds(self.host, store, self._timers)
         self._leave = asyncio.Event()
+        self._publish(metrics, store)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then leave in good order."""
@@ -77,6 +81,8 @@
         self._calls.listen(self._cfg.ip, self._cfg.peer_port)
         self._callers.listen(self._cfg.caller_address)
         self._ready.listen(self._cfg.ready_address)
+        if self._cfg.metrics_port:
+            self._metrics_server.listen(f"{self._cfg.ip}:{self._cfg.metrics_port}")
         seeds = tuple(
             HostCard(f"seed-{ip}", "", ip, self._cfg.peer_port, 0)
             for ip in self._cfg.seed_ips
@@ -92,10 +98,36 @@
         self.host.abandon()
         self._callers.stop_listening()
         self._ready.close()
+        self._metrics_server.close()
         self._calls.close()
         self._heartbeats.close()
         self._http.close()
 
+    def _publish(self, metrics: Metrics, store: StoreClient) -> None:
+        """Name the counters and values that are told on the metrics address."""
+        host = self.host
+        metrics.add_counters("members", lambda: host.members.counts)
+        metrics.add_counters("ownership", lambda: host.ownership.counts)
+        metrics.add_counters("placement", lambda: host.pool.counts)
+        metrics.add_counters("jobs", lambda: host.jobs.counts)
+        metrics.add_counters("callers", lambda: self._callers.counts)
+        metrics.add_counters("connections", lambda: self._http.counts)
+        metrics.add_counters("store", lambda: store.counts)
+        metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
+        metrics.add_gauge(
+            "config_version",
+            "Version of the configuration in force.",
+            lambda: host.directory.version,
+        )
+        metrics.add_gauge(
+            "owned_runners",
+            "Runners that this host owns.",
+            lambda: len(host.pool.links),
+        )
+        metrics.add_gauge(
+            "waiting_tasks", "Tasks that wait for room.", lambda: host.pool.waiting
+        )
+
     async def _leave_in_order(self) -> None:
         """Hand on what is owned, answer what is open, within the grace."""
         began = self._timers.now()
--- a/monsoongap/platform/node_file.py
+++ b/monsoongap/platform/node_file.py
@@ -16,6 +16,8 @@
 
 # Names the variable that holds the path of the file.
 PATH_VARIABLE = "MONSOONGAP_NODE_FILE"
+# Named once more as `metrics` in deploy/system.toml.
+METRICS_PORT = 9464
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -71,7 +73,7 @@
             caller_address=file.bind_addrs["front"],
             ready_address=file.bind_addrs["ready"],
             peer_port=file.port_range[0],
-            metrics_port=file.port_range[0] + 1,
+            metrics_port=METRICS_PORT,
             store_address=file.platform.address,
             seed_ips=tuple(seed.rpartition(":")[0] for seed in file.seeds),
             lease_s=file.bounds.hold_max_ms / 1000,
--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -30,6 +30,14 @@
     position: int | None = None
 
 
+@dataclass(slots=True)
+class StoreCounts:
+    """Calls to the store, for the metrics."""
+
+    calls: int = 0
+    failures: int = 0
+
+
 class StoreClient:
     """Reads keyed topics and appends to them."""
 
@@ -37,8 +45,7 @@
         self._address = address
         self._http = http
         self._fresh = False
-        self.calls = 0
-        self.failures = 0
+        self.counts = StoreCounts()
 
     async def advance(self, topic: Topic, wait_s: float) -> bool:
         """Read what is new, waiting up to `wait_s` for it; tell if anything was.
@@ -105,14 +112,14 @@
     async def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
-        self.calls += 1
+        self.counts.calls += 1
         req = HttpRequest(method, path, body)
         try:
             reply = await self._http.exchange(
                 self._address, req, timeout_s, fresh=self._fresh
             )
         except (NotConnected, ExchangeLost) as exc:
-            self.failures += 1
+            self.counts.failures += 1
             self._fresh = True
             raise StoreUnavailable(str(exc)) from exc
         self._fresh = False
--- a/monsoongap/stream_logs.py
+++ b/monsoongap/stream_logs.py
@@ -68,6 +68,12 @@
         self._untold += 1
 
 
+def dropped_lines() -> int:
+    """Return how many lines this process has dropped so far."""
+    handlers = logging.getLogger().handlers
+    return sum(h.dropped for h in handlers if isinstance(h, BoundedHandler))
+
+
 def configure_stream_logging() -> None:
     """Send all logs to standard output as JSON lines."""
     handler = BoundedHandler(sys.stdout.fileno())
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -18,6 +18,8 @@
 
 # Servers close connections that were idle for about 15 s; stay well below.
 IDLE_LIMIT_S = 8.0
+# Calls that were many at once leave many connections; so many of them are kept.
+IDLE_KEPT = 8
 # Opening takes one round trip, a few milliseconds between data centres; the
 # first repeat of a lost opening packet comes only after a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -58,8 +60,7 @@
             self.counts.exchanges_lost += 1
             raise
         if not conn.closed:
-            now = asyncio.get_running_loop().time()
-            self._idle.setdefault(address, []).append((now, conn))
+            self._keep(address, conn)
         return reply
 
     def forget(self, address: str) -> None:
@@ -81,6 +82,13 @@
         self.counts.connections_opened += 1
         return conn
 
+    def _keep(self, address: str, conn: KeepAliveConnection) -> None:
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.setdefault(address, [])
+        idle.append((now, conn))
+        if len(idle) > IDLE_KEPT:
+            idle.pop(0)[1].close()
+
     def _take_idle(self, address: str) -> KeepAliveConnection | None:
         """Return the connection used last; close those that idled too long."""
         idle = self._idle.get(address)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -240,3 +240,52 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_hanging_runner_s_tasks_run_elsewhere() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("ibk-h0", "7" * 16, 4, work_ms=300))
+        await asyncio.sleep(0.05)
+        world.models[world.ledger[0].runner].faults.hangs = True
+        reply = await asyncio.wait_for(call, 4)
+        assert reply.kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_runner_that_fails_everything_costs_no_job_its_attempts() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        world.models["ibk-r0"].faults.fails = True
+        replies = []
+        for i in range(12):
+            replies.append(await world.submit("ibk-h0", f"{i:016x}", 2, work_ms=20))
+        assert kinds(replies) == ["completed"] * 12
+        failed = [entry for entry in world.ledger if entry.how == "failed"]
+        assert len(failed) <= 4
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_job_without_a_chance_is_refused_at_once() -> None:
+    async def main() -> None:
+        world = World({"ibk": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        loop = asyncio.get_running_loop()
+        long = asyncio.create_task(world.submit("ibk-h0", "8" * 16, 60, work_ms=500))
+        await asyncio.sleep(0.05)
+        began = loop.time()
+        reply = await world.submit("ibk-h0", "9" * 16, 8, work_ms=100)
+        assert reply.kind is AnswerKind.REFUSED
+        assert reply.retry_after_s > 0
+        assert loop.time() - began < 0.1
+        assert (await long).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
