--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from monsoongap.coordination.fleet.directory import Directory
@@ -155,6 +155,8 @@
             owner = self.ownership.owner_of(self.card.dc)
             if owner is None:
                 if waited >= OWNER_WAIT_S:
+                    if call.again:
+                        return JobReply(AnswerKind.BROKEN, "owner lost")
                     return JobReply(AnswerKind.REFUSED, "no owner", RETRY_AFTER_S)
                 waited += OWNER_STEP_S
                 await self.timers.sleep(OWNER_STEP_S)
@@ -171,9 +173,8 @@
                         "owner lost",
                         extra={"job": call.job.id, "reason": str(exc)},
                     )
+                    call = replace(call, again=True)
                     waited += OWNER_STEP_S
-                    if waited >= FORWARD_TIMEOUT_S:
-                        return JobReply(AnswerKind.BROKEN, "owner lost")
                     await self.timers.sleep(OWNER_STEP_S)
                     continue
             if reply.kind is AnswerKind.HANDED_ON:
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -70,6 +70,7 @@
     attempts: dict[TaskId, int] = field(default_factory=dict)
     steps_begun: set[int] = field(default_factory=set)
     offered: bool = False
+    again: bool = False
     ending: bool = False
     doubt_since: float = -1e9
     late: bool = False
@@ -128,6 +129,7 @@
         if rec is not None:
             new.runs = rec.runs
             new.doubt_since = rec.doubt_since
+        new.again = call.again
         new.done.update(call.done)
         new.runs.update(dict(call.runs))
         self.records[job.id] = new
@@ -162,6 +164,7 @@
                 0,
                 done=tuple(rec.done),
                 runs=tuple(rec.runs.items()),
+                again=rec.again or rec.offered or _borrows(rec),
             )
             for work in rec.works.values():
                 if work.waiting:
@@ -177,7 +180,7 @@
             if rec.answer.done():
                 if age > KEEP_ANSWER_S + rec.rule.timeout_s and not rec.works:
                     del self.records[id_]
-            elif rec.offered or any(w.borrowed_from for w in rec.works.values()):
+            elif rec.offered or _borrows(rec):
                 continue
             elif age > rec.aim.useless_s:
                 self._end(rec, self._refusal(rec))
@@ -318,6 +321,9 @@
     def _answer(self, rec: JobRecord, reply: JobReply) -> None:
         if rec.answer.done():
             return
+        if rec.again and reply.kind is AnswerKind.REFUSED:
+            # An earlier owner may have run some of it: "not run" could be untrue.
+            reply = JobReply(AnswerKind.BROKEN, reply.detail)
         rec.answer.set_result(reply)
         if not rec.works:
             rec.cleared.set()
@@ -343,6 +349,11 @@
         )
 
 
+def _borrows(rec: JobRecord) -> bool:
+    """Tell whether a task of the job is with another owner."""
+    return any(work.borrowed_from for work in rec.works.values())
+
+
 def _still_counts(rec: JobRecord) -> bool:
     """Tell whether a job sent again joins this record."""
     if not rec.answer.done():
--- a/monsoongap/protocol/fleet.py
+++ b/monsoongap/protocol/fleet.py
@@ -290,7 +290,8 @@
     """Hands a job to the owner that will see it through.
 
     `done` names the tasks that are known to have ended, `runs` the highest run
-    number given to each task so far, both from an earlier owner of the job.
+    number given to each task so far, both from an earlier owner of the job. `again`
+    says that an earlier owner may have begun it: it cannot be refused as not run.
     """
 
     job: Job
@@ -299,6 +300,7 @@
     age_s: float = 0.0
     done: tuple[TaskId, ...] = ()
     runs: tuple[tuple[TaskId, int], ...] = ()
+    again: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/standin/fleet_site.py
+++ b/monsoongap/standin/fleet_site.py
@@ -174,9 +174,9 @@
         self._serve = Serving(self._answer)
         self._beating: asyncio.Task[None] | None = None
 
-    def listen(self) -> None:
-        """Listen and begin to beat."""
-        self._serve.listen(self.model.info.address)
+    def listen(self, address: str | None = None) -> None:
+        """Listen, at another address than the told one if given, and beat."""
+        self._serve.listen(address or self.model.info.address)
         self._beating = asyncio.create_task(self._beat())
 
     def close(self) -> None:
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -30,7 +30,8 @@
 class HttpRequest:
     """A request to send. `path` starts with a slash and is already encoded.
 
-    `headers` are sent beside Host, Content-Length and Content-Type.
+    `headers` are sent beside Content-Length and Content-Type; a Host among them
+    takes the place of the address.
     """
 
     method: str
@@ -154,12 +155,13 @@
     async def _send_and_read(self, req: HttpRequest, collector: _Collector) -> bool:
         """Tell whether the connection can carry another exchange."""
         headers = HTTPHeaders()
-        headers.add("Host", self._address)
         headers.add("Content-Length", str(len(req.body)))
         if req.body:
             headers.add("Content-Type", "application/json")
         for name, value in req.headers:
             headers.add(name, value)
+        if "Host" not in headers:
+            headers.add("Host", self._address)
         line = RequestStartLine(req.method, req.path, "HTTP/1.1")
         await self._http.write_headers(line, headers, req.body)
         self._http.finish()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -289,3 +289,21 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_that_a_lost_owner_may_have_begun_is_never_called_not_run() -> None:
+    async def main() -> None:
+        world = World({"ibk": 2})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        other = next(n for n in world.hosts if n != owner)
+        world.hosts[other].ownership.leaving = True
+        call = asyncio.create_task(world.submit(other, "a1" * 8, 4, work_ms=900))
+        await asyncio.sleep(0.1)
+        world.kill(owner)
+        reply = await asyncio.wait_for(call, 5)
+        assert reply.kind is AnswerKind.BROKEN
+        world.check()
+
+    run_virtual(main())
