--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from monsoongap.coordination.fleet.directory import Directory
+from monsoongap.coordination.fleet.elsewhere import Elsewhere
 from monsoongap.coordination.fleet.jobs import (
     RETRY_AFTER_S,
     SETTLED_AFTER_S,
@@ -105,7 +106,7 @@
             self._offered,
             self._cancel_borrowed,
         )
-        self.jobs = Jobs(self.pool, timers, self.directory.rule, self._find_elsewhere)
+        self.jobs = Jobs(self.pool, timers, self.directory.rule, self._find_all)
         self.lending = Lending(
             card.name,
             self.pool,
@@ -114,7 +115,9 @@
             ports.peers,
             self._lender_lost,
             lambda: self.directory.version,
+            lambda: self.ownership.claims.get(card.dc),
         )
+        self.elsewhere = Elsewhere(timers)
 
     def start(self) -> None:
         """Begin to beat, to own and to place."""
@@ -162,7 +165,7 @@
                 await self.timers.sleep(OWNER_STEP_S)
                 continue
             if owner.peer is None:
-                reply = await self.jobs.submit(call)
+                reply = await self._see_through(call)
             else:
                 try:
                     reply = await self._forward(owner, call)
@@ -183,6 +186,29 @@
                 continue
             return reply
 
+    async def _see_through(self, call: SubmitCall) -> JobReply:
+        """See a job through here, or have it answered by the owner that has it."""
+        home = None
+        if not call.here and not self.jobs.knows(call.job.id):
+            home = self.elsewhere.home_of(call.job.id)
+        if home is None:
+            return await self.jobs.submit(call)
+        peer = self.members.peer(home)
+        if peer is not None and self.members.is_live(home):
+            log.info("job is elsewhere", extra={"job": call.job.id, "home": home})
+            passed = replace(call, here=True, again=True)
+            try:
+                reply: JobReply = await self._peers.call(
+                    _address(peer), passed, JobReply, FORWARD_TIMEOUT_S
+                )
+            except PeerLost as exc:
+                log.warning("home lost", extra={"job": call.job.id, "reason": str(exc)})
+            else:
+                if reply.kind is not AnswerKind.HANDED_ON:
+                    return reply
+        self.jobs.doubt(call.job.id)
+        return await self.jobs.submit(replace(call, again=True))
+
     def cancel(self, job: str) -> None:
         """Drop a job whose caller has left."""
         owner = self.ownership.owner_of(self.card.dc)
@@ -237,7 +263,7 @@
                     self.ownership.claims
                 ):
                     return JobReply(AnswerKind.HANDED_ON, "not an owner")
-                return await self.jobs.submit(request)
+                return await self._see_through(request)
             case LendCall():
                 await self._catch_up(request.version)
                 return await self.lending.lend(request)
@@ -297,6 +323,7 @@
             hears,
             self.pool.free_rooms() if not self.leaving else (),
             self.pool.waiting,
+            self.jobs.begun_lately(),
             known,
         )
 
@@ -305,6 +332,7 @@
         assert beat is not None
         if beat.claims:
             self.lending.hear_room(peer)
+            self.elsewhere.hear(peer.card.name, beat.begun)
             if beat.free and self.pool.waiting:
                 self.pool.pump()
         version, now = beat.config_version, self.timers.now()
@@ -380,20 +408,25 @@
         while self.timers.now() - began < SETTLED_AFTER_S:
             owner = self.ownership.owner_of(dc)
             peer = owner.peer if owner else None
-            if peer is not None and await self.lending.find(peer, work.task.job):
+            if peer is not None and await self.lending.find(peer, dc, work.task.job):
                 break
             await self.timers.sleep(2 * OWNER_STEP_S)
         work.on_over(work, Over.LOST, "")
 
-    async def _find_elsewhere(self, job: str) -> bool:
-        """Have every other owner stop what it runs of a job."""
+    async def _find_all(self, job: str) -> bool:
+        """Have every other owner stop what it runs of a job.
+
+        Runs on this host's own runners are only known, for the job to adopt them.
+        """
         calls: list[Awaitable[bool]] = []
         for dc in {r.dc for r in self.directory.runners}:
             owner = self.ownership.owner_of(dc)
             if owner is None:
                 return False
             if owner.peer is not None:
-                calls.append(self.lending.find(owner.peer, job))
+                calls.append(self.lending.find(owner.peer, dc, job))
+            elif not self.pool.is_settled(dc):
+                return False
         return all(await asyncio.gather(*calls))
 
     def _tick(self) -> None:
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from monsoongap.coordination.fleet.admission import Aim, aim_of
+from monsoongap.coordination.fleet.elsewhere import number_of
 from monsoongap.coordination.fleet.link import Over
 from monsoongap.coordination.fleet.pool import Pool, Work
 from monsoongap.protocol.fleet import (
@@ -33,6 +35,8 @@
 SETTLED_AFTER_S = 4.0
 SETTLE_STEP_S = 0.1
 SETTLE_TRIES_S = 1.0
+# Long enough for three heartbeats to tell of a job.
+TELL_BEGUN_S = 0.35
 # How long a refused caller is told to stay away.
 RETRY_AFTER_S = 1.0
 
@@ -81,7 +85,7 @@
 
 @dataclass(slots=True)
 class Jobs:
-    """The jobs of one owner. `find_elsewhere` stops runs at the other owners.
+    """The jobs of one owner. `find_all` stops or finds all runs of a job, anywhere.
 
     `in_doubt_since` is when this host last became an owner: what it does not know
     of was begun before.
@@ -90,16 +94,33 @@
     pool: Pool
     timers: TimerService
     rule_of: Callable[[str], QueueRule | None]
-    find_elsewhere: Callable[[str], Awaitable[bool]]
+    find_all: Callable[[str], Awaitable[bool]]
     in_doubt_since: float = -1e9
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
+    _begun: deque[tuple[float, int]] = field(default_factory=deque)
+    _doubts: dict[str, float] = field(default_factory=dict)
 
     @property
     def in_flight(self) -> int:
         """Number of jobs without an answer."""
         return sum(1 for r in self.records.values() if not r.answer.done())
 
+    def knows(self, job: str) -> bool:
+        """Tell whether a job is or lately was seen through here."""
+        return job in self.records
+
+    def doubt(self, job: str) -> None:
+        """Take note that a lost owner may have runs of a job."""
+        self._doubts[job] = self.timers.now()
+
+    def begun_lately(self) -> tuple[int, ...]:
+        """Return the numbers of the jobs begun lately, for other owners."""
+        oldest = self.timers.now() - TELL_BEGUN_S
+        while self._begun and self._begun[0][0] < oldest:
+            self._begun.popleft()
+        return tuple(number for _, number in self._begun)
+
     def untouched(self, queue: str) -> int:
         """Return the number of a queue's jobs of which nothing was started."""
         return sum(
@@ -132,7 +153,9 @@
         new.again = call.again
         new.done.update(call.done)
         new.runs.update(dict(call.runs))
+        new.doubt_since = max(new.doubt_since, self._doubts.pop(job.id, -1e9))
         self.records[job.id] = new
+        self._begun.append((new.arrived_at, number_of(job.id)))
         self.counts.submitted += 1
         if not await self._settle_past(new):
             detail = "what an earlier owner began is not settled"
@@ -166,7 +189,7 @@
                 runs=tuple(rec.runs.items()),
                 again=rec.again or rec.offered or _borrows(rec),
             )
-            for work in rec.works.values():
+            for work in list(rec.works.values()):
                 if work.waiting:
                     self.pool.withdraw(work)
             taken.append((rec, call))
@@ -214,7 +237,7 @@
             since = max(self.in_doubt_since, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
                 return True
-            if self.pool.dcs_settled() and await self.find_elsewhere(rec.job.id):
+            if await self.find_all(rec.job.id):
                 rec.doubt_since = -1e9
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -17,6 +17,7 @@
 from monsoongap.coordination.fleet.ports import PeerCallPort, PeerLost
 from monsoongap.protocol.fleet import (
     CancelCall,
+    Claim,
     FindCall,
     FindReply,
     FreeRoom,
@@ -67,6 +68,8 @@
     peers: PeerCallPort
     on_lost: Callable[[Work, str], None]
     config_version: Callable[[], int]
+    claim: Callable[[], Claim | None]
+    _fences: dict[str, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
     _rooms: dict[str, tuple[float, list[FreeRoom]]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -76,11 +79,13 @@
     def hear_room(self, peer: Peer) -> None:
         """Take in the room that an owner told of."""
         assert peer.beat is not None
+        for claim in peer.beat.claims:
+            self._note_claim(claim)
         self._rooms[peer.card.name] = (self.timers.now(), list(peer.beat.free))
 
     def try_borrow(self, work: Work, upstream: str) -> bool:
         """Send a task to an owner that should have room for it."""
-        if work.lent:
+        if work.lent or self.claim() is None:
             return False
         now = self.timers.now()
         for name, (told_at, rooms) in self._rooms.items():
@@ -108,6 +113,11 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _run_there(self, work: Work, peer: Peer) -> None:
+        claim = self.claim()
+        if claim is None:
+            work.borrowed_from = ""
+            work.on_over(work, Over.NO_ROOM, "")
+            return
         call = LendCall(
             work.task,
             work.run,
@@ -116,6 +126,7 @@
             work.queue,
             self.config_version(),
             self.name,
+            claim,
             work.estimate_s,
             work.label,
             work.rack,
@@ -159,12 +170,15 @@
             # The call that carries the task fails too, and settles it.
             log.info("lender not told", extra={"job": work.task.job})
 
-    async def find(self, peer: Peer, job: str) -> bool:
-        """Have an owner stop all runs of a job; tell whether none is left."""
+    async def find(self, peer: Peer, dc: str, job: str) -> bool:
+        """Have the owner of `dc` stop all runs of a job; tell whether none is left."""
+        claim = self.claim()
+        if claim is None:
+            return False
         address = f"{peer.card.ip}:{peer.card.port}"
         try:
             reply: FindReply = await self.peers.call(
-                address, FindCall(job), FindReply, FIND_TIMEOUT_S
+                address, FindCall(job, dc, claim), FindReply, FIND_TIMEOUT_S
             )
         except PeerLost:
             return False
@@ -174,6 +188,12 @@
 
     async def lend(self, call: LendCall) -> LendReply:
         """Run a task of another owner at once, or refuse."""
+        if not self._note_claim(call.claim):
+            log.warning(
+                "borrower was replaced",
+                extra={"job": call.task.job, "borrower": call.home},
+            )
+            return LendReply(LendResult.NO_ROOM, call.run)
         fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
 
         def over(work: Work, how: Over, runner: str) -> None:
@@ -214,12 +234,14 @@
 
     async def stop_runs_of(self, call: FindCall) -> FindReply:
         """Stop what runs of a job here; tell whether nothing is left."""
+        if not self._note_claim(call.claim):
+            return FindReply(False)
         until = self.timers.now() + FIND_WAIT_S
         asked: set[int] = set()
         while True:
             left = self.pool.runs_of(call.job)
             if not left:
-                return FindReply(self.pool.dcs_settled())
+                return FindReply(self.pool.is_settled(call.dc))
             for link, run in left:
                 if id(run) not in asked:
                     asked.add(id(run))
@@ -228,6 +250,12 @@
                 return FindReply(False)
             await self.timers.sleep(FIND_STEP_S)
 
+    def _note_claim(self, claim: Claim) -> bool:
+        """Tell whether no higher claim of the same data centre is known."""
+        known = self._fences.get(claim.dc, 0)
+        self._fences[claim.dc] = max(known, claim.fence)
+        return claim.fence >= known
+
     def cancel_runs_of(self, job: str) -> None:
         """Stop what runs here for a job that its owner gave up."""
         for link, run in self.pool.runs_of(job):
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -131,9 +131,11 @@
         self._listed = {r.id: r for r in runners}
         self._sync()
 
-    def dcs_settled(self) -> bool:
-        """Tell whether all that runs on the owned runners is known."""
-        return all(link.settled for link in self.links.values())
+    def is_settled(self, dc: str) -> bool:
+        """Tell whether all that runs in a data centre is known here."""
+        if dc not in self._claims or not self._listed:
+            return False
+        return all(link.settled for link in self.links.values() if link.info.dc == dc)
 
     def _sync(self) -> None:
         now = self.timers.now()
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -4,11 +4,13 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream
 
 from monsoongap.coordination.fleet.host import Host
 from monsoongap.metrics import Metrics
@@ -58,7 +60,8 @@
         self.counts = CallerCounts()
         self.open_requests = 0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server = HTTPServer(self._handle, max_header_size=MAX_HEADER_BYTES)
+        self._busy: set[IOStream] = set()
+        self._server = TrackingServer(self._handle, max_header_size=MAX_HEADER_BYTES)
 
     def listen(self, address: str) -> None:
         """Listen for callers on `IP:port`."""
@@ -68,15 +71,26 @@
         """Take no new connections; open ones go on."""
         self._server.stop()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for stream in self._server.streams - self._busy:
+            stream.close()
+
     def _handle(self, req: HTTPServerRequest) -> None:
         self.counts.requests += 1
         self.open_requests += 1
+        conn = req.connection
+        stream = conn.stream if isinstance(conn, HTTP1Connection) else None
+        if stream is not None:
+            self._busy.add(stream)
         task = asyncio.create_task(self._serve(req))
         self._tasks.add(task)
-        task.add_done_callback(self._ended)
+        task.add_done_callback(lambda task: self._ended(task, stream))
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _ended(self, task: asyncio.Task[None], stream: IOStream | None) -> None:
         self.open_requests -= 1
+        if stream is not None:
+            self._busy.discard(stream)
         self._tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
             log.error("request failed", exc_info=exc)
@@ -155,6 +169,25 @@
         send_reply(req, status, msgspec.json.encode(body), headers)
 
 
+class TrackingServer(HTTPServer):
+    """An HTTP server that knows its open connections."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Begin without connections."""
+        super().initialize(*args, **kwargs)
+        self.streams: set[IOStream] = set()
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Take note of a connection until it is closed."""
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget closed connections."""
+        self.streams = {stream for stream in self.streams if not stream.closed()}
+        super().on_close(server_conn)
+
+
 class MetricsServer:
     """Serves the metrics as text to whoever scrapes them."""
 
--- a/monsoongap/platform/daemon.py
+++ b/monsoongap/platform/daemon.py
@@ -138,6 +138,7 @@
             past = self._timers.now() - began
             if past > LISTEN_WHILE_LEAVING_S:
                 self._callers.stop_listening()
+                self._callers.close_idle()
                 idle = not self._callers.open_requests and not self.host.jobs.in_flight
                 if idle:
                     return
--- a/monsoongap/protocol/fleet.py
+++ b/monsoongap/protocol/fleet.py
@@ -246,7 +246,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """A host's heartbeat. `hears` names the hosts it heard lately."""
+    """A host's heartbeat. `hears` names the hosts it heard lately.
+
+    `begun` holds the numbers of the jobs that it began to see through lately: sent
+    again to another data centre, they are answered from where they are.
+    """
 
     card: HostCard
     serial: int
@@ -256,6 +260,7 @@
     hears: tuple[str, ...] = ()
     free: tuple[FreeRoom, ...] = ()
     queued: int = 0
+    begun: tuple[int, ...] = ()
     known: tuple[HostCard, ...] = ()
 
 
@@ -292,6 +297,7 @@
     `done` names the tasks that are known to have ended, `runs` the highest run
     number given to each task so far, both from an earlier owner of the job. `again`
     says that an earlier owner may have begun it: it cannot be refused as not run.
+    `here` says that the callee has the job, as another owner knows.
     """
 
     job: Job
@@ -301,6 +307,7 @@
     done: tuple[TaskId, ...] = ()
     runs: tuple[tuple[TaskId, int], ...] = ()
     again: bool = False
+    here: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -312,7 +319,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LendCall:
-    """Runs one task on a runner of the callee at once, or refuses for want of room."""
+    """Runs one task on a runner of the callee at once, or refuses for want of room.
+
+    `claim` is the one by which the borrower sees the job through; a borrower that
+    was replaced without knowing is refused by it.
+    """
 
     task: TaskId
     run: int
@@ -321,6 +332,7 @@
     queue: str
     version: int
     home: str
+    claim: Claim
     estimate_s: float = 0.0
     label: str = ""
     rack: str = ""
@@ -350,9 +362,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FindCall:
-    """Asks for every run of a job that the callee knows of, and stops them."""
+    """Stops every run of a job on the runners of `dc`, for the claim's holder."""
 
     job: str
+    dc: str
+    claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -1,14 +1,26 @@
 """Tests of entry hosts that act together over shared runners."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 from monsoongap.protocol.fleet import AnswerKind, JobReply
-from tests.clock import run_virtual
+from tests import clock
 from tests.fleet_world import OrderFaults, World
 
+# No test lasts longer on virtual time; one that does waits for ever.
+LIMIT_S = 120.0
 THREE_DCS = {"ibk": 2, "kuf": 2, "lnz": 2}
 
 
+def run_virtual(main: Coroutine[Any, Any, None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            await main
+
+    clock.run_virtual(limited())
+
+
 async def open_world(**more: object) -> World:
     world = World(dict(THREE_DCS), **more)  # type: ignore[arg-type]
     await world.start()
@@ -307,3 +319,97 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_sent_again_to_another_data_centre_is_answered_from_its_home() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        first = asyncio.create_task(world.submit("ibk-h0", "b2" * 8, 4, work_ms=2500))
+        await asyncio.sleep(1.3)
+        second = await world.submit("kuf-h1", "b2" * 8, 4, work_ms=2500)
+        assert kinds([second, await first]) == ["completed"] * 2
+        assert len(world.ledger) == 4
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_home_lost_with_a_job_sent_again_elsewhere_runs_nothing_twice() -> None:
+    async def main() -> None:
+        world = World({"ibk": 1, "kuf": 2, "lnz": 2})
+        await world.start()
+        await asyncio.sleep(5)
+        first = asyncio.create_task(world.submit("ibk-h0", "c3" * 8, 12, work_ms=2500))
+        await asyncio.sleep(0.5)
+        world.kill("ibk-h0")
+        await first
+        await asyncio.sleep(1.3)
+        await world.submit("kuf-h1", "c3" * 8, 12, work_ms=2500)
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_replaced_borrower_is_lent_nothing() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        old = world.owner("ibk")
+        other = next(n for n in world.hosts if n.startswith("ibk") and n != old)
+        # The old owner neither hears nor is heard by its own data centre and goes on.
+        for name in world.hosts:
+            if name != old:
+                world.cut_off(old, name)
+        await asyncio.sleep(4)
+        assert "ibk" in world.hosts[other].ownership.claims
+        world.cut.clear()
+        replies = await asyncio.gather(
+            world.submit(old, "d4" * 8, 12, work_ms=900),
+            world.submit(other, "d4" * 8, 12, work_ms=900),
+        )
+        assert {r.kind for r in replies} <= {AnswerKind.COMPLETED, AnswerKind.BROKEN}
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_lender_that_is_replaced_leaves_its_runs_to_the_next_owner() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("ibk-h0", "e5" * 8, 20, work_ms=1500))
+        await asyncio.sleep(0.2)
+        for dc in ("kuf", "lnz"):
+            world.hosts[world.owner(dc)].leave()
+        reply = await asyncio.wait_for(call, 20)
+        assert reply.kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+def test_owners_that_change_under_load_run_nothing_twice() -> None:
+    async def main(seed: int) -> None:
+        world = await open_world(seed=seed)
+        await asyncio.sleep(5)
+        names = list(world.hosts)
+        calls = []
+        for round_ in range(3):
+            for i, name in enumerate(names):
+                id_ = f"{seed:04x}{round_:04x}{i:08x}"
+                job = world.submit(name, id_, 6, work_ms=400)
+                calls.append(asyncio.create_task(job))
+            await asyncio.sleep(0.15)
+            for name in names:
+                if world.hosts[name].ownership.claims:
+                    world.hosts[name].ownership.leaving ^= True
+                    world.hosts[name].leaving ^= True
+            await asyncio.sleep(0.3)
+            for host in world.hosts.values():
+                host.leaving = host.ownership.leaving = False
+        await asyncio.gather(*calls)
+        world.check()
+
+    for seed in range(3):
+        run_virtual(main(seed))
