--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/fleet/ownership.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from monsoongap.coordination.fleet.members import Members, Peer
-from monsoongap.protocol.fleet import Claim
+from monsoongap.protocol.fleet import Claim, HostCard
 from monsoongap.timers import TimerService
 from monsoongap.util import rendezvous
 
@@ -133,9 +133,9 @@
             return True
         return not (owner.peer.beat and owner.peer.beat.leaving)
 
-    def _hosts_of(self, dc: str) -> list[str]:
+    def _hosts_of(self, dc: str) -> list[HostCard]:
         return [
-            p.card.name
+            p.card
             for p in self.members.live()
             if p.card.dc == dc and p.beat is not None and not p.beat.leaving
         ]
@@ -149,13 +149,11 @@
         if now - self._started_at < START_WAIT_S:
             return False
         candidates = self._hosts_of(dc)
-        if dc == own.dc:
-            candidates.append(own.name)
-        elif candidates or now - since < FOREIGN_WAIT_S:
-            return False
-        else:
-            candidates = [p.card.name for p in self.members.live()] + [own.name]
-        if rendezvous.choose(dc, candidates) != own.name:
+        if dc != own.dc:
+            if candidates or now - since < FOREIGN_WAIT_S:
+                return False
+            candidates = [p.card for p in self.members.live()]
+        if fittest(dc, [*candidates, own]) != own.name:
             return False
         if owner is not None:
             return True
@@ -186,3 +184,13 @@
         self.counts.released += 1
         log.info("ownership released", extra={"dc": dc, "reason": why})
         self.on_release(dc)
+
+
+def fittest(dc: str, cards: list[HostCard]) -> str:
+    """Return the host that should own a data centre, alike on every host.
+
+    An owner needs more of its processor than any other host, so the strongest one
+    is taken; equals are told apart by rendezvous hashing.
+    """
+    most = max(card.cores for card in cards)
+    return rendezvous.choose(dc, [c.name for c in cards if c.cores >= most])
--- a/monsoongap/platform/daemon.py
+++ b/monsoongap/platform/daemon.py
@@ -47,7 +47,12 @@
         self._http = HttpClient()
         self._heartbeats = HeartbeatSocket()
         card = HostCard(
-            cfg.host, cfg.dc, cfg.ip, cfg.peer_port, int(time.time() * MS_PER_S)
+            cfg.host,
+            cfg.dc,
+            cfg.ip,
+            cfg.peer_port,
+            int(time.time() * MS_PER_S),
+            cfg.cores,
         )
         ports = HostPorts(
             RunnerClient(self._http), HostCallClient(self._http), self._heartbeats
--- a/monsoongap/platform/node_file.py
+++ b/monsoongap/platform/node_file.py
@@ -26,6 +26,12 @@
     drain_ms: float = 2000
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    # A share of one core; the core may be several times as fast as usual.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -39,6 +45,7 @@
     bind_addrs: dict[str, str]
     platform: _Store
     bounds: _Bounds
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: tuple[str, ...] = ()
 
 
@@ -58,6 +65,7 @@
     seed_ips: tuple[str, ...]
     lease_s: float
     grace_s: float
+    cores: float = 1.0
 
 
 def parse(text: str) -> NodeFile:
@@ -78,6 +86,7 @@
             seed_ips=tuple(seed.rpartition(":")[0] for seed in file.seeds),
             lease_s=file.bounds.hold_max_ms / 1000,
             grace_s=file.bounds.grace_s,
+            cores=round(file.limits.cpu_share * file.limits.cores, 3),
         )
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
         raise UserError(f"settings file not understood: {exc}") from exc
--- a/monsoongap/protocol/fleet.py
+++ b/monsoongap/protocol/fleet.py
@@ -218,13 +218,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HostCard:
-    """How to reach an entry host, and which life of it this is."""
+    """How to reach an entry host, which life of it this is, and what it can do.
+
+    `cores` is what the host may use of a processor, in cores of usual speed.
+    """
 
     name: str
     dc: str
     ip: str
     port: int
     boot_ms: int
+    cores: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
