Divide the runners of a large data centre over several owners

Shares follow the number of runners (22 a share); jobs fall to a share by their id, so that one sent again finds its home. Owners are the hosts with the most processor left.

--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -40,6 +41,7 @@
     LendCall,
     RunnersCall,
     RunnersReply,
+    ShareId,
     SubmitCall,
 )
 from monsoongap.timers import TimerService
@@ -115,7 +117,7 @@
             ports.peers,
             self._lender_lost,
             lambda: self.directory.version,
-            lambda: self.ownership.claims.get(card.dc),
+            lambda share: self.ownership.claims.get(share),
         )
         self.elsewhere = Elsewhere(timers)
 
@@ -130,7 +132,12 @@
     def ready(self) -> bool:
         """Tell whether new callers should come here."""
         known = self.directory.version > 0 and not self.leaving
-        return known and self.ownership.owner_of(self.card.dc) is not None
+        shares = self.ownership.shares_of(self.card.dc)
+        return known and any(self.ownership.owner_of(share) for share in shares)
+
+    def owns(self, dc: str) -> bool:
+        """Tell whether this host owns a share of a data centre."""
+        return any(share.dc == dc for share in self.ownership.claims)
 
     def leave(self) -> None:
         """Give up what is owned to whoever comes next; take no new role."""
@@ -155,7 +162,9 @@
         """
         waited = 0.0
         while True:
-            owner = self.ownership.owner_of(self.card.dc)
+            share = self.ownership.home_share(call.job.id)
+            call = replace(call, share=share)
+            owner = self.ownership.owner_of(share)
             if owner is None:
                 if waited >= OWNER_WAIT_S:
                     if call.again:
@@ -211,7 +220,7 @@
 
     def cancel(self, job: str) -> None:
         """Drop a job whose caller has left."""
-        owner = self.ownership.owner_of(self.card.dc)
+        owner = self.ownership.owner_of(self.ownership.home_share(job))
         if owner is None:
             return
         if owner.peer is None:
@@ -237,7 +246,7 @@
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=OWNER_WAIT_S / 2)
-                now = self.ownership.owner_of(self.card.dc)
+                now = self.ownership.owner_of(call.share)
                 changed = now is not None and now.claim.fence > owner.claim.fence
                 if changed and not task.done():
                     raise PeerLost("another owner took over")
@@ -259,9 +268,9 @@
         match request:
             case SubmitCall():
                 await self._catch_up(request.version)
-                if self.ownership.owner_of(self.card.dc) is None or not (
-                    self.ownership.claims
-                ):
+                known = request.here and self.jobs.knows(request.job.id)
+                owned = not request.here and request.share in self.ownership.claims
+                if not known and not owned:
                     return JobReply(AnswerKind.HANDED_ON, "not an owner")
                 return await self._see_through(request)
             case LendCall():
@@ -308,7 +317,7 @@
         self.directory.runners = runners
         self.directory.runners_read_at = read_at
         self.pool.set_listed(runners)
-        self.ownership.note_upstream_dcs(frozenset(r.dc for r in runners))
+        self.ownership.note_runners(Counter(r.dc for r in runners))
 
     # What changes inside.
 
@@ -357,12 +366,12 @@
         self.pool.pump()
 
     def _acquired(self, claim: Claim) -> None:
-        self.jobs.in_doubt_since = self.timers.now()
+        self.jobs.in_doubt_since[claim.share] = self.timers.now()
         self.pool.acquire(claim)
 
-    def _released(self, dc: str) -> None:
-        taken = self.jobs.hand_over() if dc == self.card.dc else []
-        self.lending.leave_running(self.pool.release(dc))
+    def _released(self, share: ShareId) -> None:
+        taken = self.jobs.hand_over(share)
+        self.lending.leave_running(self.pool.release(share))
         for rec, call in taken:
             self._spawn(self._continue_elsewhere(rec, call))
 
@@ -371,8 +380,8 @@
         if not rec.answer.done():
             rec.answer.set_result(reply)
 
-    def _fenced(self, dc: str) -> None:
-        self.ownership.yield_to_fence(dc)
+    def _fenced(self, share: ShareId) -> None:
+        self.ownership.yield_to_fence(share)
 
     def _upstream_of(self, queue: str) -> str | None:
         rule = self.directory.rule(queue)
@@ -382,7 +391,7 @@
         return self.lending.try_borrow(work, upstream)
 
     def _offered(self, work: Work) -> None:
-        if not work.lent:
+        if work.home is not None:
             self.jobs.note_offer(work)
 
     def _cancel_borrowed(self, work: Work) -> None:
@@ -398,34 +407,36 @@
             self._room_told_at = now
             self.members.beat_to_owners()
 
-    def _lender_lost(self, work: Work, dc: str) -> None:
-        self._spawn(self._settle_lent(work, dc))
+    def _lender_lost(self, work: Work, shares: tuple[ShareId, ...]) -> None:
+        self._spawn(self._settle_lent(work, shares))
 
-    async def _settle_lent(self, work: Work, dc: str) -> None:
+    async def _settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         """Make sure a lent task is over, then let it be placed again."""
         self.pool.on_offer(work)
         began = self.timers.now()
         while self.timers.now() - began < SETTLED_AFTER_S:
-            owner = self.ownership.owner_of(dc)
-            peer = owner.peer if owner else None
-            if peer is not None and await self.lending.find(peer, dc, work.task.job):
+            if work.home and await self._find(work.task.job, work.home, shares):
                 break
             await self.timers.sleep(2 * OWNER_STEP_S)
         work.on_over(work, Over.LOST, "")
 
-    async def _find_all(self, job: str) -> bool:
+    async def _find_all(self, job: str, home: ShareId) -> bool:
         """Have every other owner stop what it runs of a job.
 
         Runs on this host's own runners are only known, for the job to adopt them.
         """
+        return await self._find(job, home, tuple(self.ownership.all_shares()))
+
+    async def _find(self, job: str, home: ShareId, shares: tuple[ShareId, ...]) -> bool:
+        """Have the owners of shares stop what they run of a job; tell if all did."""
         calls: list[Awaitable[bool]] = []
-        for dc in {r.dc for r in self.directory.runners}:
-            owner = self.ownership.owner_of(dc)
+        for share in shares:
+            owner = self.ownership.owner_of(share)
             if owner is None:
                 return False
             if owner.peer is not None:
-                calls.append(self.lending.find(owner.peer, dc, job))
-            elif not self.pool.is_settled(dc):
+                calls.append(self.lending.find(owner.peer, share, job, home))
+            elif not self.pool.is_settled(share):
                 return False
         return all(await asyncio.gather(*calls))
 
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -21,6 +21,7 @@
     Job,
     JobReply,
     QueueRule,
+    ShareId,
     SubmitCall,
     TaskId,
 )
@@ -67,6 +68,7 @@
 
     job: Job
     rule: QueueRule
+    share: ShareId
     arrived_at: float
     answer: asyncio.Future[JobReply]
     works: dict[TaskId, Work] = field(default_factory=dict)
@@ -87,15 +89,15 @@
 class Jobs:
     """The jobs of one owner. `find_all` stops or finds all runs of a job, anywhere.
 
-    `in_doubt_since` is when this host last became an owner: what it does not know
-    of was begun before.
+    `in_doubt_since` is when this host became the owner of a share: what it does not
+    know of was begun before.
     """
 
     pool: Pool
     timers: TimerService
     rule_of: Callable[[str], QueueRule | None]
-    find_all: Callable[[str], Awaitable[bool]]
-    in_doubt_since: float = -1e9
+    find_all: Callable[[str, ShareId], Awaitable[bool]]
+    in_doubt_since: dict[ShareId, float] = field(default_factory=dict)
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
     _begun: deque[tuple[float, int]] = field(default_factory=deque)
@@ -144,7 +146,11 @@
         if rule is None:
             return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
         new = JobRecord(
-            job, rule, self.timers.now(), asyncio.get_running_loop().create_future()
+            job,
+            rule,
+            call.share,
+            self.timers.now(),
+            asyncio.get_running_loop().create_future(),
         )
         new.aim = aim_of(job, rule)
         if rec is not None:
@@ -175,16 +181,18 @@
             self.counts.cancelled += 1
             self._end(rec, JobReply(AnswerKind.BROKEN, "cancelled by its caller"))
 
-    def hand_over(self) -> list[tuple[JobRecord, SubmitCall]]:
-        """Take out every job under way, with what is known of it."""
+    def hand_over(self, share: ShareId) -> list[tuple[JobRecord, SubmitCall]]:
+        """Take out every job of a share under way, with what is known of it."""
         taken = []
-        for rec in [r for r in self.records.values() if not r.answer.done()]:
+        under_way = [r for r in self.records.values() if not r.answer.done()]
+        for rec in [r for r in under_way if r.share == share]:
             del self.records[rec.job.id]
             rec.ending = True
             call = SubmitCall(
                 rec.job,
                 "",
                 0,
+                share,
                 done=tuple(rec.done),
                 runs=tuple(rec.runs.items()),
                 again=rec.again or rec.offered or _borrows(rec),
@@ -234,10 +242,11 @@
         """Make sure that no unknown run of the job is left anywhere."""
         began = self.timers.now()
         while True:
-            since = max(self.in_doubt_since, rec.doubt_since)
+            new_owner = self.in_doubt_since.get(rec.share, -1e9)
+            since = max(new_owner, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
                 return True
-            if await self.find_all(rec.job.id):
+            if await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = -1e9
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
@@ -277,6 +286,7 @@
             step.size,
             (*self._order(rec), task.step, task.index),
             lambda work, over, runner: self._task_over(rec, work, over, runner),
+            rec.share,
             estimate_s=step.estimate_s,
             label=step.label,
             rack=step.near_rack,
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -24,6 +24,7 @@
     LendCall,
     LendReply,
     LendResult,
+    ShareId,
 )
 from monsoongap.timers import TimerService
 
@@ -66,10 +67,10 @@
     members: Members
     timers: TimerService
     peers: PeerCallPort
-    on_lost: Callable[[Work, str], None]
+    on_lost: Callable[[Work, tuple[ShareId, ...]], None]
     config_version: Callable[[], int]
-    claim: Callable[[], Claim | None]
-    _fences: dict[str, int] = field(default_factory=dict)
+    claim_on: Callable[[ShareId], Claim | None]
+    _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
     _rooms: dict[str, tuple[float, list[FreeRoom]]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -85,7 +86,7 @@
 
     def try_borrow(self, work: Work, upstream: str) -> bool:
         """Send a task to an owner that should have room for it."""
-        if work.lent or self.claim() is None:
+        if work.home is None or self.claim_on(work.home) is None:
             return False
         now = self.timers.now()
         for name, (told_at, rooms) in self._rooms.items():
@@ -113,7 +114,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _run_there(self, work: Work, peer: Peer) -> None:
-        claim = self.claim()
+        shares = tuple(c.share for c in peer.beat.claims) if peer.beat else ()
+        claim = self.claim_on(work.home) if work.home else None
         if claim is None:
             work.borrowed_from = ""
             work.on_over(work, Over.NO_ROOM, "")
@@ -139,12 +141,12 @@
                 "lender lost", extra={"job": work.task.job, "lender": peer.card.name}
             )
             work.borrowed_from = ""
-            self.on_lost(work, peer.card.dc)
+            self.on_lost(work, shares)
             return
         work.borrowed_from = ""
         work.run = max(work.run, reply.run)
         if reply.result is LendResult.LEFT_RUNNING:
-            self.on_lost(work, peer.card.dc)
+            self.on_lost(work, shares)
             return
         if reply.result is LendResult.NO_ROOM:
             self._rooms.pop(peer.card.name, None)
@@ -170,15 +172,18 @@
             # The call that carries the task fails too, and settles it.
             log.info("lender not told", extra={"job": work.task.job})
 
-    async def find(self, peer: Peer, dc: str, job: str) -> bool:
-        """Have the owner of `dc` stop all runs of a job; tell whether none is left."""
-        claim = self.claim()
+    async def find(self, peer: Peer, share: ShareId, job: str, home: ShareId) -> bool:
+        """Have the owner of `share` stop all runs of a job; tell if none is left.
+
+        `home` is the share that sees the job through.
+        """
+        claim = self.claim_on(home)
         if claim is None:
             return False
         address = f"{peer.card.ip}:{peer.card.port}"
         try:
             reply: FindReply = await self.peers.call(
-                address, FindCall(job, dc, claim), FindReply, FIND_TIMEOUT_S
+                address, FindCall(job, share, claim), FindReply, FIND_TIMEOUT_S
             )
         except PeerLost:
             return False
@@ -211,11 +216,11 @@
             call.size,
             (0.0,),
             over,
+            None,
             estimate_s=call.estimate_s,
             label=call.label,
             rack=call.rack,
             run=call.run,
-            lent=True,
         )
         already = self.pool.runs_of(call.task.job)
         twice = any(run.task == call.task for _, run in already)
@@ -241,7 +246,7 @@
         while True:
             left = self.pool.runs_of(call.job)
             if not left:
-                return FindReply(self.pool.is_settled(call.dc))
+                return FindReply(self.pool.is_settled(call.share))
             for link, run in left:
                 if id(run) not in asked:
                     asked.add(id(run))
@@ -251,9 +256,9 @@
             await self.timers.sleep(FIND_STEP_S)
 
     def _note_claim(self, claim: Claim) -> bool:
-        """Tell whether no higher claim of the same data centre is known."""
-        known = self._fences.get(claim.dc, 0)
-        self._fences[claim.dc] = max(known, claim.fence)
+        """Tell whether no higher claim of the same share is known."""
+        known = self._fences.get(claim.share, 0)
+        self._fences[claim.share] = max(known, claim.fence)
         return claim.fence >= known
 
     def cancel_runs_of(self, job: str) -> None:
--- a/monsoongap/coordination/fleet/link.py
+++ b/monsoongap/coordination/fleet/link.py
@@ -30,6 +30,7 @@
     RunnerInfo,
     RunnerView,
     RunRow,
+    ShareId,
     StartOrder,
     TaskId,
 )
@@ -124,6 +125,7 @@
     """A runner and everything that its owner knows of it."""
 
     info: RunnerInfo
+    share: ShareId
     fence: int
     lease_s: float
     runners: RunnerPort
--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/fleet/ownership.py
@@ -1,24 +1,28 @@
-"""Who owns the runners of a data centre.
+"""Who owns which share of the runners of a data centre.
 
-One live entry host of a data centre owns its runners. The claim and its fence ride
-on heartbeats; the runners arbitrate, since each obeys the highest fence it has
-seen. So a cut-off data centre goes on with its own owner, no store is asked, and
-two hosts that both believe themselves owners can do no harm.
+The runners of a data centre are divided into as few shares as their number lets;
+a live entry host of the data centre owns each. Claims and their fences ride on
+heartbeats; the runners arbitrate, since each obeys the highest fence it has seen. So
+a cut-off data centre goes on with its own owners, no store is asked, and two hosts
+that both believe themselves owners can do no harm.
 """
 
 import logging
 import zlib
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from monsoongap.coordination.fleet.members import Members, Peer
-from monsoongap.protocol.fleet import Claim, HostCard
+from monsoongap.protocol.fleet import Claim, HostCard, ShareId, share_index
 from monsoongap.timers import TimerService
 from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
 
 CHECK_S = 0.05
+# About 500 starts a second at 0.65 ms of processor each, a third of a usual core.
+RUNNERS_PER_SHARE = 22
 # Hosts start within 0.3 s of each other; a first owner waits to hear them all.
 START_WAIT_S = 0.6
 # A host that hears nobody is more likely cut off than the last one left.
@@ -34,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Owner:
-    """The owner of a data centre's runners; `peer` is None for this host."""
+    """The owner of a share; `peer` is None for this host."""
 
     claim: Claim
     peer: Peer | None
@@ -51,85 +55,109 @@
 
 @dataclass(slots=True)
 class Ownership:
-    """Decides, from what is heard, which data centres this host owns."""
+    """Decides, from what is heard, which shares this host owns."""
 
     members: Members
     timers: TimerService
     on_acquire: Callable[[Claim], None]
-    on_release: Callable[[str], None]
+    on_release: Callable[[ShareId], None]
     leaving: bool = False
     counts: OwnershipCounts = field(default_factory=OwnershipCounts)
-    claims: dict[str, Claim] = field(default_factory=dict)
+    claims: dict[ShareId, Claim] = field(default_factory=dict)
     _highest_fence: int = 0
     _started_at: float = 0.0
     _heard_someone_at: float = 0.0
-    _absent_since: dict[str, float] = field(default_factory=dict)
-    _yield_until: dict[str, float] = field(default_factory=dict)
-    _last_owner: dict[str, str] = field(default_factory=dict)
-    _foreign: frozenset[str] = frozenset()
+    _absent_since: dict[ShareId, float] = field(default_factory=dict)
+    _yield_until: dict[ShareId, float] = field(default_factory=dict)
+    _last_owner: dict[ShareId, str] = field(default_factory=dict)
+    _runners: Counter[str] = field(default_factory=Counter)
 
     def start(self) -> None:
         """Begin to watch."""
         self._started_at = self._heard_someone_at = self.timers.now()
         self.timers.every(CHECK_S, self.check, "ownership")
 
-    def note_upstream_dcs(self, dcs: frozenset[str]) -> None:
-        """Tell in which data centres there are runners."""
-        self._foreign = dcs - {self.members.card.dc}
-
-    def owner_of(self, dc: str) -> Owner | None:
+    def note_runners(self, dcs: Counter[str]) -> None:
+        """Tell how many runners there are in each data centre."""
+        self._runners = dcs
+
+    def shares_of(self, dc: str) -> list[ShareId]:
+        """Return the shares of a data centre: as claimed, else by its runners."""
+        claims = [owner.claim for owner in self._owners(dc)]
+        newest = max(claims, key=lambda claim: claim.fence, default=None)
+        if newest is not None:
+            count = newest.of
+        else:
+            count = -(-self._runners[dc] // RUNNERS_PER_SHARE) or 1
+        return [ShareId(dc, index) for index in range(count)]
+
+    def all_shares(self) -> list[ShareId]:
+        """Return the shares of every data centre that has runners."""
+        return [share for dc in sorted(self._runners) for share in self.shares_of(dc)]
+
+    def home_share(self, job: str) -> ShareId:
+        """Return the share of this data centre that a job falls to."""
+        dc = self.members.card.dc
+        return ShareId(dc, share_index(job, len(self.shares_of(dc))))
+
+    def owner_of(self, share: ShareId) -> Owner | None:
         """Return the owner as this host sees it, the highest fence first."""
-        owners = [
-            Owner(claim, peer)
-            for peer in self.members.live()
-            if peer.beat is not None
-            for claim in peer.beat.claims
-            if claim.dc == dc
-        ]
-        if dc in self.claims:
-            owners.append(Owner(self.claims[dc], None))
-        return max(owners, key=lambda o: o.claim.fence, default=None)
+        owners = [o for o in self._owners(share.dc) if o.claim.share == share]
+        return max(owners, key=lambda owner: owner.claim.fence, default=None)
 
-    def yield_to_fence(self, dc: str) -> None:
-        """Give up a data centre whose runner obeys a higher fence."""
-        if dc in self.claims:
+    def yield_to_fence(self, share: ShareId) -> None:
+        """Give up a share one of whose runners obeys a higher fence."""
+        if share in self.claims:
             self.counts.yielded_to_fence += 1
-            self._yield_until[dc] = self.timers.now() + YIELD_S
+            self._yield_until[share] = self.timers.now() + YIELD_S
             # The other holder's clock may run ahead of this host's.
             self._highest_fence += FENCE_HOSTS * FENCE_LEAP_MS
-            self._release(dc, "runner obeys a higher fence")
+            self._release(share, "runner obeys a higher fence")
 
     def check(self) -> None:
         """Release what another holds, acquire what nobody holds."""
         now = self.timers.now()
         if any(True for _ in self.members.live()):
             self._heard_someone_at = now
-        dcs = self._foreign | {self.members.card.dc}
-        for dc in sorted(dcs):
-            self._check_dc(dc, now)
-
-    def _check_dc(self, dc: str, now: float) -> None:
-        owner = self.owner_of(dc)
+        for dc in sorted({*self._runners, self.members.card.dc}):
+            shares = self.shares_of(dc)
+            for share in [s for s in self.claims if s.dc == dc]:
+                if self.claims[share].of != len(shares):
+                    self._release(share, "the data centre is divided otherwise")
+            for share in shares:
+                self._check_share(share, now)
+
+    def _owners(self, dc: str) -> Iterator[Owner]:
+        for peer in self.members.live():
+            for claim in peer.beat.claims if peer.beat else ():
+                if claim.share.dc == dc:
+                    yield Owner(claim, peer)
+        for claim in self.claims.values():
+            if claim.share.dc == dc:
+                yield Owner(claim, None)
+
+    def _check_share(self, share: ShareId, now: float) -> None:
+        owner = self.owner_of(share)
         if owner is not None:
             self._highest_fence = max(self._highest_fence, owner.claim.fence)
             if owner.peer is not None:
-                self._last_owner[dc] = owner.peer.card.name
-            if owner.peer is not None and dc in self.claims:
-                self._release(dc, f"owned by {owner.peer.card.name}")
-        if self._owner_stays(dc, owner):
-            self._absent_since.pop(dc, None)
+                self._last_owner[share] = owner.peer.card.name
+                if share in self.claims:
+                    self._release(share, f"owned by {owner.peer.card.name}")
+        if self._owner_stays(share, owner):
+            self._absent_since.pop(share, None)
             return
-        since = self._absent_since.setdefault(dc, now)
-        if self._may_acquire(dc, owner, now, since):
-            self._acquire(dc)
+        since = self._absent_since.setdefault(share, now)
+        if self._may_acquire(share, owner, now, since):
+            self._acquire(share)
 
-    def _owner_stays(self, dc: str, owner: Owner | None) -> bool:
+    def _owner_stays(self, share: ShareId, owner: Owner | None) -> bool:
         if owner is None:
             return False
         if owner.peer is None:
-            home_again = dc in self._foreign and self._hosts_of(dc)
-            if home_again:
-                self._release(dc, "its own hosts are back")
+            foreign = share.dc != self.members.card.dc
+            if foreign and self._hosts_of(share.dc):
+                self._release(share, "its own hosts are back")
             return True
         return not (owner.peer.beat and owner.peer.beat.leaving)
 
@@ -141,56 +169,71 @@
         ]
 
     def _may_acquire(
-        self, dc: str, owner: Owner | None, now: float, since: float
+        self, share: ShareId, owner: Owner | None, now: float, since: float
     ) -> bool:
         own = self.members.card
-        if self.leaving or now < self._yield_until.get(dc, 0.0):
+        if self.leaving or now < self._yield_until.get(share, 0.0):
             return False
         if now - self._started_at < START_WAIT_S:
             return False
-        candidates = self._hosts_of(dc)
-        if dc != own.dc:
+        candidates = self._hosts_of(share.dc)
+        if share.dc != own.dc:
             if candidates or now - since < FOREIGN_WAIT_S:
                 return False
             candidates = [p.card for p in self.members.live()]
-        if fittest(dc, [*candidates, own]) != own.name:
+        if self._fittest(share, [*candidates, own]) != own.name:
             return False
         if owner is not None:
             return True
         if now - self._heard_someone_at > 0 and self.members.knows_any():
             return now - self._heard_someone_at >= ISOLATED_WAIT_S
-        former = self._last_owner.get(dc)
+        former = self._last_owner.get(share)
         return former is None or not self.members.heard_by_others(former)
 
-    def _acquire(self, dc: str) -> None:
+    def _fittest(self, share: ShareId, cards: list[HostCard]) -> str:
+        """Return the host that should own a share, alike on hosts that hear alike.
+
+        An owner needs more of its processor than any other host, so the one with
+        the most left is taken; equals are told apart by rendezvous hashing.
+        """
+        owned = {self.members.card.name: len(self.claims)}
+        for peer in self.members.live():
+            owned[peer.card.name] = len(peer.beat.claims) if peer.beat else 0
+        left = {c.name: c.cores / (1 + owned.get(c.name, 0)) for c in cards}
+        most = max(left.values())
+        names = [name for name, cores in left.items() if cores >= most]
+        return rendezvous.choose(f"{share.dc}/{share.index}", names)
+
+    def _acquire(self, share: ShareId) -> None:
         own = self.members.card.name
         low = zlib.crc32(own.encode()) % FENCE_HOSTS
         fence = self.timers.wall_ms() * FENCE_HOSTS + low
         if fence <= self._highest_fence:
             fence = (self._highest_fence // FENCE_HOSTS + 1) * FENCE_HOSTS + low
         self._highest_fence = fence
-        claim = Claim(dc, fence)
-        self.claims[dc] = claim
+        claim = Claim(share, len(self.shares_of(share.dc)), fence)
+        self.claims[share] = claim
         self.counts.acquired += 1
-        self._absent_since.pop(dc, None)
-        log.info("ownership acquired", extra={"dc": dc, "fence": fence})
+        self._absent_since.pop(share, None)
+        log.info(
+            "ownership acquired",
+            extra={
+                "dc": share.dc,
+                "share": share.index,
+                "of": claim.of,
+                "fence": fence,
+            },
+        )
         self.on_acquire(claim)
         self.members.beat_now()
 
-    def _release(self, dc: str, why: str) -> None:
-        claim = self.claims.pop(dc, None)
+    def _release(self, share: ShareId, why: str) -> None:
+        claim = self.claims.pop(share, None)
         if claim is None:
             return
         self.counts.released += 1
-        log.info("ownership released", extra={"dc": dc, "reason": why})
-        self.on_release(dc)
-
-
-def fittest(dc: str, cards: list[HostCard]) -> str:
-    """Return the host that should own a data centre, alike on every host.
-
-    An owner needs more of its processor than any other host, so the strongest one
-    is taken; equals are told apart by rendezvous hashing.
-    """
-    most = max(card.cores for card in cards)
-    return rendezvous.choose(dc, [c.name for c in cards if c.cores >= most])
+        log.info(
+            "ownership released",
+            extra={"dc": share.dc, "share": share.index, "reason": why},
+        )
+        self.on_release(share)
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -19,6 +19,7 @@
     FreeRoom,
     Room,
     RunnerInfo,
+    ShareId,
     TaskId,
 )
 from monsoongap.timers import TimerService
@@ -36,7 +37,10 @@
 
 @dataclass(slots=True, eq=False)
 class Work:
-    """A task that is to run. `order` sorts it among all that wait."""
+    """A task that is to run. `order` sorts it among all that wait.
+
+    `home` is the share that sees its job through; None for a task that is lent.
+    """
 
     task: TaskId
     queue: str
@@ -44,12 +48,12 @@
     size: Room
     order: tuple[float, ...]
     on_over: Callable[["Work", Over, str], None]
+    home: ShareId | None
     estimate_s: float = 0.0
     label: str = ""
     rack: str = ""
     most_per_runner: int = 0
     run: int = 1
-    lent: bool = False
     avoid: set[str] = field(default_factory=set)
     placed: "Run | None" = None
     link: Link | None = None
@@ -82,13 +86,13 @@
     timers: TimerService
     upstream_of: Callable[[str], str | None]
     try_lend: Callable[[Work, str], bool]
-    on_fenced: Callable[[str], None]
+    on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
     on_offer: Callable[[Work], None]
     cancel_borrowed: Callable[[Work], None]
     counts: PoolCounts = field(default_factory=PoolCounts)
     links: dict[str, Link] = field(default_factory=dict)
-    _claims: dict[str, Claim] = field(default_factory=dict)
+    _claims: dict[ShareId, Claim] = field(default_factory=dict)
     _listed: dict[str, RunnerInfo] = field(default_factory=dict)
     _absent: dict[str, float] = field(default_factory=dict)
     _waiting: list[Work] = field(default_factory=list)
@@ -102,15 +106,15 @@
     # Which runners are held.
 
     def acquire(self, claim: Claim) -> None:
-        """Hold every runner of a data centre by the claim's fence."""
-        self._claims[claim.dc] = claim
+        """Hold every runner of a share by the claim's fence."""
+        self._claims[claim.share] = claim
         self._sync()
 
-    def release(self, dc: str) -> list[Work]:
-        """Let the runners of a data centre go; returns what was placed on them."""
-        self._claims.pop(dc, None)
+    def release(self, share: ShareId) -> list[Work]:
+        """Let the runners of a share go; returns what was placed on them."""
+        self._claims.pop(share, None)
         dropped: list[Work] = []
-        for link in [k for k in self.links.values() if k.info.dc == dc]:
+        for link in [k for k in self.links.values() if k.share == share]:
             for run in link.runs.values():
                 if run.owner is not None:
                     dropped.append(run.owner)
@@ -131,16 +135,16 @@
         self._listed = {r.id: r for r in runners}
         self._sync()
 
-    def is_settled(self, dc: str) -> bool:
-        """Tell whether all that runs in a data centre is known here."""
-        if dc not in self._claims or not self._listed:
+    def is_settled(self, share: ShareId) -> bool:
+        """Tell whether all that runs in a share is known here."""
+        if share not in self._claims or not self._listed:
             return False
-        return all(link.settled for link in self.links.values() if link.info.dc == dc)
+        return all(k.settled for k in self.links.values() if k.share == share)
 
     def _sync(self) -> None:
         now = self.timers.now()
         for info in self._listed.values():
-            claim = self._claims.get(info.dc)
+            claim = self._claim_on(info)
             link = self.links.get(info.id)
             if link is not None:
                 self._absent.pop(info.id, None)
@@ -159,9 +163,16 @@
                     self._retire(link)
         self.pump()
 
+    def _claim_on(self, info: RunnerInfo) -> Claim | None:
+        for claim in self._claims.values():
+            if claim.covers(info.dc, info.id):
+                return claim
+        return None
+
     def _open(self, info: RunnerInfo, claim: Claim) -> None:
         link = Link(
             info,
+            claim.share,
             claim.fence,
             self.lease_s,
             self.runners,
@@ -190,7 +201,7 @@
     def _fenced(self, link: Link) -> None:
         if link.info.id in self.links:
             log.warning("runner obeys another owner", extra={"runner": link.info.id})
-            self.on_fenced(link.info.dc)
+            self.on_fenced(link.share)
 
     # What waits, and where it goes.
 
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -138,7 +138,9 @@
         conn = req.connection
         if isinstance(conn, HTTP1Connection):
             conn.set_close_callback(left)
-        call = SubmitCall(job, self._host.card.name, self._host.directory.version)
+        host = self._host
+        share = host.ownership.home_share(job.id)
+        call = SubmitCall(job, host.card.name, host.directory.version, share)
         began = self._host.timers.now()
         reply = await self._host.submit(call)
         done = True
--- a/monsoongap/protocol/fleet.py
+++ b/monsoongap/protocol/fleet.py
@@ -4,6 +4,7 @@
 platform spells any of it; `monsoongap.platform` translates.
 """
 
+import zlib
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -231,13 +232,34 @@
     cores: float = 1.0
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class ShareId:
+    """One share of the runners of a data centre, and of the jobs that come to it."""
+
+    dc: str
+    index: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A data centre whose runners a host owns, and the fence it holds them by."""
+    """A share that a host owns, and the fence it holds the share's runners by.
 
-    dc: str
+    `of` is the number of shares into which the data centre is divided.
+    """
+
+    share: ShareId
+    of: int
     fence: int
 
+    def covers(self, dc: str, name: str) -> bool:
+        """Tell whether a runner or a job of that data centre falls to the share."""
+        return dc == self.share.dc and share_index(name, self.of) == self.share.index
+
+
+def share_index(name: str, of: int) -> int:
+    """Return the share of `of` that a runner or a job falls to by its name."""
+    return zlib.crc32(name.encode()) % of if of > 1 else 0
+
 
 @dataclass(frozen=True, slots=True)
 class FreeRoom:
@@ -296,7 +318,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitCall:
-    """Hands a job to the owner that will see it through.
+    """Hands a job to the owner of the share that will see it through.
 
     `done` names the tasks that are known to have ended, `runs` the highest run
     number given to each task so far, both from an earlier owner of the job. `again`
@@ -307,7 +329,7 @@
     job: Job
     origin: str
     version: int
-    age_s: float = 0.0
+    share: ShareId
     done: tuple[TaskId, ...] = ()
     runs: tuple[tuple[TaskId, int], ...] = ()
     again: bool = False
@@ -366,10 +388,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FindCall:
-    """Stops every run of a job on the runners of `dc`, for the claim's holder."""
+    """Stops every run of a job on the runners of `share`, for the claim's holder."""
 
     job: str
-    dc: str
+    share: ShareId
     claim: Claim
 
 
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -35,7 +35,7 @@
     async def main() -> None:
         world = await open_world()
         for dc in THREE_DCS:
-            owners = [n for n, h in world.hosts.items() if dc in h.ownership.claims]
+            owners = [n for n, h in world.hosts.items() if h.owns(dc)]
             assert len(owners) == 1 and owners[0].startswith(dc)
         replies = await asyncio.gather(
             *(world.submit(host, f"{i:016x}", 2) for i, host in enumerate(world.hosts))
@@ -362,7 +362,7 @@
             if name != old:
                 world.cut_off(old, name)
         await asyncio.sleep(4)
-        assert "ibk" in world.hosts[other].ownership.claims
+        assert world.hosts[other].owns("ibk")
         world.cut.clear()
         replies = await asyncio.gather(
             world.submit(old, "d4" * 8, 12, work_ms=900),
@@ -413,3 +413,25 @@
 
     for seed in range(3):
         run_virtual(main(seed))
+
+
+def test_many_runners_are_divided_over_several_owners() -> None:
+    async def main() -> None:
+        world = World({"ibk": 4, "kuf": 4}, runners_per_dc=50)
+        await world.start()
+        await asyncio.sleep(5)
+        owned = {n: len(h.ownership.claims) for n, h in world.hosts.items()}
+        assert sorted(owned.values()) == [0, 0, 1, 1, 1, 1, 1, 1]
+        held = [id_ for host in world.hosts.values() for id_ in host.pool.links]
+        assert sorted(held) == sorted(world.models)
+        calls = [
+            asyncio.create_task(world.submit(host, f"{i:016x}", 6, work_ms=900))
+            for i, host in enumerate(list(world.hosts) * 3)
+        ]
+        await asyncio.sleep(0.2)
+        world.kill(world.owner("ibk"))
+        replies = await asyncio.gather(*calls)
+        assert AnswerKind.COMPLETED in {r.kind for r in replies}
+        world.check()
+
+    run_virtual(main())
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -132,7 +132,7 @@
 
     def owner(self, dc: str) -> str:
         """Return the name of the host that owns a data centre."""
-        return next(n for n, h in self.hosts.items() if dc in h.ownership.claims)
+        return next(n for n, h in self.hosts.items() if h.owns(dc))
 
     def cut_off(self, one: str, other: str) -> None:
         """Cut two places (hosts, runners or data centres) from each other."""
@@ -153,7 +153,7 @@
         payload = msgspec.json.encode(plan).decode()
         step = Step(plans, Room(plan.cpu_milli, plan.mem_mb), work_ms / 1000)
         job = Job(id_, QUEUE, payload, (step,))
-        call = SubmitCall(job, host, 1)
+        call = SubmitCall(job, host, 1, self.hosts[host].ownership.home_share(id_))
         task = asyncio.create_task(self.hosts[host].submit(call))
         self._tasks.setdefault(host, set()).add(task)
         try:
