--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -367,6 +367,7 @@
 
     def _acquired(self, claim: Claim) -> None:
         self.jobs.in_doubt_since[claim.share] = self.timers.now()
+        self.lending.note_claim(claim)
         self.pool.acquire(claim)
 
     def _released(self, share: ShareId) -> None:
@@ -436,7 +437,7 @@
                 return False
             if owner.peer is not None:
                 calls.append(self.lending.find(owner.peer, share, job, home))
-            elif not self.pool.is_settled(share):
+            elif not self.pool.is_settled(share) or not self.lending.none_lent(job):
                 return False
         return all(await asyncio.gather(*calls))
 
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -81,7 +81,7 @@
         """Take in the room that an owner told of."""
         assert peer.beat is not None
         for claim in peer.beat.claims:
-            self._note_claim(claim)
+            self.note_claim(claim)
         self._rooms[peer.card.name] = (self.timers.now(), list(peer.beat.free))
 
     def try_borrow(self, work: Work, upstream: str) -> bool:
@@ -193,7 +193,7 @@
 
     async def lend(self, call: LendCall) -> LendReply:
         """Run a task of another owner at once, or refuse."""
-        if not self._note_claim(call.claim):
+        if not self.note_claim(call.claim):
             log.warning(
                 "borrower was replaced",
                 extra={"job": call.task.job, "borrower": call.home},
@@ -239,7 +239,7 @@
 
     async def stop_runs_of(self, call: FindCall) -> FindReply:
         """Stop what runs of a job here; tell whether nothing is left."""
-        if not self._note_claim(call.claim):
+        if not self.note_claim(call.claim):
             return FindReply(False)
         until = self.timers.now() + FIND_WAIT_S
         asked: set[int] = set()
@@ -255,12 +255,19 @@
                 return FindReply(False)
             await self.timers.sleep(FIND_STEP_S)
 
-    def _note_claim(self, claim: Claim) -> bool:
+    def note_claim(self, claim: Claim) -> bool:
         """Tell whether no higher claim of the same share is known."""
         known = self._fences.get(claim.share, 0)
         self._fences[claim.share] = max(known, claim.fence)
         return claim.fence >= known
 
+    def none_lent(self, job: str) -> bool:
+        """Stop what of a job runs here for another owner; tell if nothing does."""
+        lent = [held for held in self._lent.values() if held.work.task.job == job]
+        for held in lent:
+            self.pool.withdraw(held.work)
+        return not lent
+
     def cancel_runs_of(self, job: str) -> None:
         """Stop what runs here for a job that its owner gave up."""
         for link, run in self.pool.runs_of(job):
