--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: demo test bench lint format proto clean
+.PHONY: demo test soak bench lint format proto clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PY) || python3.11 -m venv .venv
@@ -16,6 +16,9 @@
 test: $(STAMP)
 	$(PY) -m pytest tests
 
+soak: $(STAMP)
+	$(PY) -m soak.run --rounds 3
+
 bench: $(STAMP)
 	$(PY) -m bench.run
 
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -163,7 +163,11 @@
         self.records[job.id] = new
         self._begun.append((new.arrived_at, number_of(job.id)))
         self.counts.submitted += 1
-        if not await self._settle_past(new):
+        settled = await self._settle_past(new)
+        if new.ending:
+            # Meanwhile cancelled, or handed to the next owner, who answers.
+            return await asyncio.shield(new.answer)
+        if not settled:
             detail = "what an earlier owner began is not settled"
             refusal = JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
             self._answer(new, refusal)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -457,3 +457,28 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_handed_over_while_its_past_is_settled_is_answered_by_the_next() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        old = world.owner("ibk")
+        host = world.hosts[old]
+        share = next(iter(host.ownership.claims))
+        # In doubt, with a data centre out of sight: the past cannot be settled.
+        host.jobs.in_doubt_since[share] = host.timers.now()
+        world.cut_off("ibk", "kuf")
+        await asyncio.sleep(1.2)
+        host.jobs.in_doubt_since[share] = host.timers.now()
+        call = asyncio.create_task(world.submit(old, "ab" * 8, 2, work_ms=300))
+        await asyncio.sleep(0.05)
+        host.leave()
+        await asyncio.sleep(0.3)
+        world.cut.clear()
+        reply = await asyncio.wait_for(call, 10)
+        assert world.owner("ibk") != old
+        assert reply.kind is not AnswerKind.REFUSED or not world.ledger
+        world.check()
+
+    run_virtual(main())
