--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -45,6 +45,7 @@
     SubmitCall,
 )
 from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -86,7 +87,7 @@
         self._peers = ports.peers
         self._serial = 0
         self._room_told_at = 0.0
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._background = Background()
         self.directory = Directory(decode_config, self._config_changed)
         self.members = Members(
             card,
@@ -149,8 +150,7 @@
         """Stop at once and tell nobody, as a killed process does."""
         self.timers.close()
         self.pool.abandon()
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.cancel_all()
 
     # Jobs from callers.
 
@@ -226,7 +226,7 @@
         if owner.peer is None:
             self.jobs.cancel(job)
         else:
-            self._spawn(self._tell_cancel(owner.peer, job))
+            self._background.spawn(self._tell_cancel(owner.peer, job), "cancel")
 
     async def _forward(self, owner: Owner, call: SubmitCall) -> JobReply:
         """Hand a job to its owner; raises `PeerLost` when the owner changes."""
@@ -347,7 +347,7 @@
         version, now = beat.config_version, self.timers.now()
         newer = version > self.directory.version
         if newer and self.directory.begin_fetch(version, now):
-            self._spawn(self._fetch_config(peer))
+            self._background.spawn(self._fetch_config(peer), "config")
         if new:
             self.members.beat_now()
 
@@ -374,7 +374,7 @@
         taken = self.jobs.hand_over(share)
         self.lending.leave_running(self.pool.release(share))
         for rec, call in taken:
-            self._spawn(self._continue_elsewhere(rec, call))
+            self._background.spawn(self._continue_elsewhere(rec, call), "hand-over")
 
     async def _continue_elsewhere(self, rec: JobRecord, call: SubmitCall) -> None:
         reply = await self.submit(call)
@@ -409,7 +409,7 @@
             self.members.beat_to_owners()
 
     def _lender_lost(self, work: Work, shares: tuple[ShareId, ...]) -> None:
-        self._spawn(self._settle_lent(work, shares))
+        self._background.spawn(self._settle_lent(work, shares), "settle")
 
     async def _settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         """Make sure a lent task is over, then let it be placed again."""
@@ -445,11 +445,6 @@
         self.jobs.tick()
         self.lending.tick()
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _address(peer: Peer) -> str:
     return f"{peer.card.ip}:{peer.card.port}"
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -27,6 +27,7 @@
     ShareId,
 )
 from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
     _rooms: dict[str, tuple[float, list[FreeRoom]]] = field(default_factory=dict)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _background: Background = field(default_factory=Background)
 
     # The borrower's side.
 
@@ -109,9 +110,7 @@
             "task borrowed room",
             extra={"job": work.task.job, "task": work.task.index, "lender": lender},
         )
-        task = asyncio.create_task(self._run_there(work, peer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._run_there(work, peer), "borrow")
 
     async def _run_there(self, work: Work, peer: Peer) -> None:
         shares = tuple(c.share for c in peer.beat.claims) if peer.beat else ()
@@ -158,9 +157,7 @@
         """Tell the lender that a task is no longer wanted."""
         peer = self.members.peer(work.borrowed_from)
         if peer is not None:
-            task = asyncio.create_task(self._cancel_there(work, peer))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.spawn(self._cancel_there(work, peer), "cancel")
 
     async def _cancel_there(self, work: Work, peer: Peer) -> None:
         address = f"{peer.card.ip}:{peer.card.port}"
--- a/monsoongap/coordination/fleet/link.py
+++ b/monsoongap/coordination/fleet/link.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Any
@@ -35,6 +35,7 @@
     TaskId,
 )
 from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -149,21 +150,18 @@
     _held_at: float = 0.0
     _idle_since: float = 0.0
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
-    _task: asyncio.Task[None] | None = None
-    _aside: set[asyncio.Task[None]] = field(default_factory=set)
+    _background: Background = field(default_factory=Background)
 
     def open(self) -> None:
         """Begin to hold the runner."""
         self.free = self.info.room
         self._lapse_at = self.timers.now() + self.lease_s / CLOCK_DRIFT
-        self._task = asyncio.create_task(self._hold(), name=f"runner:{self.info.id}")
+        self._background.spawn(self._hold(), f"runner:{self.info.id}")
 
     def close(self) -> None:
         """Give the runner up; its runs stay on it for the next owner."""
         self.state = LinkState.CLOSED
-        for task in (self._task, *self._aside):
-            if task is not None:
-                task.cancel()
+        self._background.cancel_all()
         self.runners.forget(self.info)
 
     def update(self, info: RunnerInfo) -> None:
@@ -195,7 +193,7 @@
         self.runs[run.task] = run
         self.free = self.free.minus(run.size)
         self.starts += 1
-        self._spawn(self._order_start(run, payload))
+        self._background.spawn(self._order_start(run, payload), "start")
 
     def resize(self, run: Run, size: Room) -> None:
         """Correct the room of a run whose size was not known."""
@@ -206,15 +204,10 @@
         """Stop a run; its end is told when it is certain."""
         if run.state is RunState.RUNNING:
             run.state = RunState.STOPPING
-            self._spawn(self._order_stop(run))
+            self._background.spawn(self._order_stop(run), "stop")
         elif run.state is RunState.STARTING:
             run.state = RunState.UNSETTLED
-            self._spawn(self._order_stop(run))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._aside.add(task)
-        task.add_done_callback(self._aside.discard)
+            self._background.spawn(self._order_stop(run), "stop")
 
     # The clock and the lease.
 
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -1,6 +1,5 @@
 """The callers' side: their HTTP requests become jobs, answers become responses."""
 
-import asyncio
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -17,6 +16,7 @@
 from monsoongap.platform import wire
 from monsoongap.protocol.fleet import AnswerKind, JobReply, QueueRule, SubmitCall
 from monsoongap.transport.host_calls import send_reply
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -59,7 +59,7 @@
         self._metrics = metrics
         self.counts = CallerCounts()
         self.open_requests = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
         self._busy: set[IOStream] = set()
         self._server = TrackingServer(self._handle, max_header_size=MAX_HEADER_BYTES)
 
@@ -83,17 +83,13 @@
         stream = conn.stream if isinstance(conn, HTTP1Connection) else None
         if stream is not None:
             self._busy.add(stream)
-        task = asyncio.create_task(self._serve(req))
-        self._tasks.add(task)
-        task.add_done_callback(lambda task: self._ended(task, stream))
+        task = self._background.spawn(self._serve(req), "request")
+        task.add_done_callback(lambda _: self._ended(stream))
 
-    def _ended(self, task: asyncio.Task[None], stream: IOStream | None) -> None:
+    def _ended(self, stream: IOStream | None) -> None:
         self.open_requests -= 1
         if stream is not None:
             self._busy.discard(stream)
-        self._tasks.discard(task)
-        if not task.cancelled() and (exc := task.exception()) is not None:
-            log.error("request failed", exc_info=exc)
 
     async def _serve(self, req: HTTPServerRequest) -> None:
         directory = self._host.directory
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -16,6 +16,7 @@
 from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
 from monsoongap.protocol.fleet import HostCard, RunnerInfo
 from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -40,18 +41,18 @@
         self._host = host
         self._store = store
         self._timers = timers
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
         self._bad_entries: set[str] = set()
 
     def start(self) -> None:
         """Begin to read."""
-        for work in (self._follow_config(), self._follow_runners(), self._hosts()):
-            self._tasks.append(asyncio.create_task(work))
+        self._background.spawn(self._follow_config(), "feed:configuration")
+        self._background.spawn(self._follow_runners(), "feed:runners")
+        self._background.spawn(self._hosts(), "feed:hosts")
 
     def close(self) -> None:
         """Stop reading."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel_all()
 
     async def _follow_config(self) -> None:
         topic = Topic(OPERATOR_TOPIC)
--- a/monsoongap/standin/fleet_site.py
+++ b/monsoongap/standin/fleet_site.py
@@ -24,6 +24,7 @@
 )
 from monsoongap.standin.fleet_runner import LedgerEntry, RunnerModel
 from monsoongap.transport.host_calls import send_reply
+from monsoongap.util.background import Background
 
 HEARTBEAT_S = 0.5
 PAGE = 500
@@ -273,7 +274,7 @@
         self, answer: Callable[[HTTPServerRequest], Awaitable[tuple[int, bytes]]]
     ) -> None:
         self._answer = answer
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
         self._server = HTTPServer(self._handle)
 
     def listen(self, address: str) -> None:
@@ -284,13 +285,10 @@
     def close(self) -> None:
         """Stop listening and drop what is under way."""
         self._server.stop()
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel_all()
 
     def _handle(self, req: HTTPServerRequest) -> None:
-        task = asyncio.create_task(self._reply(req))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._reply(req), "reply")
 
     async def _reply(self, req: HTTPServerRequest) -> None:
         status, body = await self._answer(req)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -24,6 +24,7 @@
     NotConnected,
     Refused,
 )
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -81,7 +82,7 @@
 
     def __init__(self, answer: Callable[[Any], Awaitable[Any]]) -> None:
         self._answer = answer
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
         self._server = HTTPServer(
             self._handle, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES
         )
@@ -95,9 +96,7 @@
         self._server.stop()
 
     def _handle(self, req: HTTPServerRequest) -> None:
-        task = asyncio.create_task(self._serve(req))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._serve(req), "call")
 
     async def _serve(self, req: HTTPServerRequest) -> None:
         decoder = _DECODERS.get(req.path)
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -142,6 +142,10 @@
         except TimeoutError as exc:
             self.close()
             raise ExchangeLost(f"{self._address}: no reply in {timeout_s} s") from exc
+        except Exception as exc:
+            # The library has faults of its own for connections that break half way.
+            self.close()
+            raise ExchangeLost(f"{self._address}: {exc!r}") from exc
         except BaseException:
             self.close()
             raise
