--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -27,6 +27,7 @@
     ShareId,
 )
 from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
     _rooms: dict[str, tuple[float, list[FreeRoom]]] = field(default_factory=dict)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _background: Background = field(default_factory=Background)
 
     # The borrower's side.
 
@@ -81,7 +82,7 @@
         """Take in the room that an owner told of."""
         assert peer.beat is not None
         for claim in peer.beat.claims:
-            self._note_claim(claim)
+            self.note_claim(claim)
         self._rooms[peer.card.name] = (self.timers.now(), list(peer.beat.free))
 
     def try_borrow(self, work: Work, upstream: str) -> bool:
@@ -109,9 +110,7 @@
             "task borrowed room",
             extra={"job": work.task.job, "task": work.task.index, "lender": lender},
         )
-        task = asyncio.create_task(self._run_there(work, peer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._run_there(work, peer), "borrow")
 
     async def _run_there(self, work: Work, peer: Peer) -> None:
         shares = tuple(c.share for c in peer.beat.claims) if peer.beat else ()
@@ -158,9 +157,7 @@
         """Tell the lender that a task is no longer wanted."""
         peer = self.members.peer(work.borrowed_from)
         if peer is not None:
-            task = asyncio.create_task(self._cancel_there(work, peer))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.spawn(self._cancel_there(work, peer), "cancel")
 
     async def _cancel_there(self, work: Work, peer: Peer) -> None:
         address = f"{peer.card.ip}:{peer.card.port}"
@@ -193,7 +190,7 @@
 
     async def lend(self, call: LendCall) -> LendReply:
         """Run a task of another owner at once, or refuse."""
-        if not self._note_claim(call.claim):
+        if not self.note_claim(call.claim):
             log.warning(
                 "borrower was replaced",
                 extra={"job": call.task.job, "borrower": call.home},
@@ -239,7 +236,7 @@
 
     async def stop_runs_of(self, call: FindCall) -> FindReply:
         """Stop what runs of a job here; tell whether nothing is left."""
-        if not self._note_claim(call.claim):
+        if not self.note_claim(call.claim):
             return FindReply(False)
         until = self.timers.now() + FIND_WAIT_S
         asked: set[int] = set()
@@ -255,12 +252,19 @@
                 return FindReply(False)
             await self.timers.sleep(FIND_STEP_S)
 
-    def _note_claim(self, claim: Claim) -> bool:
+    def note_claim(self, claim: Claim) -> bool:
         """Tell whether no higher claim of the same share is known."""
         known = self._fences.get(claim.share, 0)
         self._fences[claim.share] = max(known, claim.fence)
         return claim.fence >= known
 
+    def none_lent(self, job: str) -> bool:
+        """Stop what of a job runs here for another owner; tell if nothing does."""
+        lent = [held for held in self._lent.values() if held.work.task.job == job]
+        for held in lent:
+            self.pool.withdraw(held.work)
+        return not lent
+
     def cancel_runs_of(self, job: str) -> None:
         """Stop what runs here for a job that its owner gave up."""
         for link, run in self.pool.runs_of(job):
