--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -38,6 +38,7 @@
 SETTLE_TRIES_S = 1.0
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
+MS_PER_S = 1000
 # How long a refused caller is told to stay away.
 RETRY_AFTER_S = 1.0
 
@@ -326,15 +327,15 @@
                 if tries >= rec.rule.max_attempts:
                     self._end(rec, JobReply(AnswerKind.FAILED, "a task failed"))
                 else:
-                    self._again(rec, work, runner)
+                    self._again(rec, work, over, runner)
             case Over.MALFORMED:
                 self._end(rec, JobReply(AnswerKind.FAILED, "a runner refused the task"))
             case Over.NO_ROOM:
-                self._again(rec, work, "")
+                self._again(rec, work, over, "")
             case _:
-                self._again(rec, work, runner)
+                self._again(rec, work, over, runner)
 
-    def _again(self, rec: JobRecord, work: Work, avoid: str) -> None:
+    def _again(self, rec: JobRecord, work: Work, over: Over, avoid: str) -> None:
         rec.runs[work.task] = max(rec.runs.get(work.task, 0), work.run)
         work.run = rec.runs[work.task] + 1
         if avoid:
@@ -342,7 +343,14 @@
         rec.works[work.task] = work
         log.info(
             "task placed again",
-            extra={"job": work.task.job, "task": work.task.index, "avoid": avoid},
+            extra={
+                "job": work.task.job,
+                "task": work.task.index,
+                "reason": over.name.lower(),
+                "avoid": avoid or None,
+                "failures": rec.attempts.get(work.task, 0),
+                "allowed": rec.rule.max_attempts,
+            },
         )
         self.pool.add(work)
 
@@ -373,6 +381,7 @@
                 self.counts.refused += 1
             case _:
                 self.counts.broken += 1
+        ahead = self.pool.wait_ahead_s(self._order(rec))
         log.info(
             "job answered",
             extra={
@@ -380,8 +389,11 @@
                 "queue": rec.rule.name,
                 "outcome": reply.kind.value,
                 "detail": reply.detail,
-                "took_ms": round((self.timers.now() - rec.arrived_at) * 1000),
-                "config": None,
+                "took_ms": round((self.timers.now() - rec.arrived_at) * MS_PER_S),
+                "objective_ms": round(rec.aim.objective_s * MS_PER_S),
+                "ahead_ms": round(ahead * MS_PER_S),
+                "tasks": sum(step.count for step in rec.job.steps),
+                "failures": sum(rec.attempts.values()),
             },
         )
 
