--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -11,7 +11,6 @@
 from monsoongap.coordination.fleet.elsewhere import Elsewhere
 from monsoongap.coordination.fleet.jobs import (
     RETRY_AFTER_S,
-    SETTLED_AFTER_S,
     JobRecord,
     Jobs,
 )
@@ -55,6 +54,10 @@
 # A forwarded job answers within its deadline; this only bounds a leak.
 FORWARD_TIMEOUT_S = 30.0
 JOBS_TICK_S = 0.05
+# Short jobs are refused within some 35 ms or not at all.
+DECIDE_TICK_S = 0.02
+# A lender that answers no call for so long has long stopped the run or is gone.
+LENT_SETTLE_S = 8.0
 # Changed room is told to other owners at once, but not more often than this.
 ROOM_TOLD_S = 0.02
 CONFIG_TIMEOUT_S = 1.0
@@ -127,6 +130,7 @@
         self.members.start()
         self.ownership.start()
         self.pool.start()
+        self.timers.every(DECIDE_TICK_S, self.jobs.decide, "decide")
         self.timers.every(JOBS_TICK_S, self._tick, "jobs")
 
     @property
@@ -415,7 +419,7 @@
         """Make sure a lent task is over, then let it be placed again."""
         self.pool.on_offer(work)
         began = self.timers.now()
-        while self.timers.now() - began < SETTLED_AFTER_S:
+        while self.timers.now() - began < LENT_SETTLE_S:
             if work.home and await self._find(work.task.job, work.home, shares):
                 break
             await self.timers.sleep(2 * OWNER_STEP_S)
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -39,6 +39,8 @@
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
 MS_PER_S = 1000
+# Lending answers within one round trip between data centres.
+DECIDE_AFTER_S = 0.01
 # How long a refused caller is told to stay away.
 RETRY_AFTER_S = 1.0
 
@@ -102,6 +104,7 @@
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
     _begun: deque[tuple[float, int]] = field(default_factory=deque)
+    _undecided: list[JobRecord] = field(default_factory=list)
     _doubts: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -173,9 +176,7 @@
             refusal = JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
             self._answer(new, refusal)
             return new.answer.result()
-        if self._hopeless(new, self.timers.now()):
-            self._answer(new, self._refusal(new))
-            return new.answer.result()
+        self._undecided.append(new)
         self._begin_steps(new)
         return await asyncio.shield(new.answer)
 
@@ -208,6 +209,26 @@
             taken.append((rec, call))
         return taken
 
+    def decide(self) -> None:
+        """Refuse new jobs that the work ahead of them leaves no time.
+
+        Not at once: room that others lend takes a few milliseconds to be found.
+        """
+        now = self.timers.now()
+        undecided = []
+        for rec in self._undecided:
+            age = now - rec.arrived_at
+            if rec.answer.done() or rec.offered or _borrows(rec):
+                continue
+            if age < DECIDE_AFTER_S:
+                undecided.append(rec)
+            elif age <= rec.aim.decide_s + DECIDE_AFTER_S:
+                if self._hopeless(rec, now):
+                    self._end(rec, self._refusal(rec))
+                else:
+                    undecided.append(rec)
+        self._undecided = undecided
+
     def tick(self) -> None:
         """Refuse what waited too long untouched; forget old answers."""
         now = self.timers.now()
@@ -220,9 +241,6 @@
                 continue
             elif age > rec.aim.useless_s:
                 self._end(rec, self._refusal(rec))
-            elif age <= rec.aim.decide_s:
-                if self._hopeless(rec, now):
-                    self._end(rec, self._refusal(rec))
             elif age > rec.aim.slack_s and not rec.late:
                 rec.late = True
                 self.pool.demote(list(rec.works.values()), self._order(rec))
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -1,9 +1,9 @@
 """Tasks that run on another owner's runners.
 
 The borrower sends a task to an owner whose heartbeat told of room; the lender starts
-it at once or says that it has none, and answers when the run is over. A lender that no
-longer hears a borrower stops what it runs for it, so that the borrower, or whoever
-comes after it, can count on the run being over.
+it at once or says that it has none, and answers when the run is over. A lender that
+no longer hears a borrower, or hears that it was replaced, stops what it runs for it,
+so that the borrower, or whoever comes after it, can count on the run being over.
 """
 
 import asyncio
@@ -56,6 +56,7 @@
 
     work: Work
     borrower: str
+    claim: Claim
     reply: asyncio.Future[LendReply]
 
 
@@ -90,7 +91,7 @@
         if work.home is None or self.claim_on(work.home) is None:
             return False
         now = self.timers.now()
-        for name, (told_at, rooms) in self._rooms.items():
+        for name, (told_at, rooms) in sorted(self._rooms.items(), key=_least_room):
             if now - told_at > ROOM_FRESH_S or not self.members.is_live(name):
                 continue
             for i, free in enumerate(rooms):
@@ -223,7 +224,7 @@
         twice = any(run.task == call.task for _, run in already)
         if twice or not self.pool.place_now(work):
             return LendReply(LendResult.NO_ROOM, call.run)
-        self._lent[id(work)] = Lent(work, call.home, fut)
+        self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
         return await fut
 
     def leave_running(self, works: list[Work]) -> None:
@@ -271,11 +272,22 @@
             link.stop(run)
 
     def tick(self) -> None:
-        """Stop what runs for borrowers that went silent."""
+        """Stop what runs for borrowers that went silent or were replaced."""
         for lent in list(self._lent.values()):
             peer = self.members.peer(lent.borrower)
             silent = (
                 peer is None or self.timers.now() - peer.heard_at > BORROWER_SILENT_S
             )
-            if silent and lent.work.link is not None and lent.work.placed is not None:
+            replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
+            if (
+                (silent or replaced)
+                and lent.work.link is not None
+                and lent.work.placed is not None
+            ):
                 lent.work.link.stop(lent.work.placed)
+
+
+def _least_room(told: tuple[str, tuple[float, list[FreeRoom]]]) -> int:
+    """Order owners by the room they told of, the most first."""
+    _, (_, rooms) = told
+    return -sum(max(free.room.cpu_milli, 0) for free in rooms)
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -58,6 +58,8 @@
             reply = await conn.exchange(req, timeout_s)
         except ExchangeLost:
             self.counts.exchanges_lost += 1
+            # Connections that went silent together are not tried one by one.
+            self.forget(address)
             raise
         if not conn.closed:
             self._keep(address, conn)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -482,3 +482,23 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_lender_stops_what_it_runs_for_a_replaced_borrower() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        home = world.owner("kuf")
+        call = asyncio.create_task(world.submit(home, "cd" * 8, 20, work_ms=9000))
+        await asyncio.sleep(0.3)
+        # The home dies and is back under its name; its successor knows no job.
+        world.kill(home)
+        await call
+        await asyncio.sleep(0.2)
+        world.start_host(home)
+        await asyncio.sleep(3.5)
+        lent = [e for e in world.ledger if not e.runner.startswith("kuf")]
+        assert lent and {e.how for e in lent} == {"stopped"}
+        world.check()
+
+    run_virtual(main())
