--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -38,6 +38,9 @@
 SETTLE_TRIES_S = 1.0
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
+MS_PER_S = 1000
+# Lending answers within one round trip between data centres.
+DECIDE_AFTER_S = 0.01
 # How long a refused caller is told to stay away.
 RETRY_AFTER_S = 1.0
 
@@ -101,6 +104,7 @@
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
     _begun: deque[tuple[float, int]] = field(default_factory=deque)
+    _undecided: list[JobRecord] = field(default_factory=list)
     _doubts: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -172,9 +176,7 @@
             refusal = JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
             self._answer(new, refusal)
             return new.answer.result()
-        if self._hopeless(new, self.timers.now()):
-            self._answer(new, self._refusal(new))
-            return new.answer.result()
+        self._undecided.append(new)
         self._begin_steps(new)
         return await asyncio.shield(new.answer)
 
@@ -207,6 +209,26 @@
             taken.append((rec, call))
         return taken
 
+    def decide(self) -> None:
+        """Refuse new jobs that the work ahead of them leaves no time.
+
+        Not at once: room that others lend takes a few milliseconds to be found.
+        """
+        now = self.timers.now()
+        undecided = []
+        for rec in self._undecided:
+            age = now - rec.arrived_at
+            if rec.answer.done() or rec.offered or _borrows(rec):
+                continue
+            if age < DECIDE_AFTER_S:
+                undecided.append(rec)
+            elif age <= rec.aim.decide_s + DECIDE_AFTER_S:
+                if self._hopeless(rec, now):
+                    self._end(rec, self._refusal(rec))
+                else:
+                    undecided.append(rec)
+        self._undecided = undecided
+
     def tick(self) -> None:
         """Refuse what waited too long untouched; forget old answers."""
         now = self.timers.now()
@@ -219,9 +241,6 @@
                 continue
             elif age > rec.aim.useless_s:
                 self._end(rec, self._refusal(rec))
-            elif age <= rec.aim.decide_s:
-                if self._hopeless(rec, now):
-                    self._end(rec, self._refusal(rec))
             elif age > rec.aim.slack_s and not rec.late:
                 rec.late = True
                 self.pool.demote(list(rec.works.values()), self._order(rec))
@@ -326,15 +345,15 @@
                 if tries >= rec.rule.max_attempts:
                     self._end(rec, JobReply(AnswerKind.FAILED, "a task failed"))
                 else:
-                    self._again(rec, work, runner)
+                    self._again(rec, work, over, runner)
             case Over.MALFORMED:
                 self._end(rec, JobReply(AnswerKind.FAILED, "a runner refused the task"))
             case Over.NO_ROOM:
-                self._again(rec, work, "")
+                self._again(rec, work, over, "")
             case _:
-                self._again(rec, work, runner)
+                self._again(rec, work, over, runner)
 
-    def _again(self, rec: JobRecord, work: Work, avoid: str) -> None:
+    def _again(self, rec: JobRecord, work: Work, over: Over, avoid: str) -> None:
         rec.runs[work.task] = max(rec.runs.get(work.task, 0), work.run)
         work.run = rec.runs[work.task] + 1
         if avoid:
@@ -342,7 +361,14 @@
         rec.works[work.task] = work
         log.info(
             "task placed again",
-            extra={"job": work.task.job, "task": work.task.index, "avoid": avoid},
+            extra={
+                "job": work.task.job,
+                "task": work.task.index,
+                "reason": over.name.lower(),
+                "avoid": avoid or None,
+                "failures": rec.attempts.get(work.task, 0),
+                "allowed": rec.rule.max_attempts,
+            },
         )
         self.pool.add(work)
 
@@ -373,6 +399,7 @@
                 self.counts.refused += 1
             case _:
                 self.counts.broken += 1
+        ahead = self.pool.wait_ahead_s(self._order(rec))
         log.info(
             "job answered",
             extra={
@@ -380,8 +407,11 @@
                 "queue": rec.rule.name,
                 "outcome": reply.kind.value,
                 "detail": reply.detail,
-                "took_ms": round((self.timers.now() - rec.arrived_at) * 1000),
-                "config": None,
+                "took_ms": round((self.timers.now() - rec.arrived_at) * MS_PER_S),
+                "objective_ms": round(rec.aim.objective_s * MS_PER_S),
+                "ahead_ms": round(ahead * MS_PER_S),
+                "tasks": sum(step.count for step in rec.job.steps),
+                "failures": sum(rec.attempts.values()),
             },
         )
 
