--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -335,10 +335,13 @@
 
     def _best(self, work: Work, upstream: str) -> Link | None:
         """Return the runner that is left with the least room by this task."""
+        if 2 * len(work.avoid) > len(self.links):
+            work.avoid.clear()
         fitting = [
             link
             for link in self.links.values()
             if link.info.upstream == upstream
+            and link.info.id not in work.avoid
             and link.free.holds(work.size)
             and link.placeable
             and (not work.label or work.label in link.info.labels)
@@ -350,8 +353,7 @@
         good = [
             link
             for link in fitting
-            if link.info.id not in work.avoid
-            and not link.health.is_suspect(now, self._usual_slowness)
+            if not link.health.is_suspect(now, self._usual_slowness)
         ]
         if work.rack:
             near = [link for link in good if work.rack in link.info.labels]
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -502,3 +502,20 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_the_last_attempt_does_not_go_to_the_runner_that_failed_the_first() -> None:
+    async def main() -> None:
+        world = World({"ibk": 1}, runners_per_dc=3)
+        await world.start()
+        await asyncio.sleep(5)
+        world.models["ibk-r0"].faults.fails = True
+        # The two sound runners are full for a while.
+        busy = asyncio.create_task(world.submit("ibk-h0", "e1" * 8, 11, work_ms=300))
+        await asyncio.sleep(0.01)
+        reply = await world.submit("ibk-h0", "e2" * 8, 1, work_ms=30)
+        assert reply.kind is AnswerKind.COMPLETED
+        await busy
+        world.check()
+
+    run_virtual(main())
