--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -39,6 +39,9 @@
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
 MS_PER_S = 1000
+# Declared times are off by two fifths and room of other owners is not counted, so a
+# job is given up only when it would wait for twice the time that it has to spare.
+HOPELESS_SLACKS = 2.0
 # Lending answers within one round trip between data centres.
 DECIDE_AFTER_S = 0.01
 # How long a refused caller is told to stay away.
@@ -251,7 +254,8 @@
     def _hopeless(self, rec: JobRecord, now: float) -> bool:
         """Tell whether what waits ahead leaves a job no time for its objective."""
         ahead = self.pool.wait_ahead_s(self._order(rec))
-        return bool(ahead) and now - rec.arrived_at + ahead > rec.aim.slack_s
+        waited = now - rec.arrived_at
+        return bool(ahead) and waited + ahead > HOPELESS_SLACKS * rec.aim.slack_s
 
     def _refusal(self, rec: JobRecord) -> JobReply:
         ahead = self.pool.wait_ahead_s(self._order(rec))
