--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -25,9 +25,9 @@
 RUNNERS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
 # Ends a wait before a silent connection could cost the bound on configurations.
-CONFIG_WAIT_S = 1.5
+CONFIG_WAIT_S = 2.5
 # A runner that drains must get no start 2 s after it said so.
-OWNER_READ_S = 0.6
+OWNER_READ_S = 0.8
 OTHER_READ_S = 5.0
 CHECK_S = 0.1
 # After so many failures in a row another host is asked for the list.
