--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -10,6 +10,7 @@
 from monsoongap.coordination.fleet.directory import Directory
 from monsoongap.coordination.fleet.elsewhere import Elsewhere
 from monsoongap.coordination.fleet.jobs import (
+    DECIDE_TICK_S,
     RETRY_AFTER_S,
     JobRecord,
     Jobs,
@@ -54,8 +55,6 @@
 # A forwarded job answers within its deadline; this only bounds a leak.
 FORWARD_TIMEOUT_S = 30.0
 JOBS_TICK_S = 0.05
-# Short jobs are refused within some 35 ms or not at all.
-DECIDE_TICK_S = 0.02
 # A lender that answers no call for so long has long stopped the run or is gone.
 LENT_SETTLE_S = 8.0
 # Changed room is told to other owners at once, but not more often than this.
@@ -107,6 +106,7 @@
             timers,
             self._upstream_of,
             self._try_borrow,
+            self._may_borrow,
             self._fenced,
             self._room_changed,
             self._offered,
@@ -395,6 +395,9 @@
     def _try_borrow(self, work: Work, upstream: str) -> bool:
         return self.lending.try_borrow(work, upstream)
 
+    def _may_borrow(self) -> bool:
+        return self.lending.has_room()
+
     def _offered(self, work: Work) -> None:
         if work.home is not None:
             self.jobs.note_offer(work)
--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -15,7 +15,7 @@
 from monsoongap.coordination.fleet.admission import Aim, aim_of
 from monsoongap.coordination.fleet.elsewhere import number_of
 from monsoongap.coordination.fleet.link import Over
-from monsoongap.coordination.fleet.pool import Pool, Work
+from monsoongap.coordination.fleet.pool import Backlog, Pool, Work
 from monsoongap.protocol.fleet import (
     AnswerKind,
     Job,
@@ -42,6 +42,12 @@
 # Declared times are off by two fifths and room of other owners is not counted, so a
 # job is given up only when it would wait for twice the time that it has to spare.
 HOPELESS_SLACKS = 2.0
+# Short jobs are refused within some 35 ms or not at all.
+DECIDE_TICK_S = 0.02
+# A host whose loop is later than this is short of processor: a short job's whole
+# slack is gone, and heartbeats come late.
+OVERLOAD_LAG_S = 0.08
+LAG_WEIGHT = 0.2
 # Lending answers within one round trip between data centres.
 DECIDE_AFTER_S = 0.01
 # How long a refused caller is told to stay away.
@@ -107,6 +113,8 @@
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
     _begun: deque[tuple[float, int]] = field(default_factory=deque)
+    lag_s: float = 0.0
+    _decided_at: float = 0.0
     _undecided: list[JobRecord] = field(default_factory=list)
     _doubts: dict[str, float] = field(default_factory=dict)
 
@@ -152,6 +160,11 @@
         rule = self.rule_of(job.queue)
         if rule is None:
             return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+        if self.lag_s > OVERLOAD_LAG_S and not call.again and not call.here:
+            self.counts.refused += 1
+            detail = f"host overloaded: {round(self.lag_s * MS_PER_S)} ms late"
+            log.info("job refused", extra={"job": job.id, "reason": detail})
+            return JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
         new = JobRecord(
             job,
             rule,
@@ -218,7 +231,9 @@
         Not at once: room that others lend takes a few milliseconds to be found.
         """
         now = self.timers.now()
+        self._note_lag(now)
         undecided = []
+        backlog: Backlog | None = None
         for rec in self._undecided:
             age = now - rec.arrived_at
             if rec.answer.done() or rec.offered or _borrows(rec):
@@ -226,12 +241,21 @@
             if age < DECIDE_AFTER_S:
                 undecided.append(rec)
             elif age <= rec.aim.decide_s + DECIDE_AFTER_S:
-                if self._hopeless(rec, now):
-                    self._end(rec, self._refusal(rec))
+                backlog = backlog or self.pool.backlog()
+                ahead_s = backlog.ahead_s(self._order(rec))
+                if _hopeless(rec, now, ahead_s):
+                    self._end(rec, _refusal(rec, ahead_s))
                 else:
                     undecided.append(rec)
         self._undecided = undecided
 
+    def _note_lag(self, now: float) -> None:
+        """Measure how late this host's own loop is."""
+        if self._decided_at > 0:
+            late = max(now - self._decided_at - DECIDE_TICK_S, 0.0)
+            self.lag_s += LAG_WEIGHT * (late - self.lag_s)
+        self._decided_at = now
+
     def tick(self) -> None:
         """Refuse what waited too long untouched; forget old answers."""
         now = self.timers.now()
@@ -243,7 +267,7 @@
             elif rec.offered or _borrows(rec):
                 continue
             elif age > rec.aim.useless_s:
-                self._end(rec, self._refusal(rec))
+                self._end(rec, _refusal(rec, 0.0))
             elif age > rec.aim.slack_s and not rec.late:
                 rec.late = True
                 self.pool.demote(list(rec.works.values()), self._order(rec))
@@ -251,18 +275,6 @@
     def _order(self, rec: JobRecord) -> tuple[float, float, float]:
         return (rec.rule.priority, float(rec.late), rec.arrived_at)
 
-    def _hopeless(self, rec: JobRecord, now: float) -> bool:
-        """Tell whether what waits ahead leaves a job no time for its objective."""
-        ahead = self.pool.wait_ahead_s(self._order(rec))
-        waited = now - rec.arrived_at
-        return bool(ahead) and waited + ahead > HOPELESS_SLACKS * rec.aim.slack_s
-
-    def _refusal(self, rec: JobRecord) -> JobReply:
-        ahead = self.pool.wait_ahead_s(self._order(rec))
-        return JobReply(
-            AnswerKind.REFUSED, "no room in time", max(ahead, RETRY_AFTER_S)
-        )
-
     # The past of a job.
 
     async def _settle_past(self, rec: JobRecord) -> bool:
@@ -403,7 +415,6 @@
                 self.counts.refused += 1
             case _:
                 self.counts.broken += 1
-        ahead = self.pool.wait_ahead_s(self._order(rec))
         log.info(
             "job answered",
             extra={
@@ -413,13 +424,25 @@
                 "detail": reply.detail,
                 "took_ms": round((self.timers.now() - rec.arrived_at) * MS_PER_S),
                 "objective_ms": round(rec.aim.objective_s * MS_PER_S),
-                "ahead_ms": round(ahead * MS_PER_S),
+                "waiting": self.pool.waiting,
                 "tasks": sum(step.count for step in rec.job.steps),
                 "failures": sum(rec.attempts.values()),
             },
         )
 
 
+def _hopeless(rec: JobRecord, now: float, ahead_s: float) -> bool:
+    """Tell whether what waits ahead leaves a job no time for its objective."""
+    waited = now - rec.arrived_at
+    return ahead_s > 0 and waited + ahead_s > HOPELESS_SLACKS * rec.aim.slack_s
+
+
+def _refusal(rec: JobRecord, ahead_s: float) -> JobReply:
+    slack_ms = round(rec.aim.slack_s * MS_PER_S)
+    detail = f"no room in time: {round(ahead_s * MS_PER_S)} ms ahead, {slack_ms} spare"
+    return JobReply(AnswerKind.REFUSED, detail, max(ahead_s, RETRY_AFTER_S))
+
+
 def _borrows(rec: JobRecord) -> bool:
     """Tell whether a task of the job is with another owner."""
     return any(work.borrowed_from for work in rec.works.values())
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -86,6 +86,12 @@
             self.note_claim(claim)
         self._rooms[peer.card.name] = (self.timers.now(), list(peer.beat.free))
 
+    def has_room(self) -> bool:
+        """Tell whether any owner lately told of room."""
+        now = self.timers.now()
+        told = self._rooms.values()
+        return any(rooms and now - at <= ROOM_FRESH_S for at, rooms in told)
+
     def try_borrow(self, work: Work, upstream: str) -> bool:
         """Send a task to an owner that should have room for it."""
         if work.home is None or self.claim_on(work.home) is None:
--- a/monsoongap/coordination/fleet/members.py
+++ b/monsoongap/coordination/fleet/members.py
@@ -17,9 +17,10 @@
 
 log = logging.getLogger(__name__)
 
-# A freed runner should find its next owner within 400 ms of an owner's death.
+# A killed owner is known by refused connections at once; silence has to tell of lost
+# power, cuts and freezes, and must not be taken for a loop that is late.
 BEAT_S = 0.1
-SILENT_S = 0.4
+SILENT_S = 0.7
 # Owners of other data centres only lend; losing sight of one is no haste.
 FAR_OWNER_SILENT_S = 1.0
 # Hosts that own nothing take part in the next choice of an owner, no more.
--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/fleet/ownership.py
@@ -21,8 +21,9 @@
 log = logging.getLogger(__name__)
 
 CHECK_S = 0.05
-# About 500 starts a second at 0.65 ms of processor each, a third of a usual core.
-RUNNERS_PER_SHARE = 22
+# A runner ends some ten tasks a second, each takes 2 ms of its owner's processor; so
+# an owner of this many spends a quarter of a usual core, half of the smallest one.
+RUNNERS_PER_SHARE = 11
 # Hosts start within 0.3 s of each other; a first owner waits to hear them all.
 START_WAIT_S = 0.6
 # A host that hears nobody is more likely cut off than the last one left.
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -11,6 +11,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 from monsoongap.coordination.fleet.link import Link, LinkState, Over, Run
 from monsoongap.coordination.fleet.ports import RunnerPort
@@ -28,6 +29,8 @@
 
 # So many waiting tasks that fit nowhere are passed over for smaller ones.
 SCAN_LIMIT = 24
+# What is placed in one turn of the loop, so that heartbeats and ends get theirs.
+PUMP_LIMIT = 64
 PUMP_S = 0.05
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
@@ -61,6 +64,18 @@
     waiting: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """The orders of all that waits, and the seconds of work up to each of them."""
+
+    orders: list[tuple[float, ...]]
+    seconds: list[float]
+
+    def ahead_s(self, order: tuple[float, ...]) -> float:
+        """Estimate how long what goes before `order` keeps the owned room busy."""
+        return self.seconds[bisect.bisect_left(self.orders, order)]
+
+
 @dataclass(slots=True)
 class PoolCounts:
     """Placement decisions, for the metrics."""
@@ -86,6 +101,7 @@
     timers: TimerService
     upstream_of: Callable[[str], str | None]
     try_lend: Callable[[Work, str], bool]
+    may_lend: Callable[[], bool]
     on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
     on_offer: Callable[[Work], None]
@@ -287,14 +303,11 @@
             self._usual_slowness = slow[len(slow) // 2]
         self._sync()
 
-    def wait_ahead_s(self, order: tuple[float, ...]) -> float:
-        """Estimate how long what waits before `order` keeps the owned room busy."""
-        ahead = sum(
-            work.size.cpu_milli * work.estimate_s
-            for work in self._waiting
-            if work.order < order
-        )
-        return ahead / self._cores() if ahead else 0.0
+    def backlog(self) -> "Backlog":
+        """Return what waits now, as work over the room that works it off."""
+        cores = self._cores()
+        work = (w.size.cpu_milli * w.estimate_s / cores for w in self._waiting)
+        return Backlog([w.order for w in self._waiting], [0.0, *accumulate(work)])
 
     def _cores(self) -> float:
         """Return the processors of all usable runners, in thousandths."""
@@ -314,9 +327,13 @@
     def _pump(self) -> None:
         self._pump_due = False
         passed = 0
-        for work in list(self._waiting):
+        batch = self._waiting[:PUMP_LIMIT]
+        for work in batch:
             if passed >= SCAN_LIMIT:
                 break
+            if work.size.cpu_milli > self._largest_free() and not self.may_lend():
+                passed += 1
+                continue
             upstream = self.upstream_of(work.queue)
             link = self._best(work, upstream) if upstream else None
             if link is not None:
@@ -327,8 +344,14 @@
                 self.counts.lent_out += 1
             else:
                 passed += 1
+        if len(batch) == PUMP_LIMIT and passed < SCAN_LIMIT:
+            self.pump()
         self.on_room()
 
+    def _largest_free(self) -> int:
+        """Return the most processors that are free on one runner."""
+        return max((link.free.cpu_milli for link in self.links.values()), default=0)
+
     def _take(self, work: Work) -> None:
         work.waiting = False
         self._waiting.remove(work)
