--- a/monsoongap/coordination/fleet/jobs.py
+++ b/monsoongap/coordination/fleet/jobs.py
@@ -10,7 +10,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
 
 from monsoongap.coordination.fleet.admission import Aim, aim_of
 from monsoongap.coordination.fleet.elsewhere import number_of
@@ -54,13 +53,6 @@
 RETRY_AFTER_S = 1.0
 
 
-class TaskState(Enum):
-    """Where a task of a job is."""
-
-    WAITING = auto()
-    DONE = auto()
-
-
 @dataclass(slots=True)
 class JobCounts:
     """Answers, by kind, and joins, for the metrics."""
--- a/monsoongap/coordination/fleet/members.py
+++ b/monsoongap/coordination/fleet/members.py
@@ -43,7 +43,6 @@
     card: HostCard
     beat: Beat | None = None
     heard_at: float = -1e9
-    first_heard_at: float = 0.0
     silent_s: float = 0.0
     told_silent: bool = False
 
@@ -147,7 +146,6 @@
             return
         was_live = self._is_live(known, now)
         if not was_live:
-            known.first_heard_at = now
             log.info("host heard", extra={"host": beat.card.name, "dc": beat.card.dc})
         known.beat = beat
         known.heard_at = now
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -35,7 +35,6 @@
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
 ABSENT_S = 2.5
-FAR_FACTOR = 4
 
 
 @dataclass(slots=True, eq=False)
--- a/monsoongap/coordination/fleet/ports.py
+++ b/monsoongap/coordination/fleet/ports.py
@@ -1,10 +1,8 @@
 """What the fleet's decisions need from outside, met over sockets or by fakes."""
 
-from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from monsoongap.protocol.fleet import (
-    Configuration,
     NotStarted,
     RunnerInfo,
     RunnerView,
@@ -87,7 +85,3 @@
     def send(self, address: tuple[str, int], payload: bytes) -> None:
         """Send one datagram."""
         ...
-
-
-ConfigDecoder = Callable[[bytes], Configuration]
-RunnerReader = Callable[[], Awaitable[tuple[RunnerInfo, ...]]]
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -114,6 +114,8 @@
 
     async def _submit(self, req: HTTPServerRequest, rule: QueueRule, id_: str) -> None:
         try:
+            if rule.needs_advice:
+                raise wire.Unsupported("queues with advice")
             job = wire.decode_job(req.body, id_, rule.name)
         except wire.Malformed as exc:
             self.counts.malformed += 1
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -114,3 +114,17 @@
         assert "i-0" not in {entry.runner for entry in site.ledger}
 
     on_site(test, nodes=1)
+
+
+def test_a_queue_with_advice_is_refused_before_anything_runs() -> None:
+    async def test(site: Site) -> None:
+        route = {**CONFIG["routes"][0], "advice": {"decideMs": 5}}  # type: ignore[index]
+        config = {**CONFIG, "version": 12, "routes": [route]}
+        site.store.topic("keyed.op").append("config", msgspec.json.encode(config))
+        await asyncio.sleep(0.3)
+        reply = await site.post(0, "d" * 16, job_body())
+        assert reply.status == 503
+        assert b"not supported" in reply.body
+        assert site.ledger == []
+
+    on_site(test, nodes=1)
