--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: $(STAMP)
 	$(PY) -m bench.demo
+	$(PY) -m soak.run --calm --seed 1 --seconds 5
 
 test: $(STAMP)
 	$(PY) -m pytest tests
--- a/soak/run.py
+++ b/soak/run.py
@@ -172,7 +172,7 @@
     return found
 
 
-async def soak(seed: int, seconds: float, out: Path) -> list[str]:
+async def soak(seed: int, seconds: float, out: Path, calm: bool) -> list[str]:
     """Run one soak; returns what was broken."""
     rng = random.Random(seed)
     port = 20_000 + (seed % 50) * 200
@@ -201,14 +201,14 @@
             for i in range(NODES_PER_DC):
                 procs.add_node(f"{dc}{i}", dc, f"127.0.{1 + d}.{1 + i}")
         await asyncio.sleep(WARM_UP_S)
-        return await _under_load(state, seconds)
+        return await _under_load(state, seconds, calm)
     finally:
         procs.end_all()
         for proxy in (*proxies, store_proxy):
             proxy.close()
 
 
-async def _under_load(state: Soak, seconds: float) -> list[str]:
+async def _under_load(state: Soak, seconds: float, calm: bool) -> list[str]:
     callers = Callers(list(state.procs.nodes.values()), state.rng)
     sent: set[asyncio.Task[object]] = set()
 
@@ -218,7 +218,7 @@
             await asyncio.sleep(1 / JOBS_PER_S)
 
     loading = asyncio.create_task(load())
-    await state.make_trouble(seconds)
+    await (asyncio.sleep(seconds) if calm else state.make_trouble(seconds))
     await asyncio.sleep(HEAL_S)
     loading.cancel()
     late = await asyncio.wait(sent, timeout=DRAIN_S)
@@ -241,6 +241,7 @@
     seconds: Annotated[float, typer.Option(help="Trouble of each soak.")] = 15.0,
     rounds: Annotated[int, typer.Option(help="Number of fresh seeds.")] = 1,
     out: Annotated[Path, typer.Option(help="Where logs go.")] = Path("out/soak"),
+    calm: Annotated[bool, typer.Option(help="Load without any trouble.")] = False,
 ) -> None:
     """Play soaks and fail at the first broken promise."""
     fresh = random.SystemRandom()
@@ -253,7 +254,7 @@
         try:
             shutil.rmtree(out / str(number), ignore_errors=True)
             (out / str(number)).mkdir(parents=True)
-            found = asyncio.run(soak(number, seconds, out / str(number)))
+            found = asyncio.run(soak(number, seconds, out / str(number), calm))
         except NotConnected as exc:
             found = [f"the stand-in is gone: {exc}"]
         failed += bool(found)
