--- a/monsoongap/coordination/fleet/host.py
+++ b/monsoongap/coordination/fleet/host.py
@@ -107,7 +107,7 @@
             self._upstream_of,
             self._try_borrow,
             self._may_borrow,
-            self._fenced,
+            self.ownership.yield_to_fence,
             self._room_changed,
             self._offered,
             self._cancel_borrowed,
@@ -212,7 +212,7 @@
             passed = replace(call, here=True, again=True)
             try:
                 reply: JobReply = await self._peers.call(
-                    _address(peer), passed, JobReply, FORWARD_TIMEOUT_S
+                    peer.address, passed, JobReply, FORWARD_TIMEOUT_S
                 )
             except PeerLost as exc:
                 log.warning("home lost", extra={"job": call.job.id, "reason": str(exc)})
@@ -235,7 +235,7 @@
     async def _forward(self, owner: Owner, call: SubmitCall) -> JobReply:
         """Hand a job to its owner; raises `PeerLost` when the owner changes."""
         assert owner.peer is not None
-        address = _address(owner.peer)
+        address = owner.peer.address
         log.info(
             "job forwarded",
             extra={
@@ -260,7 +260,7 @@
 
     async def _tell_cancel(self, peer: Peer, job: str) -> None:
         try:
-            await self._peers.call(_address(peer), CancelCall(job), bool, 1.0)
+            await self._peers.call(peer.address, CancelCall(job), bool, 1.0)
         except PeerLost:
             # The job ends by itself; nobody waits for its answer.
             log.info("owner not told of a cancelled job", extra={"job": job})
@@ -306,7 +306,7 @@
         for peer in list(self.members.live()):
             try:
                 reply: RunnersReply = await self._peers.call(
-                    _address(peer), RunnersCall(), RunnersReply, CONFIG_TIMEOUT_S
+                    peer.address, RunnersCall(), RunnersReply, CONFIG_TIMEOUT_S
                 )
             except PeerLost:
                 continue
@@ -358,7 +358,7 @@
     async def _fetch_config(self, peer: Peer) -> None:
         try:
             reply: ConfigReply = await self._peers.call(
-                _address(peer), ConfigCall(), ConfigReply, CONFIG_TIMEOUT_S
+                peer.address, ConfigCall(), ConfigReply, CONFIG_TIMEOUT_S
             )
         except PeerLost:
             log.info("configuration not fetched", extra={"host": peer.card.name})
@@ -385,9 +385,6 @@
         if not rec.answer.done():
             rec.answer.set_result(reply)
 
-    def _fenced(self, share: ShareId) -> None:
-        self.ownership.yield_to_fence(share)
-
     def _upstream_of(self, queue: str) -> str | None:
         rule = self.directory.rule(queue)
         return rule.upstream if rule else None
@@ -451,7 +448,3 @@
     def _tick(self) -> None:
         self.jobs.tick()
         self.lending.tick()
-
-
-def _address(peer: Peer) -> str:
-    return f"{peer.card.ip}:{peer.card.port}"
--- a/monsoongap/coordination/fleet/lending.py
+++ b/monsoongap/coordination/fleet/lending.py
@@ -139,9 +139,8 @@
             work.label,
             work.rack,
         )
-        address = f"{peer.card.ip}:{peer.card.port}"
         try:
-            reply = await self.peers.call(address, call, LendReply, LEND_TIMEOUT_S)
+            reply = await self.peers.call(peer.address, call, LendReply, LEND_TIMEOUT_S)
         except PeerLost:
             log.warning(
                 "lender lost", extra={"job": work.task.job, "lender": peer.card.name}
@@ -167,10 +166,9 @@
             self._background.spawn(self._cancel_there(work, peer), "cancel")
 
     async def _cancel_there(self, work: Work, peer: Peer) -> None:
-        address = f"{peer.card.ip}:{peer.card.port}"
         try:
             await self.peers.call(
-                address, CancelCall(work.task.job), bool, FIND_TIMEOUT_S
+                peer.address, CancelCall(work.task.job), bool, FIND_TIMEOUT_S
             )
         except PeerLost:
             # The call that carries the task fails too, and settles it.
@@ -184,10 +182,9 @@
         claim = self.claim_on(home)
         if claim is None:
             return False
-        address = f"{peer.card.ip}:{peer.card.port}"
         try:
             reply: FindReply = await self.peers.call(
-                address, FindCall(job, share, claim), FindReply, FIND_TIMEOUT_S
+                peer.address, FindCall(job, share, claim), FindReply, FIND_TIMEOUT_S
             )
         except PeerLost:
             return False
@@ -246,18 +243,12 @@
         if not self.note_claim(call.claim):
             return FindReply(False)
         until = self.timers.now() + FIND_WAIT_S
-        asked: set[int] = set()
-        while True:
-            left = self.pool.runs_of(call.job)
-            if not left:
-                return FindReply(self.pool.is_settled(call.share))
-            for link, run in left:
-                if id(run) not in asked:
-                    asked.add(id(run))
-                    link.stop(run)
+        while self.pool.runs_of(call.job):
+            self.cancel_runs_of(call.job)
             if self.timers.now() > until:
                 return FindReply(False)
             await self.timers.sleep(FIND_STEP_S)
+        return FindReply(self.pool.is_settled(call.share))
 
     def note_claim(self, claim: Claim) -> bool:
         """Tell whether no higher claim of the same share is known."""
@@ -273,7 +264,7 @@
         return not lent
 
     def cancel_runs_of(self, job: str) -> None:
-        """Stop what runs here for a job that its owner gave up."""
+        """Stop what runs here of a job; a run that is being stopped is left alone."""
         for link, run in self.pool.runs_of(job):
             link.stop(run)
 
@@ -285,12 +276,8 @@
                 peer is None or self.timers.now() - peer.heard_at > BORROWER_SILENT_S
             )
             replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
-            if (
-                (silent or replaced)
-                and lent.work.link is not None
-                and lent.work.placed is not None
-            ):
-                lent.work.link.stop(lent.work.placed)
+            if silent or replaced:
+                self.pool.withdraw(lent.work)
 
 
 def _least_room(told: tuple[str, tuple[float, list[FreeRoom]]]) -> int:
--- a/monsoongap/coordination/fleet/link.py
+++ b/monsoongap/coordination/fleet/link.py
@@ -147,8 +147,6 @@
     _seen: int = 0
     _noted: int = 0
     _lapse_at: float = 0.0
-    _held_at: float = 0.0
-    _idle_since: float = 0.0
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: Background = field(default_factory=Background)
 
--- a/monsoongap/coordination/fleet/members.py
+++ b/monsoongap/coordination/fleet/members.py
@@ -46,6 +46,11 @@
     silent_s: float = 0.0
     told_silent: bool = False
 
+    @property
+    def address(self) -> str:
+        """Where the host takes calls, as `IP:port`."""
+        return f"{self.card.ip}:{self.card.port}"
+
 
 @dataclass(slots=True)
 class MemberCounts:
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/fleet/pool.py
@@ -92,7 +92,7 @@
     """The runners this host owns and the tasks that wait for them.
 
     `upstream_of` names the upstream that the newest configuration gives a queue.
-    `lend` tries to place a task with another owner and tells whether it did.
+    `try_lend` tries to place a task with another owner and tells whether it did.
     """
 
     lease_s: float
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -9,6 +9,7 @@
 import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
+from http.client import responses
 from typing import Any
 
 import msgspec
@@ -41,17 +42,6 @@
 BAD_REQUEST = 400
 FAILED = 500
 MAX_BODY_BYTES = 16_000_000
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    410: "Gone",
-    413: "Payload Too Large",
-    500: "Internal Server Error",
-    501: "Not Implemented",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 
 
 def send_reply(
@@ -65,7 +55,7 @@
     if conn is None:
         return
     all_headers = HTTPHeaders({"Content-Length": str(len(body)), **headers})
-    line = ResponseStartLine("HTTP/1.1", status, REASONS.get(status, "Unknown"))
+    line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
     written = asyncio.ensure_future(conn.write_headers(line, all_headers, body))
     written.add_done_callback(_ignore_closed)
     conn.finish()
