--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: demo test soak bench lint format proto clean
+.PHONY: demo test soak bench lint format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PY) || python3.11 -m venv .venv
@@ -12,7 +12,6 @@
 
 demo: $(STAMP)
 	$(PY) -m bench.demo
-	$(PY) -m soak.run --calm --seed 1 --seconds 5
 
 test: $(STAMP)
 	$(PY) -m pytest tests
@@ -32,12 +31,5 @@
 	.venv/bin/ruff format .
 	.venv/bin/ruff check --fix .
 
-proto: $(STAMP)
-	$(PY) -m grpc_tools.protoc -I proto --python_out=monsoongap/protocol \
-	    --pyi_out=monsoongap/protocol --grpc_python_out=monsoongap/protocol \
-	    proto/peer.proto
-	sed -i 's/^import peer_pb2/from monsoongap.protocol import peer_pb2/' \
-	    monsoongap/protocol/peer_pb2_grpc.py
-
 clean:
 	rm -rf .venv out build *.egg-info
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Wall-clock benchmarks, the demonstration and the code count."""
+"""Benchmarks with regression bounds, and the demonstration."""
--- a/monsoongap/cli/client.py
+++ b/monsoongap/cli/client.py
@@ -1,24 +1,31 @@
 """How the command line talks to an entry host: one request, one typed reply."""
 
 import asyncio
-import os
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+import typer
 
 from monsoongap.errors import UserError
-from monsoongap.protocol.messages import JobError
+from monsoongap.transport.http_client import HttpClient
+from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
 
 ReplyT = TypeVar("ReplyT")
 
-EXIT_REJECTED = 1
 EXIT_UNREACHABLE = 3
+TIMEOUT_S = 10.0
 
-REQUEST_TIMEOUT_S = 10.0
-TOKEN_VARIABLE = "MONSOONGAP_TOKEN"  # noqa: S105
+EntryOption = Annotated[
+    str,
+    typer.Option(
+        "--entry",
+        envvar="MONSOONGAP_ENTRY",
+        help="Operators' address of any entry host.",
+        metavar="IP:PORT",
+    ),
+]
+DEFAULT_ENTRY = "127.0.0.1:9464"
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
 
 class Unreachable(UserError):
@@ -27,77 +34,33 @@
     exit_code = EXIT_UNREACHABLE
 
 
-class Rejected(UserError):
-    """The entry host answered with an error of the closed list."""
+def call(
+    entry: str,
+    method: str,
+    path: str,
+    kind: type[ReplyT],
+    body: Any = None,
+    timeout_s: float = TIMEOUT_S,
+) -> ReplyT:
+    """Send one request and decode its reply, whatever its status.
 
-    exit_code = EXIT_REJECTED
+    Raises `Unreachable`, or `UserError` for a reply of another form.
+    """
+    data = b"" if body is None else msgspec.json.encode(body)
+    req = HttpRequest(method, path, data)
 
-    def __init__(self, error: JobError) -> None:
-        super().__init__(f"{error.error} ({error.outcome}): {error.detail}")
-        self.error = error
-
-
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """An entry host's URL, the operator's token and a CA file, if any."""
-
-    url: str
-    token: str | None = None
-    ca: str | None = None
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        reply: type[ReplyT],
-        body: Any = None,
-        timeout_s: float = REQUEST_TIMEOUT_S,
-    ) -> ReplyT:
-        """Send one request and decode its reply.
-
-        Raises `Unreachable` or `Rejected`.
-        """
-        headers = {"Content-Type": "application/json"}
-        if self.token:
-            headers["Authorization"] = f"Bearer {self.token}"
-        request = HTTPRequest(
-            self.url.rstrip("/") + path,
-            method=method,
-            headers=headers,
-            body=None if body is None else msgspec.json.encode(body),
-            allow_nonstandard_methods=True,
-            connect_timeout=REQUEST_TIMEOUT_S,
-            request_timeout=timeout_s,
-            ca_certs=self.ca,
-        )
+    async def exchange() -> bytes:
+        http = HttpClient()
         try:
-            answer = await AsyncHTTPClient().fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as exc:
-            raise Unreachable(f"{self.url} does not answer: {exc}") from exc
-        return _decode(self.url, answer.code, answer.body, reply)
-
+            return (await http.exchange(entry, req, timeout_s)).body
+        finally:
+            http.close()
 
-def _decode(url: str, status: int, body: bytes, kind: type[ReplyT]) -> ReplyT:
-    if status == 599:
-        raise Unreachable(f"{url} does not answer")
     try:
-        if status >= 400:
-            raise Rejected(msgspec.json.decode(body, type=JobError))
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(asyncio.run(exchange()), type=kind)
+    except (NotConnected, ExchangeLost) as exc:
+        raise Unreachable(f"no answer from the entry host: {exc}") from exc
     except msgspec.MsgspecError as exc:
-        raise UserError(f"{url} answered something else than expected: {exc}") from exc
-
-
-def read_token(token_file: Path | None) -> str | None:
-    """Return the token from a file or the environment, or None."""
-    if token_file is None:
-        return os.environ.get(TOKEN_VARIABLE)
-    try:
-        return token_file.read_text(encoding="utf-8").strip()
-    except OSError as exc:
-        raise UserError(f"cannot read the token file: {exc}") from exc
-
-
-def call(endpoint: Endpoint, method: str, path: str, reply: type[ReplyT]) -> ReplyT:
-    """Run one call to its end, outside any event loop."""
-    return asyncio.run(endpoint.call(method, path, reply))
+        raise UserError(
+            f"{entry} answered something else than expected: {exc}"
+        ) from exc
--- a/monsoongap/cli/jobs.py
+++ b/monsoongap/cli/jobs.py
@@ -1,73 +1,69 @@
-"""`monsoongap jobs show`, `jobs list` and `jobs cancel`."""
+"""`monsoongap submit` and `cancel`: jobs in the product's own form."""
 
+import secrets
+from pathlib import Path
 from typing import Annotated
-from urllib.parse import quote
 
+import msgspec
 import typer
 
-from monsoongap.cli.client import call
-from monsoongap.cli.options import (
-    DEFAULT_ENTRY,
-    CaOption,
-    EntryOption,
-    JsonOption,
-    TokenOption,
-    endpoint,
+from monsoongap.cli.client import DEFAULT_ENTRY, EntryOption, call
+from monsoongap.cli.output import print_json
+from monsoongap.errors import AnswerKind, UserError
+from monsoongap.protocol.messages import JOB_ID_DIGITS, is_job_id
+from monsoongap.transport.operators import (
+    JOBS_PATH,
+    CancelAnswer,
+    JobAnswer,
+    JobBody,
 )
-from monsoongap.cli.output import print_json, print_reply
-from monsoongap.protocol.messages import JobView
-from monsoongap.transport.callers import Cancelled
 
-app = typer.Typer(help="Look at jobs and cancel them.", no_args_is_help=True)
+EXIT_NOT_COMPLETED = 1
+# Longer than any job of sub-second tasks; a lost answer can be asked for again.
+SUBMIT_TIMEOUT_S = 60.0
 
-SubmissionArgument = Annotated[str, typer.Argument(help="Submission id or own key.")]
 
+def submit(
+    job: Annotated[Path, typer.Argument(help="JSON file with the job.")],
+    id_: Annotated[
+        str | None, typer.Option("--id", help="16 hexadecimal digits; else drawn.")
+    ] = None,
+    entry: EntryOption = DEFAULT_ENTRY,
+) -> None:
+    """Submit a job, wait for its answer and print it.
 
-def job_path(submission: str) -> str:
-    """Return the path of a job on an entry host."""
-    return f"/v1/jobs/{quote(submission, safe='')}"
+    After a lost answer, the same command with the printed id joins the job. Exits 1
+    when the job is not completed.
+    """
+    body = read_job(job)
+    id_ = check_id(id_ or secrets.token_hex(JOB_ID_DIGITS // 2))
+    typer.echo(f"job {id_}", err=True)
+    answer = call(entry, "PUT", JOBS_PATH + id_, JobAnswer, body, SUBMIT_TIMEOUT_S)
+    print_json(answer)
+    if answer.outcome != AnswerKind.COMPLETED:
+        raise typer.Exit(EXIT_NOT_COMPLETED)
 
 
-@app.command()
-def show(
-    submission: SubmissionArgument,
+def cancel(
+    id_: Annotated[str, typer.Argument(metavar="ID", help="The job's id.")],
     entry: EntryOption = DEFAULT_ENTRY,
-    token_file: TokenOption = None,
-    ca: CaOption = None,
-    as_json: JsonOption = False,
 ) -> None:
-    """Show where a job stands."""
-    where = endpoint(entry, token_file, ca)
-    view = call(where, "GET", job_path(submission), JobView)
-    print_reply(as_json, view, "job", JobView, [view])
+    """Stop what runs of a job; its caller is told that it broke off."""
+    print_json(call(entry, "DELETE", JOBS_PATH + check_id(id_), CancelAnswer))
 
 
-@app.command("list")
-def list_jobs(
-    entry: EntryOption = DEFAULT_ENTRY,
-    token_file: TokenOption = None,
-    ca: CaOption = None,
-    as_json: JsonOption = False,
-) -> None:
-    """List the jobs in flight at one entry host."""
-    where = endpoint(entry, token_file, ca)
-    views = call(where, "GET", "/v1/operator/jobs", tuple[JobView, ...])
-    print_reply(as_json, views, "jobs in flight", JobView, views)
+def check_id(text: str) -> str:
+    """Return a job's id; raises `UserError` if it is none."""
+    if not is_job_id(text):
+        raise UserError(f"{text!r} is no job's id: {JOB_ID_DIGITS} hexadecimal digits")
+    return text
 
 
-@app.command()
-def cancel(
-    submission: SubmissionArgument,
-    entry: EntryOption = DEFAULT_ENTRY,
-    token_file: TokenOption = None,
-    ca: CaOption = None,
-    as_json: JsonOption = False,
-) -> None:
-    """Cancel a job; its caller is told what had started."""
-    where = endpoint(entry, token_file, ca)
-    told = call(where, "DELETE", job_path(submission), Cancelled)
-    if as_json:
-        print_json(told)
-    else:
-        verb = "cancelled" if told.cancelled else "had ended already"
-        print(f"{told.submission} {verb}")
+def read_job(path: Path) -> JobBody:
+    """Read and check a job file; raises `UserError`."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=JobBody)
+    except OSError as exc:
+        raise UserError(f"cannot read the job: {exc}") from exc
+    except msgspec.MsgspecError as exc:
+        raise UserError(f"{path} is not a job: {exc}") from exc
--- /dev/null
+++ b/monsoongap/coordination/borrowing.py
@@ -0,0 +1,181 @@
+"""Tasks of this host's jobs that run on another owner's runners.
+
+A task that finds no room here is sent to an owner whose heartbeat told of room. That
+one starts it at once or says that it has none, and answers when the run is over.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from monsoongap.coordination.members import Members, Peer
+from monsoongap.coordination.ownership import Ownership
+from monsoongap.coordination.ports import PeerCallPort, PeerLost
+from monsoongap.coordination.work import Over, Work
+from monsoongap.protocol.messages import (
+    CancelCall,
+    FreeRoom,
+    LendCall,
+    LendReply,
+    LendResult,
+    ShareId,
+)
+from monsoongap.state.directory import Directory
+from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
+
+log = logging.getLogger(__name__)
+
+# Room that was told longer ago than this is no longer counted on.
+ROOM_FRESH_S = 0.3
+# A lent task answers within its job's deadline; this only bounds a leak.
+LEND_TIMEOUT_S = 30.0
+CANCEL_TIMEOUT_S = 0.5
+
+_OVER_OF = {
+    LendResult.DONE: Over.DONE,
+    LendResult.FAILED: Over.FAILED,
+    LendResult.NO_ROOM: Over.NO_ROOM,
+    LendResult.GONE: Over.LOST,
+    LendResult.LEFT_RUNNING: Over.LOST,
+}
+
+
+@dataclass(slots=True)
+class ToldRoom:
+    """The free rooms that an owner told of, and when."""
+
+    told_at: float
+    rooms: list[FreeRoom]
+
+    @property
+    def cpu_milli(self) -> int:
+        """All free processors told of, in thousandths of a core."""
+        return sum(max(free.room.cpu_milli, 0) for free in self.rooms)
+
+
+@dataclass(slots=True)
+class Borrowing:
+    """The borrower's side of lending.
+
+    `on_offer` is told of each task that a lender began, `on_lost` of each whose lender
+    was lost, with the shares that the lender owned.
+    """
+
+    members: Members
+    ownership: Ownership
+    timers: TimerService
+    peers: PeerCallPort
+    directory: Directory
+    on_offer: Callable[[Work], None] = lambda work: None
+    on_lost: Callable[[Work, tuple[ShareId, ...]], None] = lambda work, shares: None
+    _told: dict[str, ToldRoom] = field(default_factory=dict)
+    _background: Background = field(default_factory=Background)
+
+    def hear_room(self, peer: Peer) -> None:
+        """Take in the room that an owner told of."""
+        assert peer.beat is not None
+        free = list(peer.beat.free)
+        self._told[peer.card.name] = ToldRoom(self.timers.now(), free)
+
+    def has_room(self) -> bool:
+        """Tell whether any owner lately told of room."""
+        oldest = self.timers.now() - ROOM_FRESH_S
+        return any(
+            told.rooms and told.told_at >= oldest for told in self._told.values()
+        )
+
+    def try_borrow(self, work: Work, upstream: str) -> bool:
+        """Send a task to an owner that should have room for it; tell if there is one.
+
+        The owner that told of the most room is asked first.
+        """
+        if work.home is None or work.home not in self.ownership.claims:
+            return False
+        oldest = self.timers.now() - ROOM_FRESH_S
+        for name, told in sorted(self._told.items(), key=lambda t: -t[1].cpu_milli):
+            if told.told_at < oldest or not self.members.is_live(name):
+                continue
+            for i, free in enumerate(told.rooms):
+                fits = free.upstream == upstream and free.room.holds(work.size)
+                if fits and (not work.label or work.label in free.labels):
+                    left = free.room.minus(work.size)
+                    told.rooms[i] = FreeRoom(free.upstream, left, free.labels)
+                    self._borrow(work, name)
+                    return True
+        return False
+
+    def _borrow(self, work: Work, lender: str) -> None:
+        peer = self.members.peer(lender)
+        assert peer is not None
+        work.borrowed_from = lender
+        log.info(
+            "task borrowed room",
+            extra={
+                "job": work.task.job,
+                "task": f"{work.task.step}.{work.task.index}",
+                "run": work.run,
+                "lender": lender,
+            },
+        )
+        self._background.spawn(self._run_there(work, peer), "borrow")
+
+    async def _run_there(self, work: Work, peer: Peer) -> None:
+        shares = tuple(c.share for c in peer.beat.claims) if peer.beat else ()
+        claim = self.ownership.claims.get(work.home) if work.home else None
+        if claim is None:
+            work.borrowed_from = ""
+            work.on_over(work, Over.NO_ROOM, "")
+            return
+        call = LendCall(
+            work.task,
+            work.run,
+            work.payload,
+            work.size,
+            work.queue,
+            self.directory.version,
+            self.members.card.name,
+            claim,
+            work.estimate_s,
+            work.label,
+            work.rack,
+        )
+        try:
+            reply = await self.peers.call(peer.address, call, LendReply, LEND_TIMEOUT_S)
+        except PeerLost as exc:
+            log.warning(
+                "lender lost",
+                extra={
+                    "job": work.task.job,
+                    "lender": peer.card.name,
+                    "reason": str(exc),
+                },
+            )
+            work.borrowed_from = ""
+            self.on_lost(work, shares)
+            return
+        work.borrowed_from = ""
+        work.run = max(work.run, reply.run)
+        match reply.result:
+            case LendResult.LEFT_RUNNING:
+                self.on_lost(work, shares)
+                return
+            case LendResult.NO_ROOM:
+                self._told.pop(peer.card.name, None)
+            case _:
+                self.on_offer(work)
+        work.on_over(work, _OVER_OF[reply.result], "")
+
+    def cancel(self, work: Work) -> None:
+        """Tell the lender that a task is no longer wanted."""
+        peer = self.members.peer(work.borrowed_from)
+        if peer is not None:
+            self._background.spawn(self._cancel_there(work, peer), "cancel")
+
+    async def _cancel_there(self, work: Work, peer: Peer) -> None:
+        call = CancelCall(work.task.job)
+        try:
+            await self.peers.call(peer.address, call, bool, CANCEL_TIMEOUT_S)
+        except PeerLost:
+            # The call that carries the task fails too, and settles it.
+            log.info("lender not told", extra={"job": work.task.job})
--- /dev/null
+++ b/monsoongap/coordination/jobs.py
@@ -0,0 +1,282 @@
+"""Jobs at the owner that sees them through, from submission to the one answer.
+
+A job handed in again joins the one that is there, or gets the answer it had. An
+owner that is new to its runners cannot know what an earlier one began for a job;
+until such runs must be over it first has them found and stopped, or adopts them.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from monsoongap.coordination.admission import aim_of
+from monsoongap.coordination.job_record import NEVER, JobRecord
+from monsoongap.coordination.pool import Pool
+from monsoongap.coordination.steps import Steps
+from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_for_room
+from monsoongap.coordination.work import Work
+from monsoongap.errors import AnswerKind
+from monsoongap.protocol.messages import (
+    JobReply,
+    QueueRule,
+    ShareId,
+    SubmitCall,
+)
+from monsoongap.state.elsewhere import number_of
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+# A lost job comes again a few times within its deadline; answers are kept for that.
+KEEP_ANSWER_S = 15.0
+# What an earlier owner or a lost lender began is over after this at the latest:
+# the lender's wait for its borrower, orphans' time and a lease.
+SETTLED_AFTER_S = 4.0
+SETTLE_STEP_S = 0.1
+SETTLE_TRIES_S = 1.0
+# Long enough for three heartbeats to tell of a job.
+TELL_BEGUN_S = 0.35
+TICK_S = 0.05
+
+
+@dataclass(slots=True)
+class JobCounts:
+    """Answers, by kind, and joins, for the metrics."""
+
+    submitted: int = 0
+    joined: int = 0
+    completed: int = 0
+    failed: int = 0
+    refused: int = 0
+    broken: int = 0
+    cancelled: int = 0
+
+
+@dataclass(slots=True)
+class Jobs:
+    """The jobs of one owner. `find_all` stops or finds all runs of a job, anywhere.
+
+    `in_doubt_since` is when this host became the owner of a share: what it does not
+    know of was begun before. `records` holds answered jobs too, for a while.
+    """
+
+    pool: Pool
+    timers: TimerService
+    rule_of: Callable[[str], QueueRule | None]
+    find_all: Callable[[str, ShareId], Awaitable[bool]]
+    in_doubt_since: dict[ShareId, float] = field(default_factory=dict)
+    counts: JobCounts = field(default_factory=JobCounts)
+    records: dict[str, JobRecord] = field(default_factory=dict)
+    steps: Steps = field(init=False)
+    triage: Triage = field(init=False)
+    _open: dict[str, JobRecord] = field(default_factory=dict)
+    _answered: deque[tuple[float, JobRecord]] = field(default_factory=deque)
+    _begun: deque[tuple[float, int]] = field(default_factory=deque)
+    _doubts: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.steps = Steps(self.pool, self._end)
+        self.triage = Triage(self.pool, self.timers, self._end)
+
+    def start(self) -> None:
+        """Begin to look after jobs that wait."""
+        self.triage.start()
+        self.timers.every(TICK_S, self._tick, "jobs")
+
+    @property
+    def in_flight(self) -> int:
+        """Number of jobs without an answer."""
+        return len(self._open)
+
+    @property
+    def lag_s(self) -> float:
+        """How late this host's own loop is, in seconds."""
+        return self.triage.lag_s
+
+    def knows(self, job: str) -> bool:
+        """Tell whether a job is or lately was seen through here."""
+        return job in self.records
+
+    def doubt(self, job: str) -> None:
+        """Take note that a lost owner may have runs of a job."""
+        self._doubts[job] = self.timers.now()
+
+    def begun_lately(self) -> tuple[int, ...]:
+        """Return the numbers of the jobs begun lately, for other owners."""
+        oldest = self.timers.now() - TELL_BEGUN_S
+        while self._begun and self._begun[0][0] < oldest:
+            self._begun.popleft()
+        return tuple(number for _, number in self._begun)
+
+    def untouched(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which nothing was started."""
+        of_queue = (rec for rec in self._open.values() if rec.rule.name == queue)
+        return sum(not rec.offered for rec in of_queue)
+
+    async def submit(self, call: SubmitCall) -> JobReply:
+        """See a job through, or join it; returns its one answer."""
+        job = call.job
+        rec = self.records.get(job.id)
+        if rec is not None and rec.ending and not rec.cleared.is_set():
+            await rec.cleared.wait()
+            rec = self.records.get(job.id)
+        if rec is not None and rec.still_counts:
+            self.counts.joined += 1
+            log.info("job joined", extra={"job": job.id, "origin": call.origin})
+            return await asyncio.shield(rec.answer)
+        rule = self.rule_of(job.queue)
+        if rule is None:
+            return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+        overload = self.triage.overload()
+        if overload is not None and not call.again and not call.here:
+            self.counts.refused += 1
+            log.info("job refused", extra={"job": job.id, "reason": overload.detail})
+            return overload
+        new = self._take_in(call, rule, rec)
+        settled = await self._settle_past(new)
+        if new.ending:
+            # Meanwhile cancelled, or handed to the next owner, who answers.
+            return await asyncio.shield(new.answer)
+        if not settled:
+            detail = "what an earlier owner began is not settled"
+            self._answer(new, JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S))
+            return new.answer.result()
+        self.triage.add(new)
+        self.steps.begin(new)
+        return await asyncio.shield(new.answer)
+
+    def _take_in(
+        self, call: SubmitCall, rule: QueueRule, former: JobRecord | None
+    ) -> JobRecord:
+        """Make a job's record; `former` is that of an earlier try without a result."""
+        job, now = call.job, self.timers.now()
+        answer = asyncio.get_running_loop().create_future()
+        rec = JobRecord(job, rule, call.share, aim_of(job, rule), now, answer)
+        if former is not None:
+            rec.runs = former.runs
+            rec.doubt_since = former.doubt_since
+        rec.learn(call)
+        rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
+        self.records[job.id] = self._open[job.id] = rec
+        self._begun.append((now, number_of(job.id)))
+        self.counts.submitted += 1
+        return rec
+
+    def cancel(self, job: str) -> None:
+        """Drop a job whose caller has left."""
+        rec = self._open.get(job)
+        if rec is not None:
+            self.counts.cancelled += 1
+            self._end(rec, JobReply(AnswerKind.BROKEN, "cancelled by its caller"))
+
+    def hand_over(self, share: ShareId) -> list[tuple[JobRecord, SubmitCall]]:
+        """Take out every job of a share under way, with what is known of it."""
+        taken = []
+        for rec in [r for r in self._open.values() if r.share == share]:
+            del self.records[rec.job.id], self._open[rec.job.id]
+            rec.ending = True
+            call = rec.handed_on()
+            for work in list(rec.works.values()):
+                if work.waiting:
+                    self.pool.withdraw(work)
+            taken.append((rec, call))
+        return taken
+
+    def _tick(self) -> None:
+        """Refuse what waited too long untouched; forget old answers."""
+        now = self.timers.now()
+        for rec in list(self._open.values()):
+            age = now - rec.arrived_at
+            if rec.offered or rec.borrows:
+                continue
+            if age > rec.aim.useless_s:
+                self._end(rec, refusal_for_room(rec, 0.0))
+            elif age > rec.aim.slack_s and not rec.late:
+                rec.late = True
+                self.pool.reorder(list(rec.works.values()), rec.order)
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        """Drop records whose callers no longer come back, and doubts as old."""
+        while self._answered and now - self._answered[0][0] > KEEP_ANSWER_S:
+            rec = self._answered.popleft()[1]
+            if rec.works:
+                self._answered.append((now, rec))
+            elif self.records.get(rec.job.id) is rec:
+                del self.records[rec.job.id]
+        for job in [j for j, at in self._doubts.items() if now - at > KEEP_ANSWER_S]:
+            del self._doubts[job]
+
+    async def _settle_past(self, rec: JobRecord) -> bool:
+        """Make sure that no unknown run of the job is left anywhere."""
+        began = self.timers.now()
+        while True:
+            new_owner = self.in_doubt_since.get(rec.share, NEVER)
+            since = max(new_owner, rec.doubt_since)
+            if self.timers.now() - since > SETTLED_AFTER_S:
+                return True
+            if await self.find_all(rec.job.id, rec.share):
+                rec.doubt_since = NEVER
+                return True
+            if self.timers.now() - began > SETTLE_TRIES_S:
+                return False
+            await self.timers.sleep(SETTLE_STEP_S)
+
+    def note_offer(self, work: Work) -> None:
+        """Take note that a task was given to a runner or to another owner."""
+        rec = self.records.get(work.task.job)
+        if rec is not None:
+            rec.offered = True
+            rec.runs[work.task] = work.run
+
+    def _end(self, rec: JobRecord, reply: JobReply) -> None:
+        """Answer a job and stop what is left of it."""
+        rec.ending = True
+        self._answer(rec, reply)
+        for work in list(rec.works.values()):
+            self.pool.withdraw(work)
+        if not rec.works:
+            rec.cleared.set()
+
+    def _answer(self, rec: JobRecord, reply: JobReply) -> None:
+        if rec.answer.done():
+            return
+        if rec.again and reply.kind is AnswerKind.REFUSED:
+            # An earlier owner may have run some of it: "not run" could be untrue.
+            reply = JobReply(AnswerKind.BROKEN, reply.detail)
+        rec.answer.set_result(reply)
+        if not rec.works:
+            rec.cleared.set()
+        now = self.timers.now()
+        if self._open.get(rec.job.id) is rec:
+            del self._open[rec.job.id]
+        self._answered.append((now, rec))
+        self._count(reply)
+        log.info(
+            "job answered",
+            extra={
+                "job": rec.job.id,
+                "queue": rec.rule.name,
+                "outcome": reply.kind.value,
+                "detail": reply.detail or None,
+                "took_ms": round((now - rec.arrived_at) * MS_PER_S),
+                "objective_ms": round(rec.aim.objective_s * MS_PER_S),
+                "waiting": self.pool.waiting,
+                "tasks": rec.task_count,
+                "failures": sum(rec.attempts.values()),
+            },
+        )
+
+    def _count(self, reply: JobReply) -> None:
+        match reply.kind:
+            case AnswerKind.COMPLETED:
+                self.counts.completed += 1
+            case AnswerKind.FAILED:
+                self.counts.failed += 1
+            case AnswerKind.REFUSED:
+                self.counts.refused += 1
+            case _:
+                self.counts.broken += 1
--- /dev/null
+++ b/monsoongap/coordination/lending.py
@@ -0,0 +1,164 @@
+"""Tasks of other owners' jobs that run on this host's runners.
+
+A lender that no longer hears a borrower, or hears that it was replaced, stops what it
+runs for it, so that the borrower, or whoever comes after it, can count on the run
+being over.
+"""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from monsoongap.coordination.members import Members
+from monsoongap.coordination.pool import Pool
+from monsoongap.coordination.work import Over, Work
+from monsoongap.protocol.messages import (
+    Claim,
+    FindCall,
+    FindReply,
+    LendCall,
+    LendReply,
+    LendResult,
+    ShareId,
+)
+from monsoongap.timers import TimerService
+
+log = logging.getLogger(__name__)
+
+# A lender gives a borrower that went silent up after this.
+BORROWER_SILENT_S = 1.0
+FIND_WAIT_S = 0.3
+FIND_STEP_S = 0.02
+TICK_S = 0.05
+
+_RESULT_OF = {Over.DONE: LendResult.DONE, Over.FAILED: LendResult.FAILED}
+# The run never began: the borrower may place the task again at once.
+_NOT_BEGUN = (Over.NO_ROOM, Over.UNHEALTHY, Over.OLD_RUN)
+
+
+@dataclass(slots=True, eq=False)
+class Lent:
+    """A task that runs here for another owner."""
+
+    work: Work
+    borrower: str
+    claim: Claim
+    reply: asyncio.Future[LendReply]
+    given_up: bool = False
+
+
+@dataclass(slots=True)
+class Lending:
+    """The lender's side of lending."""
+
+    pool: Pool
+    members: Members
+    timers: TimerService
+    _fences: dict[ShareId, int] = field(default_factory=dict)
+    _lent: dict[int, Lent] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Begin to watch borrowers."""
+        self.timers.every(TICK_S, self._tick, "lending")
+
+    async def lend(self, call: LendCall) -> LendReply:
+        """Run a task of another owner at once, or refuse."""
+        if not self._note_claim(call.claim):
+            log.warning(
+                "borrower was replaced",
+                extra={"job": call.task.job, "borrower": call.home},
+            )
+            return LendReply(LendResult.NO_ROOM, call.run)
+        fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
+
+        def over(work: Work, how: Over, runner: str) -> None:
+            self._lent.pop(id(work), None)
+            result = _RESULT_OF.get(how, LendResult.GONE)
+            if how in _NOT_BEGUN:
+                result = LendResult.NO_ROOM
+            if not fut.done():
+                fut.set_result(LendReply(result, work.run))
+
+        work = Work(
+            call.task,
+            call.queue,
+            call.payload,
+            call.size,
+            (0.0,),
+            over,
+            None,
+            estimate_s=call.estimate_s,
+            label=call.label,
+            rack=call.rack,
+            run=call.run,
+        )
+        already = self.pool.runs_of(call.task.job)
+        twice = any(run.task == call.task for _, run in already)
+        if twice or not self.pool.place_now(work):
+            return LendReply(LendResult.NO_ROOM, call.run)
+        self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
+        return await fut
+
+    def leave_running(self, works: Iterable[Work]) -> None:
+        """Tell borrowers that their tasks go on under another owner."""
+        for work in works:
+            lent = self._lent.pop(id(work), None)
+            if lent is not None and not lent.reply.done():
+                reply = LendReply(LendResult.LEFT_RUNNING, work.run)
+                lent.reply.set_result(reply)
+
+    async def stop_runs_of(self, call: FindCall) -> FindReply:
+        """Stop what runs of a job here; tell whether nothing is left."""
+        if not self._note_claim(call.claim):
+            return FindReply(False)
+        until = self.timers.now() + FIND_WAIT_S
+        while self.pool.runs_of(call.job):
+            self.cancel_runs_of(call.job)
+            if self.timers.now() > until:
+                return FindReply(False)
+            await self.timers.sleep(FIND_STEP_S)
+        return FindReply(self.pool.is_settled(call.share))
+
+    def note_claims(self, claims: Iterable[Claim]) -> None:
+        """Take in claims that were told or made."""
+        for claim in claims:
+            self._note_claim(claim)
+
+    def _note_claim(self, claim: Claim) -> bool:
+        """Tell whether no higher claim of the same share is known."""
+        known = self._fences.get(claim.share, 0)
+        self._fences[claim.share] = max(known, claim.fence)
+        return claim.fence >= known
+
+    def none_lent(self, job: str) -> bool:
+        """Stop what of a job runs here for another owner; tell if nothing does."""
+        lent = [held for held in self._lent.values() if held.work.task.job == job]
+        for held in lent:
+            self.pool.withdraw(held.work)
+        return not lent
+
+    def cancel_runs_of(self, job: str) -> None:
+        """Stop what runs here of a job; a run that is being stopped is left alone."""
+        for link, run in self.pool.runs_of(job):
+            link.stop(run)
+
+    def _tick(self) -> None:
+        """Stop what runs for borrowers that went silent or were replaced."""
+        for lent in [held for held in self._lent.values() if not held.given_up]:
+            peer = self.members.peer(lent.borrower)
+            silent = (
+                peer is None or self.timers.now() - peer.heard_at > BORROWER_SILENT_S
+            )
+            replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
+            if silent or replaced:
+                lent.given_up = True
+                log.info(
+                    "borrower given up",
+                    extra={
+                        "job": lent.work.task.job,
+                        "borrower": lent.borrower,
+                        "replaced": replaced,
+                    },
+                )
+                self.pool.withdraw(lent.work)
--- a/monsoongap/coordination/fleet/members.py
+++ b/monsoongap/coordination/members.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from monsoongap.coordination.fleet.ports import DatagramPort
-from monsoongap.protocol.fleet import Beat, HostCard
+from monsoongap.coordination.ports import DatagramPort
+from monsoongap.protocol.messages import Beat, HostCard
 from monsoongap.timers import TimerService
 
 log = logging.getLogger(__name__)
@@ -88,6 +88,10 @@
             if known is None or known.card.boot_ms < card.boot_ms:
                 self._peers[card.name] = Peer(card)
 
+    def all(self) -> Iterator[Peer]:
+        """Yield every known host, live or not."""
+        return iter(list(self._peers.values()))
+
     def live(self) -> Iterator[Peer]:
         """Yield the hosts that are heard now."""
         now = self.timers.now()
--- a/monsoongap/coordination/fleet/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.fleet.members import Members, Peer
-from monsoongap.protocol.fleet import Claim, HostCard, ShareId, share_index
+from monsoongap.coordination.members import Members, Peer
+from monsoongap.protocol.messages import Claim, HostCard, ShareId, share_index
 from monsoongap.timers import TimerService
 from monsoongap.util import rendezvous
 
--- a/monsoongap/coordination/fleet/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -7,27 +7,23 @@
 """
 
 import asyncio
-import bisect
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import accumulate
-
-from monsoongap.coordination.fleet.link import Link, LinkState, Over, Run
-from monsoongap.coordination.fleet.ports import RunnerPort
-from monsoongap.protocol.fleet import (
-    Claim,
-    FreeRoom,
-    Room,
-    RunnerInfo,
-    ShareId,
-    TaskId,
-)
+
+from monsoongap.coordination.borrowing import Borrowing
+from monsoongap.coordination.link import Link, LinkState
+from monsoongap.coordination.placement import best_runner
+from monsoongap.coordination.ports import RunnerPort
+from monsoongap.coordination.waiting import Backlog, Waiting
+from monsoongap.coordination.work import Over, Run, Work
+from monsoongap.protocol.messages import Claim, FreeRoom, Room, RunnerInfo, ShareId
+from monsoongap.settings import BoundsSection
 from monsoongap.timers import TimerService
 
 log = logging.getLogger(__name__)
 
-# So many waiting tasks that fit nowhere are passed over for smaller ones.
+# So many kinds of waiting tasks that fit nowhere are passed over for smaller ones.
 SCAN_LIMIT = 24
 # What is placed in one turn of the loop, so that heartbeats and ends get theirs.
 PUMP_LIMIT = 64
@@ -37,50 +33,12 @@
 ABSENT_S = 2.5
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """A task that is to run. `order` sorts it among all that wait.
-
-    `home` is the share that sees its job through; None for a task that is lent.
-    """
-
-    task: TaskId
-    queue: str
-    payload: str
-    size: Room
-    order: tuple[float, ...]
-    on_over: Callable[["Work", Over, str], None]
-    home: ShareId | None
-    estimate_s: float = 0.0
-    label: str = ""
-    rack: str = ""
-    most_per_runner: int = 0
-    run: int = 1
-    avoid: set[str] = field(default_factory=set)
-    placed: "Run | None" = None
-    link: Link | None = None
-    borrowed_from: str = ""
-    waiting: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Backlog:
-    """The orders of all that waits, and the seconds of work up to each of them."""
-
-    orders: list[tuple[float, ...]]
-    seconds: list[float]
-
-    def ahead_s(self, order: tuple[float, ...]) -> float:
-        """Estimate how long what goes before `order` keeps the owned room busy."""
-        return self.seconds[bisect.bisect_left(self.orders, order)]
-
-
 @dataclass(slots=True)
 class PoolCounts:
     """Placement decisions, for the metrics."""
 
     placed: int = 0
-    lent_out: int = 0
+    borrowed: int = 0
     adopted: int = 0
     refused_room: int = 0
     lost: int = 0
@@ -92,27 +50,25 @@
     """The runners this host owns and the tasks that wait for them.
 
     `upstream_of` names the upstream that the newest configuration gives a queue.
-    `try_lend` tries to place a task with another owner and tells whether it did.
+    `on_offer` is told of each task that is given to a runner.
     """
 
-    lease_s: float
+    cfg: BoundsSection
     runners: RunnerPort
     timers: TimerService
     upstream_of: Callable[[str], str | None]
-    try_lend: Callable[[Work, str], bool]
-    may_lend: Callable[[], bool]
+    borrowing: Borrowing
     on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
-    on_offer: Callable[[Work], None]
-    cancel_borrowed: Callable[[Work], None]
+    on_offer: Callable[[Work], None] = lambda work: None
     counts: PoolCounts = field(default_factory=PoolCounts)
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
     _listed: dict[str, RunnerInfo] = field(default_factory=dict)
     _absent: dict[str, float] = field(default_factory=dict)
-    _waiting: list[Work] = field(default_factory=list)
+    _waiting: Waiting = field(default_factory=Waiting)
     _pump_due: bool = False
-    _usual_slowness: float = 1.0
+    usual_slowness: float = 1.0
 
     def start(self) -> None:
         """Begin to look after what waits."""
@@ -130,9 +86,9 @@
         self._claims.pop(share, None)
         dropped: list[Work] = []
         for link in [k for k in self.links.values() if k.share == share]:
-            for run in link.runs.values():
-                if run.owner is not None:
-                    dropped.append(run.owner)
+            for run in link.table.runs.values():
+                if run.work is not None:
+                    dropped.append(run.work)
                 run.on_over = None
             link.close()
             del self.links[link.info.id]
@@ -174,7 +130,7 @@
             if id_ not in self._listed:
                 since = self._absent.setdefault(id_, now)
                 silent = link.state is not LinkState.HELD
-                if now - since > ABSENT_S or (silent and not link.runs):
+                if now - since > ABSENT_S or (silent and not link.table.runs):
                     self._retire(link)
         self.pump()
 
@@ -186,10 +142,10 @@
 
     def _open(self, info: RunnerInfo, claim: Claim) -> None:
         link = Link(
+            self.cfg,
             info,
             claim.share,
             claim.fence,
-            self.lease_s,
             self.runners,
             self.timers,
             on_fenced=self._fenced,
@@ -201,7 +157,7 @@
     def _retire(self, link: Link) -> None:
         """Give no more work to a runner that is gone; drop it when it is empty."""
         link.avoid_until = float("inf")
-        if not link.runs:
+        if not link.table.runs:
             self._drop(link)
 
     def _drop(self, link: Link) -> None:
@@ -209,7 +165,7 @@
         link.close()
         del self.links[link.info.id]
         self._absent.pop(link.info.id, None)
-        for run in list(link.runs.values()):
+        for run in list(link.table.runs.values()):
             if run.on_over is not None:
                 run.on_over(run, Over.LOST)
 
@@ -227,22 +183,31 @@
 
     def add(self, work: Work) -> None:
         """Let a task wait for room."""
-        work.waiting = True
         work.placed = work.link = None
         work.borrowed_from = ""
-        bisect.insort(self._waiting, work, key=_order)
+        self._waiting.add(work)
         self.pump()
 
     def withdraw(self, work: Work) -> None:
         """Take a task out: out of the queue, or stop it where it runs."""
         if work.waiting:
-            work.waiting = False
-            self._waiting.remove(work)
+            self._waiting.take(work)
             work.on_over(work, Over.STOPPED, "")
         elif work.link is not None and work.placed is not None:
             work.link.stop(work.placed)
         elif work.borrowed_from:
-            self.cancel_borrowed(work)
+            self.borrowing.cancel(work)
+
+    def reorder(self, works: list[Work], order: tuple[float, ...]) -> None:
+        """Give tasks that wait another place, by a new head of their order."""
+        self._waiting.reorder(works, order)
+
+    def backlog(self) -> Backlog:
+        """Return what waits now, as work over the room that works it off."""
+        usable = sum(
+            link.info.room.cpu_milli for link in self.links.values() if link.placeable
+        )
+        return self._waiting.backlog(max(usable, 1))
 
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
@@ -256,14 +221,14 @@
     def adopt(self, work: Work) -> bool:
         """Take over a run of an earlier owner of the same task, or its end."""
         for link in self.links.values():
-            run = link.runs.get(work.task)
+            run = link.table.runs.get(work.task)
             if run is not None and run.on_over is None:
                 self.counts.adopted += 1
-                link.resize(run, work.size)
+                link.table.resize(run, work.size)
                 run.estimate_s = work.estimate_s
                 self._bind(work, link, run)
                 return True
-            if link.done_before.pop(work.task, None) is not None:
+            if link.table.done_before.pop(work.task, None) is not None:
                 self.counts.adopted += 1
                 work.on_over(work, Over.DONE, link.info.id)
                 return True
@@ -274,7 +239,7 @@
         return [
             (link, run)
             for link in self.links.values()
-            for run in link.runs.values()
+            for run in link.table.runs.values()
             if run.task.job == job
         ]
 
@@ -289,106 +254,59 @@
         if self._waiting:
             return ()
         rooms = [
-            FreeRoom(link.info.upstream, link.free, link.info.labels)
+            FreeRoom(link.info.upstream, link.table.free, link.info.labels)
             for link in self.links.values()
-            if link.placeable and link.free.cpu_milli > 0
+            if link.placeable and link.table.free.cpu_milli > 0
         ]
         rooms.sort(key=lambda r: -r.room.cpu_milli)
         return tuple(rooms[:FREE_TOLD])
 
     def _tick(self) -> None:
-        slow = sorted(link.health.slowness for link in self.links.values())
+        slow = sorted(link.table.health.slowness for link in self.links.values())
         if slow:
-            self._usual_slowness = slow[len(slow) // 2]
+            self.usual_slowness = slow[len(slow) // 2]
         self._sync()
 
-    def backlog(self) -> "Backlog":
-        """Return what waits now, as work over the room that works it off."""
-        cores = self._cores()
-        work = (w.size.cpu_milli * w.estimate_s / cores for w in self._waiting)
-        return Backlog([w.order for w in self._waiting], [0.0, *accumulate(work)])
-
-    def _cores(self) -> float:
-        """Return the processors of all usable runners, in thousandths."""
-        usable = sum(
-            link.info.room.cpu_milli for link in self.links.values() if link.placeable
-        )
-        return max(usable, 1)
-
-    def demote(self, works: list[Work], order: tuple[float, ...]) -> None:
-        """Put tasks that wait behind others of their priority."""
-        for work in works:
-            if work.waiting:
-                self._waiting.remove(work)
-                work.order = (*order, *work.order[len(order) :])
-                bisect.insort(self._waiting, work, key=_order)
-
     def _pump(self) -> None:
+        """Place what has room, in order; what fits nowhere is passed over."""
         self._pump_due = False
-        passed = 0
-        batch = self._waiting[:PUMP_LIMIT]
-        for work in batch:
-            if passed >= SCAN_LIMIT:
-                break
-            if work.size.cpu_milli > self._largest_free() and not self.may_lend():
-                passed += 1
-                continue
+        nowhere: set[tuple[str, Room, str]] = set()
+        tried = placed = 0
+        for work in self._waiting.first(PUMP_LIMIT):
+            tried += 1
             upstream = self.upstream_of(work.queue)
-            link = self._best(work, upstream) if upstream else None
-            if link is not None:
-                self._take(work)
-                self._launch(work, link)
-            elif upstream and self.try_lend(work, upstream):
-                self._take(work)
-                self.counts.lent_out += 1
-            else:
-                passed += 1
-        if len(batch) == PUMP_LIMIT and passed < SCAN_LIMIT:
+            kind = (work.queue, work.size, work.label)
+            if not upstream or (kind in nowhere and not work.avoid):
+                continue
+            if self._place(work, upstream):
+                placed += 1
+                continue
+            nowhere.add(kind)
+            if len(nowhere) >= SCAN_LIMIT:
+                break
+        if tried == PUMP_LIMIT and placed:
             self.pump()
         self.on_room()
 
-    def _largest_free(self) -> int:
-        """Return the most processors that are free on one runner."""
-        return max((link.free.cpu_milli for link in self.links.values()), default=0)
-
-    def _take(self, work: Work) -> None:
-        work.waiting = False
-        self._waiting.remove(work)
+    def _place(self, work: Work, upstream: str) -> bool:
+        """Start a task here, or with another owner; tell whether it has room."""
+        link = self._best(work, upstream)
+        if link is not None:
+            self._waiting.take(work)
+            self._launch(work, link)
+            return True
+        borrowing = self.borrowing
+        if not borrowing.has_room() or not borrowing.try_borrow(work, upstream):
+            return False
+        self._waiting.take(work)
+        self.counts.borrowed += 1
+        return True
 
     def _best(self, work: Work, upstream: str) -> Link | None:
-        """Return the runner that is left with the least room by this task."""
         if 2 * len(work.avoid) > len(self.links):
             work.avoid.clear()
-        fitting = [
-            link
-            for link in self.links.values()
-            if link.info.upstream == upstream
-            and link.info.id not in work.avoid
-            and link.free.holds(work.size)
-            and link.placeable
-            and (not work.label or work.label in link.info.labels)
-            and (not work.most_per_runner or self._spread(work, link))
-        ]
-        if not fitting:
-            return None
-        now = self.timers.now()
-        good = [
-            link
-            for link in fitting
-            if not link.health.is_suspect(now, self._usual_slowness)
-        ]
-        if work.rack:
-            near = [link for link in good if work.rack in link.info.labels]
-            good = near or good
-        return min(good or fitting, key=lambda link: link.free.cpu_milli)
-
-    def _spread(self, work: Work, link: Link) -> bool:
-        same = sum(
-            1
-            for run in link.runs.values()
-            if (run.task.job, run.task.step) == (work.task.job, work.task.step)
-        )
-        return same < work.most_per_runner
+        links, now = self.links.values(), self.timers.now()
+        return best_runner(work, upstream, links, now, self.usual_slowness)
 
     def _launch(self, work: Work, link: Link) -> None:
         run = Run(work.task, work.run, work.size, None, estimate_s=work.estimate_s)
@@ -401,7 +319,7 @@
                 "task": f"{work.task.step}.{work.task.index}",
                 "run": work.run,
                 "runner": link.info.id,
-                "free_cpu": link.free.cpu_milli,
+                "free_cpu": link.table.free.cpu_milli,
                 "waiting": len(self._waiting),
             },
         )
@@ -411,7 +329,7 @@
         work.placed = run
         work.link = link
         work.run = run.number
-        run.owner = work
+        run.work = work
         self.on_offer(work)
 
         def over(run: Run, how: Over) -> None:
@@ -425,7 +343,3 @@
             work.on_over(work, how, link.info.id)
 
         run.on_over = over
-
-
-def _order(work: Work) -> tuple[float, ...]:
-    return work.order
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -1,84 +1,87 @@
-"""The interfaces through which decisions reach the outside world.
+"""What the decisions need from outside, met over sockets or by fakes."""
 
-`monsoongap.transport` implements them over sockets and the tests over small
-fakes on virtual time. Each method is a coroutine and may be cancelled.
-"""
-
-from typing import Protocol
+from typing import Any, Protocol
 
 from monsoongap.protocol.messages import (
-    HostList,
-    LogPage,
-    TaskReport,
-    TaskStart,
-    WorkerUsage,
+    NotStarted,
+    RunnerInfo,
+    RunnerView,
+    Started,
+    StartOrder,
+    TaskId,
 )
-from monsoongap.protocol.peer import PeerMethod, ReplyT, RequestT
 
 
-class WorkerPort(Protocol):
-    """Talks to workers (runners with slots) by name.
+class NoAnswer(Exception):
+    """An order got no answer: it may be, or may yet be, carried out."""
 
-    Raises `WorkerUnreachable` when nothing was sent and `StartAmbiguous` when a
-    request was sent and its reply did not come.
-    """
 
-    async def start(self, worker: str, start: TaskStart) -> TaskReport:
-        """Start a task and wait for its end or its refusal."""
-        ...
+class NotSent(Exception):
+    """No connection could be had: nothing was sent."""
 
-    async def inspect(self, worker: str, task: str, wait_ms: int) -> TaskReport:
-        """Ask on a fresh connection for a task's state, waiting for its end.
 
-        Returns early with `RUNNING` after `wait_ms` milliseconds.
-        """
-        ...
+class HigherFence(Exception):
+    """The runner obeys a holder with a higher fence."""
 
-    async def revoke(self, worker: str, task: str, fence: int) -> TaskReport:
-        """Cancel a task on a fresh connection, or bar its start up to `fence`.
 
-        The reply tells `REVOKED` when the task never started, `DONE` or `FAILED`
-        when it had ended, `CANCELLED` when it was stopped half way.
-        """
-        ...
+class OtherLife(Exception):
+    """The runner is another one, or a later life of it, than was meant."""
 
-    async def usage(self, worker: str) -> WorkerUsage:
-        """Ask for the worker's size, load, boot number and clock."""
-        ...
 
+class PeerLost(Exception):
+    """A call to another entry host got no answer; it may have taken effect."""
 
-class LogPort(Protocol):
-    """The platform's append-only log. Raises `LogUnavailable`, `LogTrimmed`."""
 
-    async def append(self, stream: str, records: tuple[str, ...]) -> int:
-        """Append JSON texts in order and return the offset of the first."""
-        ...
+class PeerGone(PeerLost):
+    """Nothing listens there any more: the other host's process has ended."""
+
+
+class RunnerPort(Protocol):
+    """Orders to runners. Raises `NotSent`, `NoAnswer`, `HigherFence`, `OtherLife`."""
 
-    async def read(self, stream: str, start: int, limit: int, wait_ms: int) -> LogPage:
-        """Read from offset `start`, waiting up to `wait_ms` for a record."""
+    async def start(
+        self, runner: RunnerInfo, order: StartOrder
+    ) -> Started | NotStarted:
+        """Order a run; also answers `Started` for a run that is there already."""
         ...
 
+    async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
+        """Stop a run and bar it from starting later; returns the runner's clock."""
+        ...
 
-class HostListPort(Protocol):
-    """The platform's host list. Raises `LogUnavailable` when out of reach."""
+    async def look(
+        self,
+        runner: RunnerInfo,
+        fence: int,
+        seen: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        fresh: bool,
+    ) -> RunnerView:
+        """Extend the lease, take note of ends up to `seen`, tell what runs.
+
+        Waits up to `wait_ms` for an end. `fresh` asks for a new connection.
+        """
+        ...
 
-    async def fetch(self) -> HostList:
-        """Fetch the list with its version."""
+    def forget(self, runner: RunnerInfo) -> None:
+        """Close the connections to a runner that is gone."""
         ...
 
 
-class PeerPort(Protocol):
-    """Calls to another entry host by name. Raises `PeerUnreachable`."""
+class PeerCallPort(Protocol):
+    """Calls to other entry hosts. Raises `PeerLost`, of which `PeerGone` is one."""
 
     async def call(
-        self,
-        host: str,
-        method: PeerMethod[RequestT, ReplyT],
-        body: RequestT,
-        timeout_s: float,
-    ) -> ReplyT:
-        """Call the handler that the peer registered for `method`.
-
-        A `DispatchError` raised by the handler is raised here again.
-        """
+        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+    ) -> Any:
+        """Send a message and wait for the reply of the given type."""
+        ...
+
+
+class DatagramPort(Protocol):
+    """Heartbeats to other entry hosts; may be lost."""
+
+    def send(self, address: tuple[str, int], payload: bytes) -> None:
+        """Send one datagram."""
         ...
--- /dev/null
+++ b/monsoongap/coordination/settling.py
@@ -0,0 +1,94 @@
+"""Making sure that no unknown run of a job is left before it is begun anew.
+
+An owner that is new to its share, or that lost a lender, cannot know what was begun
+elsewhere. It asks every owner concerned to stop what it runs of the job; one that
+has lost its runners since, or has not yet looked at all of them, does not answer for
+them.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from monsoongap.coordination.lending import Lending
+from monsoongap.coordination.members import Peer
+from monsoongap.coordination.ownership import Ownership
+from monsoongap.coordination.pool import Pool
+from monsoongap.coordination.ports import PeerCallPort, PeerLost
+from monsoongap.coordination.work import Over, Work
+from monsoongap.protocol.messages import FindCall, FindReply, ShareId
+from monsoongap.timers import TimerService
+from monsoongap.util.background import Background
+
+log = logging.getLogger(__name__)
+
+FIND_TIMEOUT_S = 0.5
+STEP_S = 0.1
+# A lender that answers no call for so long has long stopped the run or is gone.
+LENT_SETTLE_S = 8.0
+
+
+@dataclass(slots=True)
+class Settling:
+    """Has runs of jobs found and stopped, here and at other owners."""
+
+    pool: Pool
+    ownership: Ownership
+    lending: Lending
+    timers: TimerService
+    peers: PeerCallPort
+    _background: Background = field(default_factory=Background)
+
+    async def settle_everywhere(self, job: str, home: ShareId) -> bool:
+        """Have every other owner stop what it runs of a job; tell if all did.
+
+        Runs on this host's own runners are only known, for the job to adopt them.
+        `home` is the share that sees the job through.
+        """
+        return await self._settle(job, home, tuple(self.ownership.all_shares()))
+
+    def settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
+        """Make sure a lent task is over, then let it be placed again."""
+        self.pool.on_offer(work)
+        self._background.spawn(self._settle_lent(work, shares), "settle")
+
+    async def _settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
+        began = self.timers.now()
+        while self.timers.now() - began < LENT_SETTLE_S:
+            if work.home and await self._settle(work.task.job, work.home, shares):
+                break
+            await self.timers.sleep(STEP_S)
+        work.on_over(work, Over.LOST, "")
+
+    async def _settle(
+        self, job: str, home: ShareId, shares: tuple[ShareId, ...]
+    ) -> bool:
+        asked: list[tuple[Peer, ShareId]] = []
+        for share in shares:
+            owner = self.ownership.owner_of(share)
+            if owner is None:
+                return False
+            if owner.peer is not None:
+                asked.append((owner.peer, share))
+            elif not self.pool.is_settled(share) or not self.lending.none_lent(job):
+                return False
+        calls = (self._find(peer, share, job, home) for peer, share in asked)
+        return all(await asyncio.gather(*calls))
+
+    async def _find(self, peer: Peer, share: ShareId, job: str, home: ShareId) -> bool:
+        """Have the owner of `share` stop all runs of a job; tell if none is left."""
+        claim = self.ownership.claims.get(home)
+        if claim is None:
+            return False
+        call = FindCall(job, share, claim)
+        try:
+            reply: FindReply = await self.peers.call(
+                peer.address, call, FindReply, FIND_TIMEOUT_S
+            )
+        except PeerLost as exc:
+            log.info(
+                "runs not found out",
+                extra={"job": job, "peer": peer.card.name, "reason": str(exc)},
+            )
+            return False
+        return reply.settled
--- /dev/null
+++ b/monsoongap/coordination/status.py
@@ -0,0 +1,143 @@
+"""What one entry host tells operators of itself and of what it sees."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from monsoongap.coordination.host import Host
+from monsoongap.coordination.members import Peer
+
+
+@dataclass(frozen=True, slots=True)
+class HostRow:
+    """An entry host as this one sees it; `heard_ms_ago` is None for itself."""
+
+    host: str
+    dc: str
+    live: bool
+    heard_ms_ago: int | None
+    config_version: int
+    shares: int
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShareRow:
+    """A share of a data centre's runners and its owner as this host sees it."""
+
+    dc: str
+    share: int
+    of: int
+    owner: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerRow:
+    """A runner that this host owns, with its free room."""
+
+    runner: str
+    dc: str
+    state: str
+    draining: bool
+    runs: int
+    free_cpu_milli: int
+    free_mem_mb: int
+    suspect: bool
+    looks: int
+    starts: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostStatus:
+    """Everything that `monsoongap status` shows of one entry host."""
+
+    host: str
+    dc: str
+    ready: bool
+    leaving: bool
+    config_version: int
+    runners_age_s: float
+    jobs: int
+    waiting_tasks: int
+    loop_late_ms: int
+    hosts: tuple[HostRow, ...]
+    shares: tuple[ShareRow, ...]
+    runners: tuple[RunnerRow, ...]
+
+
+def status_of(host: Host) -> HostStatus:
+    """Return the present state of a host."""
+    now = host.timers.now()
+    return HostStatus(
+        host.card.name,
+        host.card.dc,
+        host.ready,
+        host.leaving,
+        host.directory.version,
+        round(now - host.directory.runners_read_at, 3),
+        host.jobs.in_flight,
+        host.pool.waiting,
+        round(host.jobs.lag_s * 1000),
+        tuple(_hosts(host, now)),
+        tuple(_shares(host)),
+        tuple(_runners(host, now)),
+    )
+
+
+def _hosts(host: Host, now: float) -> Iterator[HostRow]:
+    yield HostRow(
+        host.card.name,
+        host.card.dc,
+        True,
+        None,
+        host.directory.version,
+        len(host.ownership.claims),
+        host.pool.waiting,
+    )
+    for peer in sorted(host.members.all(), key=lambda p: p.card.name):
+        yield _peer_row(peer, host.members.is_live(peer.card.name), now)
+
+
+def _peer_row(peer: Peer, live: bool, now: float) -> HostRow:
+    beat = peer.beat
+    if beat is None:
+        return HostRow(peer.card.name, peer.card.dc, live, None, 0, 0, 0)
+    heard_ms = round((now - peer.heard_at) * 1000)
+    return HostRow(
+        peer.card.name,
+        peer.card.dc,
+        live,
+        heard_ms,
+        beat.config_version,
+        len(beat.claims),
+        beat.queued,
+    )
+
+
+def _shares(host: Host) -> Iterator[ShareRow]:
+    for share in host.ownership.all_shares():
+        owner = host.ownership.owner_of(share)
+        if owner is None:
+            yield ShareRow(share.dc, share.index, 0, "", 0)
+            continue
+        name = owner.peer.card.name if owner.peer else host.card.name
+        claim = owner.claim
+        yield ShareRow(share.dc, share.index, claim.of, name, claim.fence)
+
+
+def _runners(host: Host, now: float) -> Iterator[RunnerRow]:
+    usual = host.pool.usual_slowness
+    for id_, link in sorted(host.pool.links.items()):
+        table = link.table
+        yield RunnerRow(
+            id_,
+            link.info.dc,
+            link.state.name.lower(),
+            link.info.draining,
+            len(table.runs),
+            table.free.cpu_milli,
+            table.free.mem_mb,
+            table.health.is_suspect(now, usual),
+            link.looks,
+            link.starts,
+        )
--- a/monsoongap/load/main.py
+++ b/monsoongap/load/main.py
@@ -1,4 +1,4 @@
-"""Open-loop load against a running deployment, with a check of every promise."""
+"""The program `monsoongap-load`: open-loop load, with a check of every promise."""
 
 import asyncio
 import logging
@@ -11,12 +11,12 @@
 from rich.table import Table
 
 from monsoongap.errors import UserError
-from monsoongap.load.fault_schedule import ScheduleStep, load_schedule
-from monsoongap.load.report import summary_rows, write_report
-from monsoongap.load.runner import run_load
-from monsoongap.load.settings import load_profile
-from monsoongap.load.summary import Summary, samples_of, summarize
-from monsoongap.logs import configure_logging
+from monsoongap.load.checker import broken_promises
+from monsoongap.load.report import write_report
+from monsoongap.load.runner import fetch_ledger, run_load
+from monsoongap.load.settings import LoadProfile, load_profile
+from monsoongap.load.summary import Summary, summarize
+from monsoongap.transport.http_conn import NotConnected
 from monsoongap.util.command import (
     CheckOption,
     SetOption,
@@ -25,47 +25,52 @@
 )
 from monsoongap.util.ini import parse_overrides
 
-log = logging.getLogger(__name__)
-
-EXIT_VIOLATIONS = 1
+EXIT_BROKEN = 1
+# What is under way when the last answer comes has ended by then.
+LEDGER_SETTLE_S = 0.5
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
-def print_summary(console: Console, title: str, summary: Summary) -> None:
-    """Print the figures as a table, then each violation on a line."""
-    table = Table(title=title, show_header=False)
-    table.add_column("figure")
-    table.add_column("value", justify="right")
-    for row in summary_rows(summary):
-        table.add_row(row.label, row.value)
-    console.print(table)
-    for violation in summary.violations or ():
-        console.print(str(violation), style="red", markup=False)
-
-
-def read_schedule(path: Path | None) -> tuple[ScheduleStep, ...]:
-    """Read the schedule of faults; raises `UserError`."""
-    if path is None:
-        return ()
+async def measure(cfg: LoadProfile) -> Summary:
+    """Play a profile and check what was promised; raises `UserError`."""
+    calls = await run_load(cfg)
+    if not cfg.target.ledger:
+        return summarize(calls, None)
+    await asyncio.sleep(LEDGER_SETTLE_S)
     try:
-        return load_schedule(path)
-    except (msgspec.MsgspecError, OSError) as exc:
-        raise UserError(f"{path}: {exc}") from exc
+        ledger = await fetch_ledger(cfg.target.ledger)
+    except NotConnected as exc:
+        raise UserError(f"no ledger to check against: {exc}") from exc
+    return summarize(calls, broken_promises(calls, ledger))
+
+
+def print_summary(console: Console, summary: Summary) -> None:
+    """Print the figures as a table, then each broken promise on a line."""
+    table = Table(title=f"{summary.jobs} jobs", title_justify="left")
+    for name in ("kind", "jobs", "completed", "response/ideal p50", "p99"):
+        table.add_column(name, justify="right")
+    for row in summary.kinds:
+        p50, p99 = (f"{x:.2f}" if x else "" for x in (row.ratio_p50, row.ratio_p99))
+        table.add_row(row.kind, str(row.jobs), str(row.completed), p50, p99)
+    console.print(table)
+    outcomes = ", ".join(f"{n} {name}" for name, n in summary.outcomes.items())
+    console.print(f"outcomes: {outcomes}", markup=False)
+    if summary.broken is not None:
+        console.print(f"promises broken: {len(summary.broken)}")
+    for line in summary.broken or ():
+        console.print(line, style="red", markup=False)
 
 
 @app.command()
 def run(
     profile: Annotated[Path, typer.Option(help="INI file with the profile.")],
-    faults: Annotated[
-        Path | None, typer.Option(help="JSON file with faults to show meanwhile.")
-    ] = None,
     set_: SetOption = None,
     json_: Annotated[
         bool, typer.Option("--json", help="Print the figures as JSON.")
     ] = False,
     report: Annotated[
-        Path | None, typer.Option(help="Write an HTML page with plots.")
+        Path | None, typer.Option(help="Write an HTML page with a plot.")
     ] = None,
     check_config: CheckOption = False,
     version: VersionOption = False,
@@ -75,26 +80,20 @@
     Exits 1 when a promise was broken and 2 when the profile is faulty.
     """
     cfg = load_profile(profile, parse_overrides(set_ or []))
-    schedule = read_schedule(faults)
     if check_config:
         typer.echo(f"{profile}: valid")
         return
-    if not cfg.target.entries:
-        raise UserError(f"{profile}: [target] entries: needs at least one")
-    if schedule and not cfg.target.ledgers:
-        raise UserError(f"{profile}: [target] ledgers: --faults needs one")
-    configure_logging(cfg.log)
-    result = asyncio.run(run_load(cfg, schedule))
-    summary = summarize(cfg, result)
+    logging.basicConfig(level=cfg.log.level.upper())
+    summary = asyncio.run(measure(cfg))
     if json_:
         typer.echo(msgspec.json.encode(summary).decode())
     else:
-        print_summary(Console(), cfg.deployment.name, summary)
+        print_summary(Console(), summary)
     if report is not None:
-        write_report(report, cfg, samples_of(cfg, result), summary)
+        write_report(report, summary)
         typer.echo(f"report: {report}", err=True)
-    if summary.violations:
-        raise typer.Exit(EXIT_VIOLATIONS)
+    if summary.broken:
+        raise typer.Exit(EXIT_BROKEN)
 
 
 def main() -> None:
--- a/monsoongap/load/records.py
+++ b/monsoongap/load/records.py
@@ -1,53 +1,44 @@
-"""What can be seen of a run from outside: the input of the checker.
+"""What callers saw of their jobs: the input of the checker and of the report."""
 
-All times are milliseconds on one clock: the wall clock of a real run, or the
-virtual loop's clock of a test.
-"""
+from dataclasses import dataclass, field
 
-from dataclasses import dataclass
-
-from monsoongap.protocol.messages import JobOutcome, JobRequest, Ledger
+from monsoongap.errors import ANSWERS, AnswerKind, Promise
 
 
 @dataclass(frozen=True, slots=True)
-class Reception:
-    """One outcome as a caller received it."""
+class Attempt:
+    """One try of a call. `outcome` is None when no answer came."""
 
-    at_ms: float
-    outcome: JobOutcome
+    outcome: AnswerKind | None
 
+    @property
+    def promise(self) -> Promise:
+        """What the caller may rely on after it."""
+        return ANSWERS[self.outcome].promise if self.outcome else Promise.UNKNOWN
 
-@dataclass(frozen=True, slots=True)
+
+@dataclass(slots=True)
 class CallRecord:
-    """One call: what was asked under which submission, and what came back.
+    """One job as its caller saw it. Times are seconds of the caller's clock.
 
-    `unsent` marks a call that never reached an entry host (connection refused).
-    `abandoned` marks a call that its caller gave up, or whose entry host was
-    killed on purpose. Neither is owed an outcome.
+    `ideal_s` is the time of its longest task, `due_at` when it was to be sent.
     """
 
-    submission: str
-    request: JobRequest
-    sent_at_ms: float
-    received: tuple[Reception, ...] = ()
-    host: str = ""
-    unsent: bool = False
-    abandoned: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class LeaveRecord:
-    """When a worker left, and when it came back if it did."""
-
-    worker: str
-    left_at_ms: float
-    back_at_ms: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class RunRecord:
-    """Everything that the checker looks at."""
-
-    calls: tuple[CallRecord, ...]
-    ledger: Ledger
-    leaves: tuple[LeaveRecord, ...] = ()
+    id: str
+    kind: str
+    tasks: int
+    ideal_s: float
+    due_at: float
+    attempts: list[Attempt] = field(default_factory=list)
+    took_s: float = 0.0
+
+    @property
+    def outcome(self) -> str:
+        """How the last try ended, as a word for the report."""
+        last = self.attempts[-1].outcome if self.attempts else None
+        return last.value if last else "no answer"
+
+    @property
+    def completed(self) -> bool:
+        """Tell whether the whole answer came."""
+        return self.outcome == AnswerKind.COMPLETED
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -1,11 +1,13 @@
-"""Structured logs: one formatter for people, one JSON object per line for tools.
+"""Log lines as JSON on standard output, which never hold the process up.
 
-Both print every `extra` field of a record, which is where decisions carry their
-submission, task, upstream and reason.
+Lines beyond a rate, and lines that a slow reader leaves no room for, are dropped,
+counted, and the count is told with the next line that gets through. Decisions carry
+their job, inputs and outcome as `extra` fields, each of which is a field of the line.
 """
 
 import itertools
 import logging
+import os
 import sys
 import time
 
@@ -13,6 +15,8 @@
 
 from monsoongap.settings import LogSection
 
+# A burst of two seconds passes before lines are dropped.
+BURST_S = 2.0
 # `extra` fields follow these in a record; the formatter adds the last two.
 _PLAIN_COUNT = len(vars(logging.makeLogRecord({})))
 _ADDED_FIELDS = ("message", "asctime")
@@ -28,38 +32,18 @@
     }
 
 
-class TextFormatter(logging.Formatter):
-    """Time, level, logger, event, then `key=value` for each extra."""
-
-    def __init__(self) -> None:
-        super().__init__("%(asctime)s %(levelname)s %(name)s %(message)s")
-        self._second = -1
-        self._second_text = ""
-
-    def formatTime(  # noqa: N802
-        self, record: logging.LogRecord, datefmt: str | None = None
-    ) -> str:
-        """Return the time in milliseconds; each second is formatted once."""
-        second = int(record.created)
-        if second != self._second:
-            self._second = second
-            self._second_text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
-        return f"{self._second_text}.{int(record.msecs):03d}Z"
-
-    def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
-        """Append the extras to the line."""
-        line = super().formatMessage(record)
-        pairs = (f"{key}={value}" for key, value in extras(record).items())
-        return " ".join([line, *pairs])
-
-
 class JsonFormatter(logging.Formatter):
-    """One JSON object per line."""
+    """One JSON object per line, with the name of the host that wrote it."""
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self._host = host
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record as JSON text."""
         line: dict[str, object] = {
-            "time": record.created,
+            "time": round(record.created, 4),
+            "host": self._host,
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": record.getMessage(),
@@ -70,14 +54,67 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-def configure_logging(cfg: LogSection) -> None:
-    """Send all logs to standard error in the form the settings name."""
-    handler = logging.StreamHandler(sys.stderr)
-    match cfg.format:
-        case "json":
-            handler.setFormatter(JsonFormatter())
-        case _:
-            handler.setFormatter(TextFormatter())
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without blocking, within a rate."""
+
+    def __init__(self, descriptor: int, lines_per_s: float) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._most = self._tokens = lines_per_s * BURST_S
+        self._filled_at = time.monotonic()
+        self._rest = b""
+        self.dropped = 0
+        self._untold = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record's line, or count it as dropped."""
+        now = time.monotonic()
+        filled = (now - self._filled_at) * self._lines_per_s
+        self._tokens = min(self._most, self._tokens + filled)
+        self._filled_at = now
+        if self._tokens < 1 and record.levelno < logging.WARNING:
+            self._drop()
+            return
+        self._tokens -= 1
+        line = self.format(record).encode() + b"\n"
+        if self._untold:
+            told = {"event": "log lines dropped", "count": self._untold}
+            line = msgspec.json.encode(told) + b"\n" + line
+        self._write(line)
+
+    def _write(self, line: bytes) -> None:
+        data = self._rest + line
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self._drop()
+            return
+        except OSError:
+            # Nobody reads the log any more; the process goes on without it.
+            self._drop()
+            self._rest = b""
+            return
+        self._untold = 0
+        # A line that was written in part is finished before the next one.
+        self._rest = data[written:]
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self._untold += 1
+
+
+def dropped_lines() -> int:
+    """Return how many lines this process has dropped so far."""
+    handlers = logging.getLogger().handlers
+    return sum(h.dropped for h in handlers if isinstance(h, BoundedHandler))
+
+
+def configure_logging(host: str, cfg: LogSection) -> None:
+    """Send all logs to standard output as JSON lines."""
+    handler = BoundedHandler(sys.stdout.fileno(), cfg.lines_per_s)
+    handler.setFormatter(JsonFormatter(host))
     logging.basicConfig(level=cfg.level.upper(), handlers=[handler], force=True)
     # A refusal is an ordinary answer and has a line of its own where it was decided.
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
--- a/monsoongap/metrics.py
+++ b/monsoongap/metrics.py
@@ -4,16 +4,13 @@
 a scrape asks, so counting costs nothing on the path of a request.
 """
 
-import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from monsoongap.protocol.messages import JobAnswer, JobOutcome
-
 PREFIX = "monsoongap"
 RESPONSE_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, float("inf"))
 
@@ -46,19 +43,6 @@
         )
         self._gauges.append((gauge, source))
 
-    async def timed(self, work: Awaitable[JobOutcome]) -> JobOutcome:
-        """Await a job's outcome and count its response time under it."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        outcome = await work
-        match outcome:
-            case JobAnswer():
-                label = "answered"
-            case error:
-                label = error.outcome
-        self._responses.observe({"outcome": label}, loop.time() - began)
-        return outcome
-
     def observe_response(self, outcome: str, took_s: float) -> None:
         """Count one response time under its outcome."""
         self._responses.observe({"outcome": outcome}, took_s)
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -11,34 +12,20 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.iostream import IOStream
 
-from monsoongap.coordination.fleet.host import Host
+from monsoongap.coordination.host import Host
+from monsoongap.errors import ANSWERS, AnswerKind
 from monsoongap.metrics import Metrics
 from monsoongap.platform import wire
-from monsoongap.protocol.fleet import AnswerKind, JobReply, QueueRule, SubmitCall
-from monsoongap.transport.host_calls import send_reply
+from monsoongap.protocol.messages import JobReply, QueueRule
+from monsoongap.transport.http_server import listen, send_reply
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
 READY_PATH = "/monsoongap/ready"
-OK = 200
-BAD_REQUEST = 400
-NOT_FOUND = 404
-GONE = 410
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
 MAX_HEADER_BYTES = 65_536
-
-# The one table from how a job ended to the status its caller gets.
-_STATUS = {
-    AnswerKind.COMPLETED: OK,
-    AnswerKind.FAILED: OK,
-    AnswerKind.REFUSED: UNAVAILABLE,
-    AnswerKind.UNKNOWN_QUEUE: NOT_FOUND,
-    AnswerKind.UNSUPPORTED: UNAVAILABLE,
-    AnswerKind.BROKEN: GATEWAY_TIMEOUT,
-    AnswerKind.HANDED_ON: GATEWAY_TIMEOUT,
-}
+# A host has its first configuration within a second of its start.
+CONFIG_RETRY_S = 1.0
 
 
 @dataclass(slots=True)
@@ -64,7 +51,7 @@
 
     def listen(self, address: str) -> None:
         """Listen for callers on `IP:port`."""
-        _listen(self._server, address)
+        listen(self._server, address)
 
     def stop_listening(self) -> None:
         """Take no new connections; open ones go on."""
@@ -93,23 +80,27 @@
     async def _serve(self, req: HTTPServerRequest) -> None:
         directory = self._host.directory
         if directory.version == 0:
-            self._reply(req, UNAVAILABLE, {"error": "no configuration yet"}, 1.0)
+            refusal = JobReply(
+                AnswerKind.REFUSED, "no configuration yet", CONFIG_RETRY_S
+            )
+            self._answer(req, refusal)
             return
         rule = directory.match(req.host_name, req.path)
         if rule is None:
-            self._reply(req, NOT_FOUND, {"error": "no such queue"})
+            self._answer(req, JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue"))
             return
         id_ = req.path[len(rule.path_prefix) :]
         match (req.method, id_):
             case ("GET", ""):
-                self._reply(req, OK, {"pending": self._host.jobs.untouched(rule.name)})
+                pending = self._host.jobs.untouched(rule.name)
+                self._send(req, HTTPStatus.OK, {"pending": pending})
             case ("POST", _):
                 await self._submit(req, rule, id_)
             case ("GET" | "DELETE", _):
                 # Jobs whose answer is their result are not kept to be asked for.
-                self._reply(req, GONE, {"error": "no such job"})
+                self._answer(req, JobReply(AnswerKind.UNKNOWN_JOB, "no such job"))
             case _:
-                self._reply(req, BAD_REQUEST, {"error": "no such call"})
+                self._answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
 
     async def _submit(self, req: HTTPServerRequest, rule: QueueRule, id_: str) -> None:
         try:
@@ -118,11 +109,12 @@
             job = wire.decode_job(req.body, id_, rule.name)
         except wire.Malformed as exc:
             self.counts.malformed += 1
-            self._reply(req, BAD_REQUEST, {"error": str(exc)})
+            self._answer(req, JobReply(AnswerKind.MALFORMED, str(exc)))
             return
         except wire.Unsupported as exc:
             log.warning("job not supported", extra={"job": id_, "asked": str(exc)})
-            self._reply(req, UNAVAILABLE, {"error": f"not supported: {exc}"})
+            detail = f"not supported: {exc}"
+            self._answer(req, JobReply(AnswerKind.UNSUPPORTED, detail))
             return
         done = False
 
@@ -135,11 +127,8 @@
         conn = req.connection
         if isinstance(conn, HTTP1Connection):
             conn.set_close_callback(left)
-        host = self._host
-        share = host.ownership.home_share(job.id)
-        call = SubmitCall(job, host.card.name, host.directory.version, share)
         began = self._host.timers.now()
-        reply = await self._host.submit(call)
+        reply = await self._host.take(job)
         done = True
         took_s = self._host.timers.now() - began
         self._metrics.observe_response(reply.kind.value, took_s)
@@ -151,9 +140,9 @@
                 body = {"state": reply.kind.value}
             case _:
                 body = {"error": reply.detail}
-        self._reply(req, _STATUS[reply.kind], body, reply.retry_after_s)
+        self._send(req, ANSWERS[reply.kind].status, body, reply.retry_after_s)
 
-    def _reply(
+    def _send(
         self,
         req: HTTPServerRequest,
         status: int,
@@ -187,27 +176,6 @@
         super().on_close(server_conn)
 
 
-class MetricsServer:
-    """Serves the metrics as text to whoever scrapes them."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-        self._server = HTTPServer(self._handle)
-
-    def listen(self, address: str) -> None:
-        """Listen on `IP:port`."""
-        _listen(self._server, address)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._server.stop()
-
-    def _handle(self, req: HTTPServerRequest) -> None:
-        accepts = req.headers.get_list("Accept")
-        content, headers = self._metrics.render(accepts)
-        send_reply(req, OK, content, headers)
-
-
 class ReadyServer:
     """Tells the platform whether new connections should come here."""
 
@@ -217,19 +185,13 @@
 
     def listen(self, address: str) -> None:
         """Listen on `IP:port`."""
-        _listen(self._server, address)
+        listen(self._server, address)
 
     def close(self) -> None:
         """Stop listening."""
         self._server.stop()
 
     def _handle(self, req: HTTPServerRequest) -> None:
-        if req.path != READY_PATH:
-            send_reply(req, NOT_FOUND, b"", {})
-            return
-        send_reply(req, OK if self._ready() else UNAVAILABLE, b"", {})
-
-
-def _listen(server: HTTPServer, address: str) -> None:
-    ip, _, port = address.rpartition(":")
-    server.listen(int(port), ip)
+        known = req.path == READY_PATH
+        wanted = HTTPStatus.OK if self._ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        send_reply(req, wanted if known else HTTPStatus.NOT_FOUND, b"", {})
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
-from monsoongap.coordination.fleet.host import Host
+from monsoongap.coordination.host import Host
 from monsoongap.platform import wire
 from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
-from monsoongap.protocol.fleet import HostCard, RunnerInfo
+from monsoongap.protocol.messages import HostCard, RunnerInfo
+from monsoongap.settings import BoundsSection
 from monsoongap.timers import TimerService
 from monsoongap.util.background import Background
 
@@ -24,10 +25,11 @@
 CONFIG_KEY = "config"
 RUNNERS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
-# Ends a wait before a silent connection could cost the bound on configurations.
-CONFIG_WAIT_S = 2.5
-# A runner that drains must get no start 2 s after it said so.
-OWNER_READ_S = 0.8
+# A wait for a configuration lasts a little longer than its bound: heartbeats of other
+# hosts tell sooner of one that a silent connection keeps back.
+CONFIG_WAIT_BOUNDS = 1.25
+# An owner reads the runners twice and more within the bound on draining.
+OWNER_READ_BOUNDS = 0.4
 OTHER_READ_S = 5.0
 CHECK_S = 0.1
 # After so many failures in a row another host is asked for the list.
@@ -37,7 +39,15 @@
 class Feeds:
     """Reads the store for one host."""
 
-    def __init__(self, host: Host, store: StoreClient, timers: TimerService) -> None:
+    def __init__(
+        self,
+        cfg: BoundsSection,
+        host: Host,
+        store: StoreClient,
+        timers: TimerService,
+    ) -> None:
+        self._config_wait_s = CONFIG_WAIT_BOUNDS * cfg.config_s
+        self._owner_read_s = OWNER_READ_BOUNDS * cfg.drain_s
         self._host = host
         self._store = store
         self._timers = timers
@@ -59,7 +69,7 @@
         failures = 0
         while True:
             try:
-                changed = await self._store.advance(topic, CONFIG_WAIT_S)
+                changed = await self._store.advance(topic, self._config_wait_s)
             except StoreUnavailable as exc:
                 failures += 1
                 self._note_failure(OPERATOR_TOPIC, failures, exc)
@@ -82,7 +92,7 @@
                 failures += 1
                 self._note_failure(RUNNERS_TOPIC, failures, exc)
                 if failures >= ASK_PEERS_AFTER:
-                    await self._host.fetch_runners()
+                    await self._host.calls.fetch_runners()
                 await pause(failures)
                 continue
             self._note_success(RUNNERS_TOPIC, failures)
@@ -95,9 +105,8 @@
         while True:
             await asyncio.sleep(CHECK_S)
             owner = bool(self._host.ownership.claims)
-            if self._timers.now() - read_at >= (
-                OWNER_READ_S if owner else OTHER_READ_S
-            ):
+            pace_s = self._owner_read_s if owner else OTHER_READ_S
+            if self._timers.now() - read_at >= pace_s:
                 return
 
     async def _hosts(self) -> None:
--- a/monsoongap/platform/runners.py
+++ b/monsoongap/platform/runners.py
@@ -1,14 +1,13 @@
 """The client of runners: orders and looks over kept-alive connections."""
 
-from monsoongap.coordination.fleet.link import REPLY_S
-from monsoongap.coordination.fleet.ports import (
+from monsoongap.coordination.ports import (
     HigherFence,
     NoAnswer,
     NotSent,
     OtherLife,
 )
 from monsoongap.platform import wire
-from monsoongap.protocol.fleet import (
+from monsoongap.protocol.messages import (
     NotStarted,
     Refusal,
     RunnerInfo,
@@ -26,6 +25,8 @@
 )
 
 INTENDED_LIFE_HEADER = "X-Monsoongap-Expect-Instance"
+# A reply takes a few milliseconds; beyond this the order counts as unanswered.
+REPLY_S = 0.3
 OK = 200
 CONFLICT = 409
 MISDIRECTED = 421
--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 from monsoongap.platform import wire
+from monsoongap.settings import StoreSection
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
 
@@ -41,8 +42,8 @@
 class StoreClient:
     """Reads keyed topics and appends to them."""
 
-    def __init__(self, address: str, http: HttpClient) -> None:
-        self._address = address
+    def __init__(self, cfg: StoreSection, http: HttpClient) -> None:
+        self._address = cfg.address
         self._http = http
         self._fresh = False
         self.counts = StoreCounts()
@@ -68,13 +69,21 @@
             raise StoreUnavailable(f"status {status}")
         try:
             _, contents = wire.decode_records(body)
-            pairs = [wire.split_key(content) for content in contents]
         except wire.Malformed as exc:
             raise StoreUnavailable(str(exc)) from exc
         topic.position += len(contents)
-        for key, value in pairs:
+        for content in contents:
+            try:
+                key, value = wire.split_key(content)
+            except wire.Malformed as exc:
+                # Another writer's record: passed over, as it is there for good.
+                log.warning(
+                    "record not understood",
+                    extra={"topic": topic.name, "error": str(exc)},
+                )
+                continue
             _apply(topic.values, key, value)
-        return bool(pairs)
+        return bool(contents)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a key's value; raises `StoreUnavailable`."""
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from monsoongap.protocol.fleet import (
+from monsoongap.protocol.messages import (
+    MAX_TASKS,
     Configuration,
     EndKind,
     Job,
@@ -24,6 +25,7 @@
     Step,
     TaskId,
     UpstreamRule,
+    is_job_id,
 )
 
 MS_PER_S = 1000
@@ -79,13 +81,9 @@
     repeat_count: int = 0
 
 
-MAX_TASKS = 4096
-ID_DIGITS = 16
-
-
 def decode_job(body: bytes, id_: str, queue: str) -> Job:
     """Read a submitted job; raises `Malformed` or `Unsupported`."""
-    if len(id_) != ID_DIGITS or not all(c in "0123456789abcdefABCDEF" for c in id_):
+    if not is_job_id(id_):
         raise Malformed("the job's id is not 16 hexadecimal digits")
     try:
         raw = msgspec.json.decode(body, type=_Job, strict=False)
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -1,249 +1,427 @@
-"""Typed messages of the caller and worker interfaces.
+"""Types of the product: jobs, runners, runs, and the messages between hosts.
 
-All are frozen data classes that `msgspec` encodes to and decodes from JSON.
-Times named `_ms` are milliseconds, sizes named `_mb` are megabytes.
+Times are seconds unless a name says otherwise. Nothing here knows how the
+platform spells any of it; `monsoongap.platform` translates.
+
+What rides on heartbeats is a frozen struct instead of a frozen data class: it is sent
+ten times a second, and without field names it takes a third of the bytes.
 """
 
-from dataclasses import dataclass
+import string
+import zlib
+from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Annotated, Any
 
-from msgspec import Meta
+import msgspec
+
+from monsoongap.errors import AnswerKind
+
+
+class Room(msgspec.Struct, frozen=True, array_like=True):
+    """Processors in thousandths of a core, memory in MiB, accelerators."""
+
+    cpu_milli: int
+    mem_mb: int
+    accelerators: int = 0
+
+    def holds(self, other: "Room") -> bool:
+        """Tell whether `other` fits into this room."""
+        return (
+            self.cpu_milli >= other.cpu_milli
+            and self.mem_mb >= other.mem_mb
+            and self.accelerators >= other.accelerators
+        )
 
-MAX_TASKS_PER_JOB = 280
-MAX_DEADLINE_MS = 3_600_000
+    def minus(self, other: "Room") -> "Room":
+        """Return what is left; may be negative."""
+        return Room(
+            self.cpu_milli - other.cpu_milli,
+            self.mem_mb - other.mem_mb,
+            self.accelerators - other.accelerators,
+        )
 
-Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.-]+$")]
+    def plus(self, other: "Room") -> "Room":
+        """Return the sum."""
+        return Room(
+            self.cpu_milli + other.cpu_milli,
+            self.mem_mb + other.mem_mb,
+            self.accelerators + other.accelerators,
+        )
+
+
+NO_ROOM = Room(0, 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
-class TaskSpec:
-    """One task as its caller declares it; the sizes may be far off."""
+class RunnerInfo:
+    """What a runner last told of itself.
 
-    payload: Any = None
-    cpus: Annotated[float, Meta(gt=0, le=1024)] = 1.0
-    memory_mb: Annotated[int, Meta(ge=1, le=4_194_304)] = 64
-    expected_ms: Annotated[int, Meta(ge=1, le=MAX_DEADLINE_MS)] = 100
+    `born_ms` parts two lives under one id. `labels` holds its kind and rack.
+    """
+
+    id: str
+    upstream: str
+    address: str
+    dc: str
+    draining: bool
+    room: Room
+    labels: tuple[str, ...] = ()
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class JobRequest:
-    """A job: tasks whose answers are wanted together, in order."""
+class QueueRule:
+    """One queue of the configuration: who may submit where, and its objectives.
 
-    team: Name
-    kind: Name
-    tasks: Annotated[
-        tuple[TaskSpec, ...], Meta(min_length=1, max_length=MAX_TASKS_PER_JOB)
-    ]
-    deadline_ms: Annotated[int, Meta(ge=1, le=MAX_DEADLINE_MS)] = 30_000
-    repeatable: bool = False
+    `priority` 0 goes first. `stretch` times the longest chain of work plus
+    `grace_s` is the objective for a response.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    upstream: str
+    timeout_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    grace_s: float = 0.0
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class JobAnswer:
-    """The whole answer of a job, one entry per task, in order."""
+class UpstreamRule:
+    """One upstream of the configuration."""
 
-    submission: str
-    answers: tuple[Any, ...]
+    name: str
+    guards_room: bool
 
 
 @dataclass(frozen=True, slots=True)
-class JobError:
-    """The honest report of a job that has no answer."""
+class Configuration:
+    """The newest configuration this process has accepted."""
 
-    error: str
-    outcome: str
-    detail: str
-    retry_after_ms: int | None = None
-    submission: str | None = None
+    version: int
+    queues: tuple[QueueRule, ...] = ()
+    upstreams: tuple[UpstreamRule, ...] = ()
+    body_limit_bytes: int = 262_144
+    header_limit_bytes: int = 16_384
 
 
-JobOutcome = JobAnswer | JobError
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Tasks of one size. `after` lists the steps that must be done first.
 
+    `near_rack` names the rack of the data, `label` one the runner must have,
+    `most_per_runner` bounds tasks of this step on one runner; 0 is no bound.
+    """
 
-class JobPhase(StrEnum):
-    """Where a job stands."""
+    count: int
+    size: Room
+    estimate_s: float
+    after: tuple[int, ...] = ()
+    near_rack: str = ""
+    label: str = ""
+    most_per_runner: int = 0
 
-    CLAIMING = "claiming"
-    QUEUED = "queued"
-    RUNNING = "running"
-    ANSWERED = "answered"
-    FAILED = "failed"
+
+# A job of the design size has up to 280 tasks; this only bounds what one may cost.
+MAX_TASKS = 4096
+JOB_ID_DIGITS = 16
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether a text is a job's id: 16 hexadecimal digits."""
+    return len(text) == JOB_ID_DIGITS and all(c in string.hexdigits for c in text)
 
 
 @dataclass(frozen=True, slots=True)
-class JobView:
-    """What `GET /v1/jobs/{submission}` tells of a job."""
+class Job:
+    """A submitted job. `queue` is the name of its queue's rule."""
 
-    submission: str
-    phase: JobPhase
-    team: str
-    kind: str
-    tasks: int
-    started: int
-    done: int
-    home: str
-    error: JobError | None = None
+    id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class TaskId:
+    """Names a task: the `index`-th of step `step` of job `job`."""
+
+    job: str
+    step: int
+    index: int
+
+
+class EndKind(StrEnum):
+    """How a run ended, as its runner lists it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
 
 
 @dataclass(frozen=True, slots=True)
-class StartLease:
-    """Bounds when a worker may accept a start.
+class RunEnd:
+    """The end of a run; `number` counts the ends of one life of a runner."""
 
-    `boot` is the worker's boot number and `until_ms` a time on the worker's own
-    monotonic clock, derived from the clock stamp in the worker's latest reply. A
-    holder that was paused carries an old stamp, so its start is refused without
-    any need for clocks that agree.
-    """
+    number: int
+    task: TaskId
+    run: int
+    kind: EndKind
 
-    boot: int
-    until_ms: int
+
+@dataclass(frozen=True, slots=True)
+class RunRow:
+    """A run that a runner has now; `progress` goes from 0 to 100."""
+
+    task: TaskId
+    run: int
+    progress: int
+    cpu_milli: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class TaskStart:
-    """Body of `PUT /v1/tasks/{task}`: start, then reply when the task ends.
+class RunnerView:
+    """A runner's answer to a look: its clock, what runs, what ended."""
+
+    clock_ms: int
+    born_ms: int
+    running: tuple[RunRow, ...]
+    ends: tuple[RunEnd, ...]
 
-    `fence` grows with every attempt and every change of home; a worker refuses a
-    start whose fence is not above the highest it has seen revoked for the task.
-    """
 
-    task: str
-    submission: str
-    team: str
-    kind: str
-    holder: str
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Orders a run. `lease_until_ms` is a time on the runner's clock."""
+
+    task: TaskId
+    run: int
+    payload: str
+    lease_until_ms: int
     fence: int
-    lease: StartLease
-    payload: Any = None
-    cpus: float = 1.0
-    memory_mb: int = 64
 
 
 class Refusal(StrEnum):
-    """Why a worker refused a start; each means that the task did not start."""
+    """Why a runner did not start a run."""
 
-    BUSY = "busy"
-    DRAINING = "draining"
-    LEASE_EXPIRED = "lease_expired"
     FENCED = "fenced"
-    TOO_LARGE = "too_large"
+    OLD_RUN = "old_run"
+    LEASE_OVER = "lease_over"
+    NO_ROOM = "no_room"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other_life"
+    MALFORMED = "malformed"
 
 
-class TaskState(StrEnum):
-    """What a worker knows of a task."""
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The run is on the runner. `clock_ms` is None when the reply had none."""
 
-    REFUSED = "refused"
-    RUNNING = "running"
-    DONE = "done"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-    REVOKED = "revoked"
-    UNKNOWN = "unknown"
+    clock_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
-class TaskReport:
-    """Every answer of a worker about a task.
+class NotStarted:
+    """The runner refused; nothing was done."""
+
+    reason: Refusal
+    clock_ms: int | None = None
+
+
+# Messages between entry hosts.
 
-    `REVOKED` means that the task never started here and that no start up to
-    `fence` will be accepted. `UNKNOWN` (from GET only) means never seen.
-    `clock_ms` is the worker's monotonic clock and `boot` its boot number.
-    `run_ms` is how long the task ran, or None while it has not ended.
+
+class HostCard(msgspec.Struct, frozen=True, array_like=True):
+    """How to reach an entry host, which life of it this is, and what it can do.
+
+    `cores` is what the host may use of a processor, in cores of usual speed.
     """
 
-    task: str
-    state: TaskState
-    boot: int
-    clock_ms: int
-    refusal: Refusal | None = None
-    answer: Any = None
-    error: str | None = None
-    run_ms: float | None = None
-    fence: int = 0
+    name: str
+    dc: str
+    ip: str
+    port: int
+    boot_ms: int
+    cores: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerUsage:
-    """Body of `GET /v1/usage`; the figures lag behind the truth."""
+class ShareId(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One share of the runners of a data centre, and of the jobs that come to it."""
 
-    worker: str
-    boot: int
-    clock_ms: int
-    slots: int
-    busy: int
-    cpus: float
-    memory_mb: int
-    draining: bool = False
-    accelerators: int = 0
+    dc: str
+    index: int = 0
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True):
+    """A share that a host owns, and the fence it holds the share's runners by.
+
+    `of` is the number of shares into which the data centre is divided.
+    """
+
+    share: ShareId
+    of: int
+    fence: int
+
+    def covers(self, dc: str, name: str) -> bool:
+        """Tell whether a runner or a job of that data centre falls to the share."""
+        return dc == self.share.dc and share_index(name, self.of) == self.share.index
+
+
+def share_index(name: str, of: int) -> int:
+    """Return the share of `of` that a runner or a job falls to by its name."""
+    return zlib.crc32(name.encode()) % of if of > 1 else 0
+
+
+class FreeRoom(msgspec.Struct, frozen=True, array_like=True):
+    """Room on one runner, as its owner counts it."""
+
+    upstream: str
+    room: Room
+    labels: tuple[str, ...] = ()
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """A host's heartbeat. `hears` names the hosts it heard lately.
+
+    `begun` holds the numbers of the jobs that it began to see through lately: sent
+    again to another data centre, they are answered from where they are.
+    """
+
+    card: HostCard
+    serial: int
+    leaving: bool
+    config_version: int
+    claims: tuple[Claim, ...] = ()
+    hears: tuple[str, ...] = ()
+    free: tuple[FreeRoom, ...] = ()
+    queued: int = 0
+    begun: tuple[int, ...] = ()
+    known: tuple[HostCard, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class LogRecord:
-    """One record of a log stream. `data` is JSON text."""
+class JobReply:
+    """The answer to a job.
 
-    offset: int
-    data: str
+    `REFUSED` promises that nothing ran and nothing will, with a time after which
+    to come back. See `monsoongap.errors` for all kinds.
+    """
+
+    kind: AnswerKind
+    detail: str = ""
+    retry_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class LogPage:
-    """A read of a log stream.
+class SubmitCall:
+    """Hands a job to the owner of the share that will see it through.
 
-    `records` are in offset order, `first` is the oldest offset still kept and
-    `next` the offset to read from next time.
+    `done` names the tasks that are known to have ended, `runs` the highest run
+    number given to each task so far, both from an earlier owner of the job. `again`
+    says that an earlier owner may have begun it: it cannot be refused as not run.
+    `here` says that the callee has the job, as another owner knows.
     """
 
-    records: tuple[LogRecord, ...]
-    first: int
-    next: int
+    job: Job
+    origin: str
+    version: int
+    share: ShareId
+    done: tuple[TaskId, ...] = ()
+    runs: tuple[tuple[TaskId, int], ...] = ()
+    again: bool = False
+    here: bool = False
 
 
-class HostRole(StrEnum):
-    """What a listed host is."""
+@dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Drops a job whose caller has left."""
 
-    ENTRY = "entry"
-    WORKER = "worker"
+    job: str
 
 
 @dataclass(frozen=True, slots=True)
-class HostEntry:
-    """One line of the platform's host list, which lags behind the truth."""
+class LendCall:
+    """Runs one task on a runner of the callee at once, or refuses for want of room.
 
-    name: str
-    role: HostRole
-    dc: str
-    address: str
-    leaving: bool = False
-    slots: int = 0
-    connections: int = 64
-    cpus: float = 0.0
-    memory_mb: int = 0
+    `claim` is the one by which the borrower sees the job through; a borrower that
+    was replaced without knowing is refused by it.
+    """
+
+    task: TaskId
+    run: int
+    payload: str
+    size: Room
+    queue: str
+    version: int
+    home: str
+    claim: Claim
+    estimate_s: float = 0.0
+    label: str = ""
     rack: str = ""
 
 
+class LendResult(StrEnum):
+    """What became of a lent task.
+
+    `LEFT_RUNNING` tells that the lender no longer owns the runner: the run may go on
+    there under the next owner.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    NO_ROOM = "no_room"
+    GONE = "gone"
+    LEFT_RUNNING = "left_running"
+
+
 @dataclass(frozen=True, slots=True)
-class HostList:
-    """The platform's host list with its version."""
+class LendReply:
+    """The outcome; `run` is the number of the run that ended."""
 
-    version: int
-    hosts: tuple[HostEntry, ...]
+    result: LendResult
+    run: int
 
 
 @dataclass(frozen=True, slots=True)
-class LedgerEntry:
-    """One start as the stand-in's ledger saw it; times are wall clock ms."""
+class FindCall:
+    """Stops every run of a job on the runners of `share`, for the claim's holder."""
+
+    job: str
+    share: ShareId
+    claim: Claim
+
 
-    task: str
-    submission: str
-    worker: str
-    started_ms: float
-    ended_ms: float | None = None
-    state: str = "running"
+@dataclass(frozen=True, slots=True)
+class FindReply:
+    """`settled` tells that no run of the job is left on the callee's runners."""
+
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCall:
+    """Asks for the configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigReply:
+    """The callee's configuration, as the operator's text."""
+
+    version: int
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RunnersCall:
+    """Asks for the list of runners."""
 
 
 @dataclass(frozen=True, slots=True)
-class Ledger:
-    """Every start that any worker of the stand-in ever made."""
+class RunnersReply:
+    """The callee's list and its age."""
 
-    entries: tuple[LedgerEntry, ...]
+    age_s: float
+    runners: tuple[RunnerInfo, ...] = field(default=())
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -1,8 +1,8 @@
 """The settings of an entry daemon, read from an INI file.
 
 Layers: the defaults below, then the file, then `--set section.key=value` of the
-command line. What operators change at run time lives in the settings tree that
-the log carries, see `monsoongap.coordination`.
+command line. An empty value in the file counts as left out. Queues and upstreams are
+not here: they come with the operator's configuration, which the platform holds.
 """
 
 from dataclasses import dataclass, field
@@ -13,169 +13,123 @@
 
 from monsoongap.util.ini import load_ini
 
-Port = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
-HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]{1,63}$")]
-Url = Annotated[str, Meta(pattern=r"^https?://[^/]+$")]
-Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
+Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
-Share = Annotated[float, Meta(ge=0, le=1)]
+Factor = Annotated[float, Meta(gt=0, le=1024)]
+
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
 class HostSection:
-    """Who this process is. `region` groups data centres."""
+    """Who this process is, and what of a processor it may use.
+
+    `processor_share` is a share of one core that is `processor_speed` times as fast
+    as a usual one.
+    """
 
     name: HostName
     dc: HostName
     region: HostName = "main"
+    processor_share: Factor = 1.0
+    processor_speed: Factor = 1.0
 
-
-@dataclass(frozen=True, slots=True)
-class ListenSection:
-    """Addresses (IP:port) this process listens on."""
-
-    caller: Port = "127.0.0.1:8080"
-    peer: Port = "127.0.0.1:8090"
+    @property
+    def cores(self) -> float:
+        """What the host may use of a processor, in cores of usual speed."""
+        return round(self.processor_share * self.processor_speed, 3)
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformSection:
-    """Where the platform's services are."""
-
-    log_url: Url = "http://127.0.0.1:8000"
-    hosts_url: Url = "http://127.0.0.1:8000"
-    timeout_s: Seconds = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class PeersSection:
-    """Peers known before the host list is, as `name=dc=address`, and heartbeats.
+class ListenSection:
+    """Addresses (IP:port) this process listens on; no operators', no metrics.
 
-    `cross_dc` is the number of hosts of each other data centre that this host
-    exchanges heartbeats with; both times are doubled there.
+    Peers are called over TCP and send heartbeats over UDP, both to `peers`.
     """
 
-    bootstrap: tuple[
-        Annotated[str, Meta(pattern=r"^[\w-]+=[\w-]+=[0-9a-fA-F.:\[\]]+:\d{1,5}$")], ...
-    ] = ()
-    heartbeat_s: Seconds = 1.0
-    suspect_after_s: Seconds = 2.5
-    hosts_poll_s: Seconds = 2.0
-    cross_dc: Annotated[int, Meta(ge=1, le=16)] = 2
+    callers: Address
+    ready: Address
+    peers: Address
+    operators: Annotated[str, Meta(pattern=r"^([0-9a-fA-F.:\[\]]+:\d{1,5})?$")] = ""
 
 
 @dataclass(frozen=True, slots=True)
-class LimitsSection:
-    """Limits that protect one caller from another."""
+class StoreSection:
+    """Where the platform's store is."""
 
-    body_bytes: Count = 1_000_000
-    header_bytes: Count = 16_384
-    connections: Count = 2_000
-    body_timeout_s: Seconds = 10.0
-    idle_s: Seconds = 300.0
-    jobs: Count = 5_000
-    issued_ids: Count = 20_000
-    drain_s: Seconds = 30.0
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
-class WorkersSection:
-    """How this process talks to workers."""
-
-    connections: Annotated[int, Meta(ge=1, le=64)] = 32
-    connect_timeout_s: Seconds = 1.0
-    reply_grace_s: Seconds = 1.0
-    probe_s: Seconds = 1.0
-    silent_after_s: Seconds = 0.5
-    lease_s: Seconds = 3.0
-
-
-@dataclass(frozen=True, slots=True)
-class PlacementSection:
-    """Queueing, shares, credits, ejection of bad workers.
+class PeersSection:
+    """Entry hosts that are known before the store names them (IP:port).
 
-    `short_s` parts short from long tasks until the gap between them has been
-    measured. A job is refused when it would wait longer than `queue_wait_s` and
-    longer than `queue_wait_runs` times its longest task.
+    Only their IP numbers count: peers listen on one port everywhere.
     """
 
-    short_s: Seconds = 1.0
-    queue_tasks: Count = 10_000
-    queue_wait_s: Seconds = 0.5
-    queue_wait_runs: Annotated[float, Meta(ge=0, le=1000)] = 5.0
-    credit_lease_s: Seconds = 2.0
-    suspect_grace_s: Seconds = 5.0
-    probe_s: Seconds = 1.0
-    probe_max_s: Seconds = 30.0
-    ejected_share: Share = 0.25
+    seeds: tuple[Address, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimsSection:
-    """How callers' own keys are claimed in the log.
+class BoundsSection:
+    """What the deployment promises of itself and wants kept.
 
-    `buckets` is the number of claims streams and must be equal on every host, as
-    must `keep_s`, which must lie below the log's retention. Claims gather for
-    `batch_s`. `appends_per_s` is the part of the log's rate that the claims of
-    all hosts together may take.
+    `lease_ms` is the longest lease of a runner. `drain_ms` is the time after which
+    a draining runner must get no start, `config_ms` that by which a configuration
+    must be in force. A lost job comes again after `resend_ms`. `grace_s` is the
+    time in seconds from SIGTERM to the end of the process.
     """
 
-    buckets: Annotated[int, Meta(ge=1, le=4096)] = 2
-    batch_s: Seconds = 0.01
-    keep_s: Seconds = 600.0
-    appends_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 200.0
-
+    lease_ms: Millis = 1000.0
+    drain_ms: Millis = 2000.0
+    config_ms: Millis = 2000.0
+    resend_ms: Millis = 1300.0
+    grace_s: Annotated[float, Meta(gt=0, le=3600)] = 6.0
 
-@dataclass(frozen=True, slots=True)
-class TreeSection:
-    """How the settings tree is replayed, passed on and first written to.
-
-    `open` says whether teams that the tree does not name may submit.
-    `admin_token_hash` (`sha256:` and 64 hexadecimal digits) lets a first operator
-    change any subtree; empty means that only operators named in the tree may.
-    `snapshot_s` must lie well below the log's retention. `start_empty` lets a host
-    that finds neither a snapshot nor a peer begin with an empty tree.
-    """
-
-    digest_s: Seconds = 1.0
-    snapshot_s: Seconds = 300.0
-    open: bool = True
-    start_empty: bool = False
-    admin_token_hash: Annotated[str, Meta(pattern=r"^(sha256:[0-9a-f]{64})?\Z")] = ""
+    @property
+    def lease_s(self) -> float:
+        """The longest lease in seconds."""
+        return self.lease_ms / MS_PER_S
 
+    @property
+    def drain_s(self) -> float:
+        """The bound on draining in seconds."""
+        return self.drain_ms / MS_PER_S
 
-@dataclass(frozen=True, slots=True)
-class TlsSection:
-    """Certificate files (PEM); empty means plain connections."""
+    @property
+    def config_s(self) -> float:
+        """The bound on configurations in seconds."""
+        return self.config_ms / MS_PER_S
 
-    certificate: str = ""
-    key: str = ""
-    ca: str = ""
-    reload_s: Seconds = 5.0
+    @property
+    def resend_s(self) -> float:
+        """The pause before a lost job comes again, in seconds."""
+        return self.resend_ms / MS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
 class LogSection:
-    """Form and level of this process's own log."""
+    """Level and bound of this process's log lines.
+
+    Lines beyond `lines_per_s` are dropped and counted, warnings excepted. The
+    default costs about 3 % of a core at 30 microseconds a line.
+    """
 
-    format: Literal["text", "json"] = "text"
     level: Literal["debug", "info", "warning", "error"] = "info"
+    lines_per_s: Count = 300
 
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """Everything an entry daemon is told at start."""
+    """Everything an entry daemon is told at its start."""
 
     host: HostSection
-    listen: ListenSection = field(default_factory=ListenSection)
-    platform: PlatformSection = field(default_factory=PlatformSection)
+    listen: ListenSection
+    store: StoreSection
     peers: PeersSection = field(default_factory=PeersSection)
-    limits: LimitsSection = field(default_factory=LimitsSection)
-    workers: WorkersSection = field(default_factory=WorkersSection)
-    placement: PlacementSection = field(default_factory=PlacementSection)
-    claims: ClaimsSection = field(default_factory=ClaimsSection)
-    tree: TreeSection = field(default_factory=TreeSection)
-    tls: TlsSection = field(default_factory=TlsSection)
+    bounds: BoundsSection = field(default_factory=BoundsSection)
     log: LogSection = field(default_factory=LogSection)
 
 
--- a/monsoongap/standin/__init__.py
+++ b/monsoongap/standin/__init__.py
@@ -1,1 +1,1 @@
-"""A stand-in for the platform: log service, host list and workers."""
+"""A stand-in for the users' platform: its store and its runners, with faults."""
--- a/monsoongap/standin/main.py
+++ b/monsoongap/standin/main.py
@@ -1,121 +1,142 @@
-"""The stand-in for the platform: log service, host list and workers.
+"""The program that serves the users' platform's stand-in: store, runners, control.
 
-One process serves any number of workers, each on an address of its own. Started
-several times with `--workers`, the workers are shared out over processes.
+The control address answers `GET /ledger` with every run and takes faults:
+`POST /runner` with `id` and fields of `RunnerFaults`, or `life` to crash and restart;
+`POST /store` with fields of `StoreFaults`, or `expire` to drop its history.
 """
 
 import asyncio
-import logging
-import signal
-import time
-from pathlib import Path
-from typing import Annotated
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Annotated, Any
 
+import msgspec
 import typer
+from tornado.httputil import HTTPServerRequest
 
-from monsoongap.errors import UserError
-from monsoongap.logs import configure_logging
-from monsoongap.standin.control_server import ControlServer, StandIn
-from monsoongap.standin.host_list_model import HostListModel
-from monsoongap.standin.ledger import StartLedger
-from monsoongap.standin.log_model import LogModel
-from monsoongap.standin.settings import (
-    StandInSettings,
-    host_entries,
-    load_settings,
-    worker_shapes,
-)
-from monsoongap.standin.worker_model import WorkerModel
-from monsoongap.standin.worker_server import WorkerServer
-from monsoongap.util.command import (
-    CheckOption,
-    SetOption,
-    VersionOption,
-    run_program,
-)
-from monsoongap.util.ini import parse_overrides
-
-log = logging.getLogger(__name__)
-
-DRAIN_POLL_S = 0.05
+from monsoongap.protocol.messages import Room, RunnerInfo
+from monsoongap.standin.runner_model import LedgerEntry, RunnerFaults
+from monsoongap.standin.runner_server import RunnerServer
+from monsoongap.standin.serving import Serving
+from monsoongap.standin.store import StoreFaults, StoreServer
+from monsoongap.util.command import VersionOption, run_program
 
+UPSTREAM = "inspect"
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
-def build(cfg: StandInSettings, only: frozenset[str]) -> StandIn:
-    """Build the parts; `only` names the workers to serve, all when empty."""
-    wall_offset_s = time.time() - asyncio.get_running_loop().time()
-    boot = int(time.time() * 1000)
-    ledger = StartLedger(wall_offset_s)
-    addresses = {host.name: host.address for host in host_entries(cfg)}
-    workers = tuple(
-        WorkerServer(WorkerModel(shape, ledger, boot), addresses[shape.name])
-        for shape in worker_shapes(cfg.workers)
-        if not only or shape.name in only
-    )
-    host_list = HostListModel(host_entries(cfg), cfg.host_list.lag_s)
-    return StandIn(ledger, workers, LogModel(cfg.log_service), host_list)
-
-
-async def serve(cfg: StandInSettings, only: frozenset[str], workers_only: bool) -> None:
-    """Serve until SIGTERM or SIGINT, then let running tasks end."""
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    parts = build(cfg, only)
-    control = ControlServer(parts, cfg.listen.control, workers_only)
-    for worker in parts.workers:
-        worker.listen()
-    control.listen()
-    log.info(
-        "stand-in ready",
-        extra={"workers": len(parts.workers), "control": cfg.listen.control},
-    )
-    await stopping.wait()
-    await _drain(parts, cfg.shutdown.drain_s)
-    control.stop()
-    log.info("stand-in stopped")
-
-
-async def _drain(parts: StandIn, drain_s: float) -> None:
-    """Refuse new starts, wait for running tasks, then stop the rest."""
-    for worker in parts.workers:
-        worker.model.draining = True
-    give_up_at = asyncio.get_running_loop().time() + drain_s
-    while any(worker.model.busy for worker in parts.workers):
-        if asyncio.get_running_loop().time() >= give_up_at:
-            break
-        await asyncio.sleep(DRAIN_POLL_S)
-    for worker in parts.workers:
-        worker.stop()
-        await worker.model.close()
+@dataclass(frozen=True, slots=True)
+class SiteShape:
+    """What to serve. Runners listen from `runner_port` on, told with an offset."""
+
+    ip: str
+    store_port: int
+    control_port: int
+    runner_port: int
+    told_offset: int
+    dcs: tuple[str, ...]
+    runners_per_dc: int
+
+
+def default_config(host: str) -> bytes:
+    """Return a configuration with one short and one long queue."""
+    queues = [("scan", 0, 400), ("load", 2, 2000)]
+    routes = [
+        {
+            "name": f"r-{name}",
+            "host": host,
+            "pathPrefix": f"/{name}/",
+            "timeoutMs": 3000,
+            "targetLatencyMs": grace,
+            "priority": priority,
+            "service": UPSTREAM,
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+        for name, priority, grace in queues
+    ]
+    services = [{"name": UPSTREAM, "admissionCheck": True}]
+    return msgspec.json.encode({"version": 1, "routes": routes, "services": services})
+
+
+class SiteServer:
+    """Everything that the stand-in serves."""
+
+    def __init__(self, shape: SiteShape) -> None:
+        self._shape = shape
+        self.ledger: list[LedgerEntry] = []
+        self.store = StoreServer()
+        self.runners: dict[str, RunnerServer] = {}
+        self._control = Serving(self._answer)
+
+    def listen(self) -> None:
+        """Listen everywhere and tell the first configuration."""
+        shape = self._shape
+        self.store.listen(f"{shape.ip}:{shape.store_port}")
+        self.store.topic("keyed.op").append("config", default_config("site"))
+        port = shape.runner_port
+        for dc in shape.dcs:
+            for i in range(shape.runners_per_dc):
+                told = f"{shape.ip}:{port + shape.told_offset}"
+                room = Room(4000, 4096)
+                info = RunnerInfo(f"{dc}-r{i}", UPSTREAM, told, dc, False, room)
+                server = RunnerServer(info, self.ledger, self.store)
+                server.listen(f"{shape.ip}:{port}")
+                self.runners[info.id] = server
+                port += 1
+        self._control.listen(f"{shape.ip}:{shape.control_port}")
+
+    async def _answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
+        match req.path:
+            case "/ledger":
+                for server in self.runners.values():
+                    server.model.advance()
+                return HTTPStatus.OK, msgspec.json.encode(self.ledger)
+            case "/runner":
+                self._set_runner(msgspec.json.decode(req.body))
+            case "/store":
+                self._set_store(msgspec.json.decode(req.body))
+            case _:
+                return HTTPStatus.NOT_FOUND, b"{}"
+        return HTTPStatus.OK, b"{}"
+
+    def _set_runner(self, told: dict[str, Any]) -> None:
+        model = self.runners[told.pop("id")].model
+        model.advance()
+        if told.pop("life", False):
+            model.crash()
+            model.begin_life()
+        model.faults = msgspec.convert(told, RunnerFaults)
+
+    def _set_store(self, told: dict[str, Any]) -> None:
+        if told.pop("expire", False):
+            for topic in self.store.topics.values():
+                topic.expire()
+        self.store.faults = msgspec.convert(told, StoreFaults)
+
+
+async def _serve(shape: SiteShape) -> None:
+    SiteServer(shape).listen()
+    await asyncio.Event().wait()
 
 
 @app.command()
-def run(
-    config: Annotated[Path, typer.Option(help="INI file with the settings.")],
-    workers: Annotated[
-        str, typer.Option(help="Serve only these workers, separated by commas.")
-    ] = "",
-    workers_only: Annotated[
-        bool, typer.Option("--workers-only", help="Leave out log and host list.")
-    ] = False,
-    set_: SetOption = None,
-    check_config: CheckOption = False,
+def serve(
+    ip: Annotated[str, typer.Option(help="Address to listen on.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="First port: store, control.")] = 9000,
+    runner_port: Annotated[int, typer.Option(help="First port of runners.")] = 9100,
+    told_offset: Annotated[
+        int, typer.Option(help="Runners tell their port plus this.")
+    ] = 0,
+    dcs: Annotated[str, typer.Option(help="Data centres, by commas.")] = "a,b",
+    runners: Annotated[int, typer.Option(help="Runners a data centre.")] = 3,
     version: VersionOption = False,
 ) -> None:
-    """Serve a log, a host list and workers whose faults can be set."""
-    cfg = load_settings(config, parse_overrides(set_ or []))
-    only = frozenset(name.strip() for name in workers.split(",") if name.strip())
-    unknown = only - {shape.name for shape in worker_shapes(cfg.workers)}
-    if unknown:
-        raise UserError(f"--workers: not in {config}: {', '.join(sorted(unknown))}")
-    if check_config:
-        typer.echo(f"{config}: valid")
-        return
-    configure_logging(cfg.log)
-    asyncio.run(serve(cfg, only, workers_only))
+    """Serve a stand-in of the users' platform."""
+    shape = SiteShape(
+        ip, port, port + 1, runner_port, told_offset, tuple(dcs.split(",")), runners
+    )
+    asyncio.run(_serve(shape))
 
 
 def main() -> None:
--- a/monsoongap/standin/fleet_runner.py
+++ b/monsoongap/standin/runner_model.py
@@ -1,4 +1,4 @@
-"""A runner of the fleet path as a model: fence, lease, room, runs, ends.
+"""A runner as a model: fence, lease, room, runs, ends.
 
 The stand-in serves it over HTTP and tests call it straight, so both tell the same.
 Payloads are JSON texts that say what a task does, see `TaskPlan`. Every run is put
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from monsoongap.coordination.fleet.ports import HigherFence
-from monsoongap.protocol.fleet import (
+from monsoongap.coordination.ports import HigherFence
+from monsoongap.protocol.messages import (
     EndKind,
     NotStarted,
     Refusal,
@@ -64,12 +64,17 @@
 
 @dataclass(slots=True)
 class RunnerFaults:
-    """What is wrong with a runner now. `slow` times the usual time; 1 is none."""
+    """What is wrong with a runner now. `slow` times the usual time; 1 is none.
+
+    Orders are carried out `late_s` later without an answer, or their answers are lost.
+    """
 
     dark: bool = False
     slow: float = 1.0
     hangs: bool = False
     fails: bool = False
+    late_s: float = 0.0
+    loses_answers: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/monsoongap/state/__init__.py
+++ b/monsoongap/state/__init__.py
@@ -1,1 +1,1 @@
-"""Bounded tables of soft state; every table has a stated limit."""
+"""Bounded tables: configuration and runners, jobs elsewhere, runners' health."""
--- a/monsoongap/coordination/fleet/directory.py
+++ b/monsoongap/state/directory.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from monsoongap.protocol.fleet import Configuration, QueueRule, RunnerInfo
+from monsoongap.protocol.messages import Configuration, QueueRule, RunnerInfo
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +72,11 @@
         """Return the queue of that name."""
         return self._rules.get(name)
 
+    def upstream_of(self, queue: str) -> str | None:
+        """Return the name of the upstream that serves a queue."""
+        rule = self._rules.get(queue)
+        return rule.upstream if rule else None
+
     def match(self, host: str, path: str) -> QueueRule | None:
         """Return the queue of the host with the longest prefix of the path."""
         for rule in self._by_host.get(host, ()):
--- a/monsoongap/transport/__init__.py
+++ b/monsoongap/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets: the caller's HTTP server, worker connections, log, gRPC peers."""
+"""Sockets: HTTP connections, calls and heartbeats between hosts, operators."""
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -9,15 +9,14 @@
 import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
-from http.client import responses
 from typing import Any
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 
-from monsoongap.coordination.fleet.ports import PeerGone, PeerLost
-from monsoongap.protocol import fleet
+from monsoongap.coordination.ports import PeerGone, PeerLost
+from monsoongap.protocol import messages
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import (
     ExchangeLost,
@@ -25,17 +24,18 @@
     NotConnected,
     Refused,
 )
+from monsoongap.transport.http_server import listen, send_reply
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
 CALL_TYPES = (
-    fleet.SubmitCall,
-    fleet.LendCall,
-    fleet.CancelCall,
-    fleet.FindCall,
-    fleet.ConfigCall,
-    fleet.RunnersCall,
+    messages.SubmitCall,
+    messages.LendCall,
+    messages.CancelCall,
+    messages.FindCall,
+    messages.ConfigCall,
+    messages.RunnersCall,
 )
 _DECODERS = {f"/{kind.__name__}": msgspec.msgpack.Decoder(kind) for kind in CALL_TYPES}
 OK = 200
@@ -44,29 +44,6 @@
 MAX_BODY_BYTES = 16_000_000
 
 
-def send_reply(
-    req: HTTPServerRequest,
-    status: int,
-    body: bytes,
-    headers: dict[str, str],
-) -> None:
-    """Write a whole response and finish it; a caller that left is no fault."""
-    conn = req.connection
-    if conn is None:
-        return
-    all_headers = HTTPHeaders({"Content-Length": str(len(body)), **headers})
-    line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-    written = asyncio.ensure_future(conn.write_headers(line, all_headers, body))
-    written.add_done_callback(_ignore_closed)
-    conn.finish()
-
-
-def _ignore_closed(done: "asyncio.Future[None]") -> None:
-    if not done.cancelled():
-        # The caller's connection is closed: nobody is left to be told.
-        done.exception()
-
-
 class HostCallServer:
     """Answers calls of other hosts."""
 
@@ -77,9 +54,9 @@
             self._handle, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES
         )
 
-    def listen(self, ip: str, port: int) -> None:
-        """Listen for calls."""
-        self._server.listen(port, ip)
+    def listen(self, address: str) -> None:
+        """Listen for calls on `IP:port`."""
+        listen(self._server, address)
 
     def close(self) -> None:
         """Take no more calls."""
@@ -142,11 +119,12 @@
         self.on_datagram: Callable[[bytes], None] = lambda payload: None
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def listen(self, ip: str, port: int) -> None:
-        """Bind the socket."""
+    async def listen(self, address: str) -> None:
+        """Bind the socket to `IP:port`."""
+        ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(ip, port)
+            lambda: self, local_addr=(ip, int(port))
         )
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -1,156 +1,161 @@
-"""What operators and the balancer read over HTTP: state, health, metrics."""
-
-from dataclasses import dataclass
-from typing import Protocol
-
-from monsoongap.coordination.parts import DrainState, PeerInfo
-from monsoongap.protocol.messages import JobView
-from monsoongap.transport.http_base import JsonHandler
+"""The operators' side: metrics, the host's state, and jobs in the product's own form.
+
+`GET /metrics`, `GET /v1/status`, `PUT /v1/jobs/ID` and `DELETE /v1/jobs/ID`, served on
+an address of their own, so that a flood of callers does not shut operators out.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+
+from monsoongap.coordination.host import Host
+from monsoongap.errors import ANSWERS, AnswerKind
+from monsoongap.metrics import Metrics
+from monsoongap.protocol.messages import (
+    MAX_TASKS,
+    Job,
+    JobReply,
+    Room,
+    Step,
+    is_job_id,
+)
+from monsoongap.transport.http_server import listen, send_reply
+from monsoongap.util.background import Background
+
+log = logging.getLogger(__name__)
+
+JOBS_PATH = "/v1/jobs/"
+STATUS_PATH = "/v1/status"
+METRICS_PATH = "/metrics"
+
+Amount = Annotated[int, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
-class HostView:
-    """One entry host as this host sees it. `boot` 0 means never heard."""
+class StepBody:
+    """Tasks of one size in a job's body; see `monsoongap.protocol.messages.Step`."""
 
-    name: str
-    dc: str
-    address: str
-    boot: int
-    status: str
-    in_flight: int | None = None
+    count: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
+    cpu_milli: Amount = 0
+    mem_mb: Amount = 0
+    accelerators: Amount = 0
+    estimate_ms: Annotated[float, Meta(ge=0)] = 0.0
+    after: tuple[int, ...] = ()
+    near_rack: str = ""
+    label: str = ""
+    most_per_runner: Amount = 0
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamView:
-    """One worker as this host sees it; slot counts are this host's own."""
+class JobBody:
+    """A job to submit: its queue, what its tasks get, and its steps."""
 
-    name: str
-    dc: str
-    status: str
-    health: str
-    slots: int
-    own: int
-    borrowed: int
-    lent: int
-    busy: int
-    connections: int
+    queue: str
+    payload: str
+    steps: tuple[StepBody, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Draining:
-    """Body of the answer to `POST /v1/drain`."""
-
-    host: str
-    draining: bool
-    in_flight: int
-
-
-class NodeView(Protocol):
-    """What the operators' handlers read of the node."""
-
-    drain: DrainState
-
-    def metrics_text(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
-        """Return the metrics and their headers."""
-        ...
-
-    def ready(self) -> bool:
-        """Tell whether the balancer may send callers here."""
-        ...
-
-    def hosts(self) -> tuple[HostView, ...]:
-        """Return all entry hosts, this one first."""
-        ...
-
-    def upstreams(self) -> tuple[UpstreamView, ...]:
-        """Return the workers of this data centre."""
-        ...
-
-    def job_views(self) -> tuple[JobView, ...]:
-        """Return the jobs in flight at this host."""
-        ...
-
-    def in_flight(self) -> int:
-        """Return the number of jobs in flight at this host."""
-        ...
-
-    def begin_drain(self) -> Draining:
-        """Start leaving: refuse new jobs, finish what is in flight."""
-        ...
-
-    def check_operator(self, token: str | None) -> None:
-        """Raise `DispatchError` unless the token is a platform operator's."""
-        ...
-
-
-class _NodeHandler(JsonHandler):
-    node: NodeView
-
-
-class HealthHandler(_NodeHandler):
-    """`GET /healthz`: the process runs its event loop."""
-
-    async def get(self) -> None:
-        """Answer `ok`."""
-        self.finish("ok\n")
+class JobAnswer:
+    """The answer to a job; `promise` is what the caller may rely on."""
 
+    outcome: str
+    promise: str
+    detail: str = ""
+    retry_after_s: float = 0.0
 
-class ReadyHandler(_NodeHandler):
-    """`GET /readyz`: callers may be sent here."""
 
-    async def get(self) -> None:
-        """Answer 200 when ready, else 503."""
-        ready = self.node.ready()
-        self.set_status(200 if ready else 503)
-        self.finish("ready\n" if ready else "not ready\n")
-
-
-class MetricsHandler(_NodeHandler):
-    """`GET /metrics`: Prometheus text."""
-
-    async def get(self) -> None:
-        """Render the registry in the form that the reader accepts."""
-        accepts = self.request.headers.get_list("Accept")
-        content, headers = self.node.metrics_text(accepts)
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.finish(content)
-
-
-class HostsHandler(_NodeHandler):
-    """`GET /v1/hosts`."""
-
-    async def get(self) -> None:
-        """Answer with every entry host known."""
-        self.reply(self.node.hosts())
-
-
-class UpstreamsHandler(_NodeHandler):
-    """`GET /v1/upstreams`."""
-
-    async def get(self) -> None:
-        """Answer with every worker of this data centre."""
-        self.reply(self.node.upstreams())
-
-
-class JobListHandler(_NodeHandler):
-    """`GET /v1/operator/jobs`: jobs in flight at this host."""
-
-    async def get(self) -> None:
-        """Answer with the jobs in flight."""
-        self.node.check_operator(self.bearer_token())
-        self.reply(self.node.job_views())
-
-
-class DrainHandler(_NodeHandler):
-    """`POST /v1/drain`."""
-
-    async def post(self) -> None:
-        """Start leaving; needs a platform operator's token."""
-        self.node.check_operator(self.bearer_token())
-        self.reply(self.node.begin_drain())
-
-
-def peer_view(peer: PeerInfo) -> HostView:
-    """Describe a peer."""
-    return HostView(peer.name, peer.dc, peer.address, peer.boot, peer.status)
+@dataclass(frozen=True, slots=True)
+class CancelAnswer:
+    """The answer to a cancellation, which is passed on to the job's owner."""
+
+    job: str
+    told: bool = field(default=True)
+
+
+class OperatorServer:
+    """Serves operators on one address."""
+
+    def __init__(self, host: Host, metrics: Metrics, status: Callable[[], Any]) -> None:
+        self._host = host
+        self._metrics = metrics
+        self._status = status
+        self._background = Background()
+        self._server = HTTPServer(self._handle)
+
+    def listen(self, address: str) -> None:
+        """Listen on `IP:port`."""
+        listen(self._server, address)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _handle(self, req: HTTPServerRequest) -> None:
+        match (req.method, req.path):
+            case ("GET", path) if path == METRICS_PATH:
+                content, headers = self._metrics.render(req.headers.get_list("Accept"))
+                send_reply(req, HTTPStatus.OK, content, headers)
+            case ("GET", path) if path == STATUS_PATH:
+                _send_json(req, HTTPStatus.OK, self._status())
+            case ("PUT", path) if path.startswith(JOBS_PATH):
+                self._background.spawn(self._submit(req), "operator's job")
+            case ("DELETE", path) if path.startswith(JOBS_PATH):
+                id_ = path.removeprefix(JOBS_PATH)
+                self._host.cancel(id_)
+                _send_json(req, HTTPStatus.OK, CancelAnswer(id_))
+            case _:
+                _send_answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
+
+    async def _submit(self, req: HTTPServerRequest) -> None:
+        try:
+            job = decode_job(req.body, req.path.removeprefix(JOBS_PATH))
+        except ValueError as exc:
+            _send_answer(req, JobReply(AnswerKind.MALFORMED, str(exc)))
+            return
+        _send_answer(req, await self._host.take(job))
+
+
+def decode_job(body: bytes, id_: str) -> Job:
+    """Read a job in the product's own form; raises `ValueError`."""
+    if not is_job_id(id_):
+        raise ValueError("the job's id is not 16 hexadecimal digits")
+    raw = msgspec.json.decode(body, type=JobBody)
+    if not 0 < sum(step.count for step in raw.steps) <= MAX_TASKS:
+        raise ValueError(f"a job has 1 to {MAX_TASKS} tasks")
+    for number, step in enumerate(raw.steps):
+        if any(not 0 <= before < number for before in step.after):
+            raise ValueError(f"step {number} comes after a later one")
+    return Job(id_, raw.queue, raw.payload, tuple(_step(s) for s in raw.steps))
+
+
+def _step(raw: StepBody) -> Step:
+    return Step(
+        raw.count,
+        Room(raw.cpu_milli, raw.mem_mb, raw.accelerators),
+        raw.estimate_ms / 1000,
+        raw.after,
+        raw.near_rack,
+        raw.label,
+        raw.most_per_runner,
+    )
+
+
+def _send_answer(req: HTTPServerRequest, reply: JobReply) -> None:
+    rule = ANSWERS[reply.kind]
+    answer = JobAnswer(
+        reply.kind.value, rule.promise.value, reply.detail, reply.retry_after_s
+    )
+    _send_json(req, rule.status, answer)
+
+
+def _send_json(req: HTTPServerRequest, status: int, body: Any) -> None:
+    headers = {"Content-Type": "application/json"}
+    send_reply(req, status, msgspec.json.encode(body), headers)
--- a/monsoongap/util/ini.py
+++ b/monsoongap/util/ini.py
@@ -74,7 +74,11 @@
     except configparser.Error as exc:
         fault = SettingsFault(source, "", "", exc.message)
         raise SettingsErrors("settings", [fault]) from exc
-    values = {name: dict(parser[name]) for name in parser.sections()}
+    # A template leaves a value empty that its source does not have.
+    values = {
+        name: {key: value for key, value in parser[name].items() if value}
+        for name in parser.sections()
+    }
     for dotted, value in (overrides or {}).items():
         section, _, key = dotted.partition(".")
         values.setdefault(section, {})[key] = value
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,10 +3,13 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import msgspec
 
-from monsoongap.standin.fleet_runner import TaskPlan
+from monsoongap.errors import AnswerKind
+from monsoongap.load.records import Attempt, CallRecord
+from monsoongap.standin.runner_model import TaskPlan
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
 from soak.processes import NodeAddress
@@ -15,19 +18,13 @@
 RESEND_S = 1.3
 TRIES = 3
 DEADLINE_S = 6.0
-OK, UNAVAILABLE, GATEWAY_TIMEOUT = 200, 503, 504
 
 
-@dataclass(slots=True)
-class Call:
-    """One job as its caller saw it: the status of each try, 0 for none."""
-
-    id: str
-    tasks: int
-    tries: list[int] = field(default_factory=list)
-    state: str = ""
-    sent_at: float = 0.0
-    took_s: float = 0.0
+# How the platform's status codes tell an end; any other one is no answer.
+OUTCOMES = {
+    503: AnswerKind.REFUSED,
+    504: AnswerKind.BROKEN,
+}
 
 
 @dataclass(slots=True)
@@ -37,39 +34,47 @@
     nodes: list[NodeAddress]
     rng: random.Random
     http: HttpClient = field(default_factory=HttpClient)
-    calls: list[Call] = field(default_factory=list)
+    calls: list[CallRecord] = field(default_factory=list)
 
-    async def send(self) -> Call:
+    async def send(self) -> CallRecord:
         """Send one job, again while its answer is lost."""
         rng = self.rng
-        call = Call(f"{rng.getrandbits(64):016x}", rng.choice((1, 2, 4, 8)))
-        self.calls.append(call)
+        tasks = rng.choice((1, 2, 4, 8))
         long = rng.random() < 0.1
         work_ms = rng.uniform(300, 900) if long else rng.uniform(20, 120)
-        body, path = _job(call, work_ms), "/load/" if long else "/scan/"
         loop = asyncio.get_running_loop()
-        call.sent_at = loop.time()
+        kind = "load" if long else "scan"
+        call = CallRecord(
+            f"{rng.getrandbits(64):016x}", kind, tasks, work_ms / 1000, loop.time()
+        )
+        self.calls.append(call)
+        body = _job(call, work_ms)
         for _ in range(TRIES):
-            node = rng.choice(self.nodes)
-            req = HttpRequest("POST", path + call.id, body, (("Host", SITE_HOST),))
-            try:
-                reply = await self.http.exchange(
-                    f"{node.ip}:{node.front_port}", req, DEADLINE_S
-                )
-            except (NotConnected, ExchangeLost):
-                call.tries.append(0)
-            else:
-                call.tries.append(reply.status)
-                if reply.status == OK:
-                    call.state = msgspec.json.decode(reply.body)["state"]
-                if reply.status != GATEWAY_TIMEOUT:
-                    break
+            outcome = await self._try(
+                rng.choice(self.nodes), f"/{kind}/{call.id}", body
+            )
+            call.attempts.append(Attempt(outcome))
+            if outcome not in (None, AnswerKind.BROKEN):
+                break
             await asyncio.sleep(RESEND_S)
-        call.took_s = loop.time() - call.sent_at
+        call.took_s = loop.time() - call.due_at
         return call
 
+    async def _try(
+        self, node: NodeAddress, path: str, body: bytes
+    ) -> AnswerKind | None:
+        req = HttpRequest("POST", path, body, (("Host", SITE_HOST),))
+        try:
+            reply = await self.http.exchange(node.callers, req, DEADLINE_S)
+        except (NotConnected, ExchangeLost):
+            # The caller sees no answer and comes back, as real ones do.
+            return None
+        if reply.status == HTTPStatus.OK:
+            return AnswerKind(msgspec.json.decode(reply.body)["state"])
+        return OUTCOMES.get(reply.status)
+
 
-def _job(call: Call, work_ms: float) -> bytes:
+def _job(call: CallRecord, work_ms: float) -> bytes:
     plan = TaskPlan(work_ms)
     step = {
         "count": call.tasks,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,31 +1,26 @@
 """The processes of a soak: the stand-in's and the daemons, ended by their own id."""
 
 import contextlib
-import os
 import signal
 import subprocess
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from monsoongap.platform.node_file import PATH_VARIABLE
-
 ROOT = Path(__file__).parent.parent
 GRACE_S = 4
-NODE_FILE = """node = "{name}"
-ip = "{ip}"
-zone = "{dc}"
-region = "soak"
-portRange = [{peer}, {peer_end}]
-seeds = []
-[bindAddrs]
-front = "{ip}:{front}"
-ready = "{ip}:{ready}"
-[platform]
-address = "{store}"
+SETTINGS = """[host]
+name = {name}
+dc = {dc}
+[listen]
+callers = {ip}:{port}
+ready = {ip}:{ready}
+operators = {ip}:{operators}
+peers = {ip}:{peers}
+[store]
+address = {store}
 [bounds]
-holdMaxMs = 1000
-graceS = {grace}
+grace_s = {grace}
 """
 
 
@@ -36,7 +31,17 @@
     name: str
     dc: str
     ip: str
-    front_port: int
+    port: int
+
+    @property
+    def callers(self) -> str:
+        """Where callers reach the daemon."""
+        return f"{self.ip}:{self.port}"
+
+    @property
+    def operators(self) -> str:
+        """Where operators reach the daemon."""
+        return f"{self.ip}:{self.port + 2}"
 
 
 @dataclass(slots=True)
@@ -49,38 +54,35 @@
     nodes: dict[str, NodeAddress] = field(default_factory=dict)
     _running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
-    def start(self, name: str, *args: str, settings: Path | None = None) -> None:
+    def start(self, name: str, *args: str) -> None:
         """Start a module as a process; its output goes to a file of its name."""
-        env = dict(os.environ)
-        if settings is not None:
-            env[PATH_VARIABLE] = str(settings)
         with (self.out / f"{name}.log").open("ab") as log:
             self._running[name] = subprocess.Popen(
-                [sys.executable, "-m", *args], cwd=ROOT, env=env, stdout=log, stderr=log
+                [sys.executable, "-m", *args], cwd=ROOT, stdout=log, stderr=log
             )
 
     def add_node(self, name: str, dc: str, ip: str) -> None:
         """Write the settings of a daemon and start it."""
-        base = self.base_port
-        self.nodes[name] = NodeAddress(name, dc, ip, base)
-        text = NODE_FILE.format(
+        port = self.base_port
+        self.nodes[name] = NodeAddress(name, dc, ip, port)
+        text = SETTINGS.format(
             name=name,
             ip=ip,
             dc=dc,
-            peer=base + 2,
-            peer_end=base + 9,
-            front=base,
-            ready=base + 1,
+            port=port,
+            ready=port + 1,
+            operators=port + 2,
+            peers=port + 3,
             store=self.store,
             grace=GRACE_S,
         )
-        (self.out / f"{name}.toml").write_text(text)
+        (self.out / f"{name}.ini").write_text(text)
         self.start_node(name)
 
     def start_node(self, name: str) -> None:
         """Start a daemon, or start it again."""
-        path = self.out / f"{name}.toml"
-        self.start(name, "monsoongap.platform.daemon", settings=path)
+        path = self.out / f"{name}.ini"
+        self.start(name, "monsoongap.entry", f"--config={path}")
 
     def is_up(self, name: str) -> bool:
         """Tell whether a process runs."""
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_host.py
@@ -4,9 +4,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from monsoongap.protocol.fleet import AnswerKind, JobReply
+from monsoongap.protocol.messages import AnswerKind, JobReply
 from tests import clock
-from tests.fleet_world import OrderFaults, World
+from tests.host_world import OrderFaults, World
 
 # No test lasts longer on virtual time; one that does waits for ever.
 LIMIT_S = 120.0
--- a/tests/fleet_world.py
+++ b/tests/host_world.py
@@ -1,4 +1,4 @@
-"""Entry hosts of the fleet path over model runners and a model network.
+"""Entry hosts over model runners and a model network.
 
 Runs on virtual time. Hosts are real; runners are the stand-in's models. The network
 can be cut between any two places, hosts can be killed and started again, orders can
@@ -13,10 +13,10 @@
 
 import msgspec
 
-from monsoongap.coordination.fleet.host import Host, HostPorts
-from monsoongap.coordination.fleet.ports import NoAnswer, NotSent, PeerGone, PeerLost
-from monsoongap.protocol.fleet import (
-    AnswerKind,
+from monsoongap.coordination.host import Host, HostPorts
+from monsoongap.coordination.ports import NoAnswer, NotSent, PeerGone, PeerLost
+from monsoongap.errors import AnswerKind
+from monsoongap.protocol.messages import (
     Configuration,
     HostCard,
     Job,
@@ -29,11 +29,16 @@
     Started,
     StartOrder,
     Step,
-    SubmitCall,
     TaskId,
     UpstreamRule,
 )
-from monsoongap.standin.fleet_runner import LedgerEntry, RunnerModel, TaskPlan, twice
+from monsoongap.settings import (
+    EntrySettings,
+    HostSection,
+    ListenSection,
+    StoreSection,
+)
+from monsoongap.standin.runner_model import LedgerEntry, RunnerModel, TaskPlan, twice
 from monsoongap.timers import TimerService
 
 LINK_S = 0.001
@@ -114,7 +119,7 @@
         ports = HostPorts(
             _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
         )
-        host = Host(card, 1.0, ports, WorldTimers(), _decode)
+        host = Host(_settings(card), card, ports, WorldTimers(), _decode)
         self.hosts[name] = host
         host.members.learn(tuple(self._cards.values()))
         host.start()
@@ -153,8 +158,7 @@
         payload = msgspec.json.encode(plan).decode()
         step = Step(plans, Room(plan.cpu_milli, plan.mem_mb), work_ms / 1000)
         job = Job(id_, QUEUE, payload, (step,))
-        call = SubmitCall(job, host, 1, self.hosts[host].ownership.home_share(id_))
-        task = asyncio.create_task(self.hosts[host].submit(call))
+        task = asyncio.create_task(self.hosts[host].take(job))
         self._tasks.setdefault(host, set()).add(task)
         try:
             reply = await task
@@ -188,7 +192,7 @@
             raise PeerLost("cut")
         if host is None:
             raise PeerGone("refused")
-        task = asyncio.create_task(host.answer(request))
+        task = asyncio.create_task(host.calls.answer(request))
         self._tasks.setdefault(target, set()).add(task)
         try:
             reply = await task
@@ -313,5 +317,14 @@
     return place, place.partition("-")[0]
 
 
+def _settings(card: HostCard) -> EntrySettings:
+    address = "127.0.0.1:1"
+    return EntrySettings(
+        HostSection(card.name, card.dc),
+        ListenSection(address, address, address),
+        StoreSection(address),
+    )
+
+
 def _decode(text: bytes) -> Configuration:
     return msgspec.json.decode(text, type=Configuration)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -8,11 +8,17 @@
 
 import msgspec
 
-from monsoongap.platform.daemon import Daemon
-from monsoongap.platform.node_file import NodeFile
-from monsoongap.protocol.fleet import Room, RunnerInfo
-from monsoongap.standin.fleet_runner import LedgerEntry, TaskPlan
-from monsoongap.standin.fleet_site import RunnerServer, StoreServer
+from monsoongap.daemon import Daemon
+from monsoongap.protocol.messages import Room, RunnerInfo
+from monsoongap.settings import (
+    EntrySettings,
+    HostSection,
+    ListenSection,
+    StoreSection,
+)
+from monsoongap.standin.runner_model import LedgerEntry, TaskPlan
+from monsoongap.standin.runner_server import RunnerServer
+from monsoongap.standin.store import StoreServer
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import HttpReply, HttpRequest
 
@@ -50,7 +56,7 @@
 
     store: StoreServer
     runners: list[RunnerServer]
-    nodes: list[NodeFile]
+    nodes: list[EntrySettings]
     daemons: list[Daemon]
     ledger: list[LedgerEntry]
     http: HttpClient = field(default_factory=HttpClient)
@@ -58,7 +64,7 @@
     async def post(self, node: int, id_: str, body: bytes) -> HttpReply:
         """Submit a body as a job."""
         req = HttpRequest("POST", f"/scan/{id_}", body)
-        return await self.http.exchange(self.nodes[node].caller_address, req, 10.0)
+        return await self.http.exchange(self.nodes[node].listen.callers, req, 10.0)
 
     async def get(self, address: str, path: str) -> HttpReply:
         """Send a GET."""
@@ -77,7 +83,7 @@
 @contextlib.asynccontextmanager
 async def open_site(nodes: int = 2, runners: int = 3) -> AsyncIterator[Site]:
     """Run a store, runners and daemons in one data centre."""
-    ports = free_ports(1 + runners + 3 * nodes)
+    ports = free_ports(1 + runners + 4 * nodes)
     store = StoreServer()
     store_address = f"127.0.0.1:{ports.pop()}"
     store.listen(store_address)
@@ -92,19 +98,10 @@
         server.listen()
         servers.append(server)
     files = [
-        NodeFile(
-            f"front-{i}",
-            "127.0.0.1",
-            "ibk",
-            "tirol",
-            f"127.0.0.1:{ports.pop()}",
-            f"127.0.0.1:{ports.pop()}",
-            ports.pop(),
-            0,
-            store_address,
-            (),
-            1.0,
-            6.0,
+        EntrySettings(
+            HostSection(f"front-{i}", "ibk", "tirol"),
+            ListenSection(*(f"127.0.0.1:{ports.pop()}" for _ in range(4))),
+            StoreSection(store_address),
         )
         for i in range(nodes)
     ]
@@ -130,5 +127,5 @@
             ready = False
             while not ready:
                 await asyncio.sleep(0.05)
-                reply = await site.get(node.ready_address, "/monsoongap/ready")
+                reply = await site.get(node.listen.ready, "/monsoongap/ready")
                 ready = reply.status == 200
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from monsoongap.standin.fleet_runner import twice
+from monsoongap.standin.runner_model import twice
 from tests.platform.site import CONFIG, Site, job_body, open_site
 
 
@@ -48,9 +48,9 @@
             assert msgspec.json.decode(reply.body)["error"]
         unsupported = await site.post(0, one, job_body(best_effort=False))
         assert unsupported.status == 503
-        unknown = await site.get(site.nodes[0].caller_address, f"/other/{one}")
+        unknown = await site.get(site.nodes[0].listen.callers, f"/other/{one}")
         assert unknown.status == 404
-        pending = await site.get(site.nodes[0].caller_address, "/scan/")
+        pending = await site.get(site.nodes[0].listen.callers, "/scan/")
         assert msgspec.json.decode(pending.body) == {"pending": 0}
         assert site.ledger == []
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -4,32 +4,13 @@
 import re
 from pathlib import Path
 
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 import monsoongap
-from monsoongap.errors import UserError
-from monsoongap.platform import node_file, wire
-from monsoongap.protocol.fleet import EndKind, Room, TaskId
+from monsoongap.platform import wire
+from monsoongap.protocol.messages import EndKind, Room, TaskId
 
-NODE_FILE = """
-node = "front-a-1"
-ip = "10.1.0.13"
-zone = "a"
-region = "t"
-portRange = [7720, 7735]
-seeds = ["10.1.0.13:8166", "10.2.0.30:8166"]
-newField = 3
-[bindAddrs]
-front = "10.1.0.13:8161"
-ready = "10.1.0.13:8167"
-[platform]
-address = "10.200.1.7:8169"
-[bounds]
-holdMaxMs = 1000
-graceS = 6
-"""
 # Names that only the platform uses; product code has its own words for them.
 WIRE_NAMES = re.compile(
     r"fencingToken|lastSeen|waitMs|deadlineMs|clockMs|runId|pathPrefix|maxAttempts"
@@ -40,20 +21,6 @@
 MAY_NAME = ("platform", "standin")
 
 
-def test_the_settings_file_is_read_and_new_fields_ignored() -> None:
-    cfg = node_file.parse(NODE_FILE)
-    assert (cfg.host, cfg.dc, cfg.peer_port) == ("front-a-1", "a", 7720)
-    assert cfg.seed_ips == ("10.1.0.13", "10.2.0.30")
-    assert (cfg.lease_s, cfg.grace_s) == (1.0, 6.0)
-
-
-@pytest.mark.parametrize("spoilt", ["zone", "portRange", "front", "address"])
-def test_a_missing_field_is_named(spoilt: str) -> None:
-    lines = [x for x in NODE_FILE.splitlines() if not x.startswith(f"{spoilt} =")]
-    with pytest.raises(UserError, match=spoilt):
-        node_file.parse("\n".join(lines))
-
-
 def test_a_look_is_decoded_with_its_runs_and_ends() -> None:
     view = wire.decode_look(
         b'{"clockMs":5,"born":9,"running":[["ab.0.1.17",2,"c",41,500]],'
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,12 +8,14 @@
 
 PACKAGE = Path(monsoongap.__file__).parent
 LAYERS = (
-    ("entry", "cli", "load", "standin", "platform"),
+    ("entry", "cli", "load", "standin"),
+    ("daemon",),
+    ("platform",),
     ("transport",),
     ("coordination", "metrics"),
     ("state",),
     ("protocol",),
-    ("logs", "stream_logs", "settings", "errors", "timers", "util", ""),
+    ("logs", "settings", "errors", "timers", "util", ""),
 )
 RANKS = {part: rank for rank, parts in enumerate(LAYERS) for part in parts}
 PROGRAMS = LAYERS[0]
@@ -53,9 +55,9 @@
 
 
 def test_an_upward_import_is_found(tmp_path: Path) -> None:
-    module = tmp_path / "monsoongap" / "state" / "jobs.py"
+    module = tmp_path / "monsoongap" / "state" / "directory.py"
     module.parent.mkdir(parents=True)
-    module.write_text("from monsoongap.transport.workers import HttpWorkers\n")
+    module.write_text("from monsoongap.transport.http_client import HttpClient\n")
     assert list(violations(tmp_path / "monsoongap")) == [
-        "monsoongap.state.jobs imports monsoongap.transport.workers"
+        "monsoongap.state.directory imports monsoongap.transport.http_client"
     ]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,19 +1,52 @@
 """Tests of the daemon's settings: every fault at once, with its place."""
 
+import re
 from pathlib import Path
 
 import pytest
 
-from monsoongap.settings import EntrySettings, WorkersSection, load_settings
+from monsoongap.settings import BoundsSection, EntrySettings, load_settings
 from monsoongap.util.ini import SettingsErrors, parse_ini
 
+# What the platform fills into the template, by its names.
+FIELDS = {
+    "node": "front-a-1",
+    "zone": "a",
+    "region": "t",
+    "ip": "10.1.0.13",
+    "portRange.0": "7720",
+    "seeds": "10.1.0.13:8166,10.2.0.30:8166",
+    "bindAddrs.front": "10.1.0.13:8161",
+    "bindAddrs.ready": "10.1.0.13:8167",
+    "platform.address": "10.200.1.7:8169",
+    "limits.cpuShare": "0.5",
+    "limits.cores": "3",
+    "bounds.holdMaxMs": "1000",
+    "bounds.drainMs": "2000",
+    "bounds.configApplyMs": "2000",
+    "bounds.resendMs": "1300",
+    "bounds.graceS": "6",
+}
+
 GOOD = """
 [host]
 name = mvd-1
 dc = mvd
 
-[workers]
-connections = 8
+[listen]
+callers = 10.0.0.1:8080
+ready = 10.0.0.1:8081
+peers = 10.0.0.1:7720
+
+[store]
+address = 10.0.0.9:8000
+
+[peers]
+seeds = 10.0.0.1:8090, 10.0.0.2:8090
+
+[bounds]
+lease_ms = 1500
+resend_ms =
 """
 
 BAD = """
@@ -21,24 +54,33 @@
 name = no spaces allowed
 region = main
 
-[workers]
-connections = 65
-lease_s = soon
+[listen]
+callers = nowhere
+ready = 10.0.0.1:8081
+peers = 10.0.0.1:7720
 
-[limits]
-bodybytes = 10
+[bounds]
+lease_ms = soon
+gracems = 10
 
-[wrokers]
-connections = 3
+[stroe]
+address = 10.0.0.9:8000
 """
 
 
 def test_defaults_file_and_overrides_are_layered(tmp_path: Path) -> None:
     path = tmp_path / "entry.ini"
     path.write_text(GOOD)
-    cfg = load_settings(path, {"limits.jobs": "7"})
-    assert (cfg.host.name, cfg.workers.connections, cfg.limits.jobs) == ("mvd-1", 8, 7)
-    assert cfg.workers.lease_s == WorkersSection().lease_s
+    cfg = load_settings(path, {"bounds.grace_s": "7"})
+    assert (cfg.host.name, cfg.bounds.lease_s, cfg.bounds.grace_s) == ("mvd-1", 1.5, 7)
+    assert cfg.bounds.drain_ms == BoundsSection().drain_ms
+    assert cfg.peers.seeds == ("10.0.0.1:8090", "10.0.0.2:8090")
+
+
+def test_an_empty_value_counts_as_left_out(tmp_path: Path) -> None:
+    path = tmp_path / "entry.ini"
+    path.write_text(GOOD)
+    assert load_settings(path).bounds.resend_ms == BoundsSection().resend_ms
 
 
 def test_every_fault_is_listed_with_its_place() -> None:
@@ -48,14 +90,23 @@
     assert set(faults) == {
         ("host", "name"),
         ("host", "dc"),
-        ("workers", "connections"),
-        ("workers", "lease_s"),
-        ("limits", "bodybytes"),
-        ("wrokers", ""),
+        ("listen", "callers"),
+        ("bounds", "lease_ms"),
+        ("bounds", "gracems"),
+        ("store", "address"),
+        ("stroe", ""),
     }
-    assert "<= 64" in faults["workers", "connections"]
     assert "required" in faults["host", "dc"]
-    assert "body_bytes" in faults["limits", "bodybytes"]
+    assert "grace_s" in faults["bounds", "gracems"]
+
+
+def test_the_platform_s_template_fills_in_every_setting_it_names() -> None:
+    template = (Path(__file__).parent.parent / "deploy" / "entry.ini").read_text()
+    filled = re.sub(r"\{\{(\S+?)\}\}", lambda m: FIELDS[m[1]], template)
+    cfg = parse_ini(filled, "entry.ini", EntrySettings)
+    assert cfg.host.cores == 1.5
+    assert cfg.listen.peers == "10.1.0.13:7720"
+    assert cfg.bounds.lease_s == 1.0
 
 
 @pytest.mark.parametrize("text", ["no section = 1", "[host\n", "[host]\nname\n"])
