A host without a list of runners owns nothing and settles nothing

A restarted host took the share over before it had read the list of runners. Over no shares at all, settling was true at once, so it ran anew what was still running under the former owner. Ruled out: the new rebirth handling, and links (they found the runs 40 to 160 ms later).

Change: no acquisition before a runner is known; a job is settled only when its own share is among those asked; a hand-over names the runners of tasks under way, and one that is not held yet makes the job wait for a lease.

Also, each with a test: calls of jobs and lent tasks are repeated on a new connection after 0.7 s, and join the first; a refusal counts for a second; connections given up drop what has not arrived; runs of unknown size fill an unguarded runner; anti-affinity goes with lent tasks; shares follow the processors of the hosts.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -11,6 +11,7 @@
 from monsoongap.coordination.members import Members, Peer
 from monsoongap.coordination.ownership import Ownership
 from monsoongap.coordination.ports import PeerCallPort, PeerLost
+from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.work import Over, Work
 from monsoongap.protocol.messages import (
     CancelCall,
@@ -139,9 +140,12 @@
             work.estimate_s,
             work.label,
             work.rack,
+            work.most_per_runner,
         )
         try:
-            reply = await self.peers.call(peer.address, call, LendReply, LEND_TIMEOUT_S)
+            reply: LendReply = await call_repeatedly(
+                self.peers, peer.address, call, LendReply, LEND_TIMEOUT_S
+            )
         except PeerLost as exc:
             log.warning(
                 "lender lost",
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -21,6 +21,7 @@
     PeerLost,
     RunnerPort,
 )
+from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.settling import Settling
 from monsoongap.coordination.triage import RETRY_AFTER_S
 from monsoongap.errors import AnswerKind
@@ -98,7 +99,7 @@
             cfg.bounds,
             ports.runners,
             timers,
-            self.directory.upstream_of,
+            self.directory,
             self.borrowing,
             self.ownership.yield_to_fence,
             self._room_changed,
@@ -219,8 +220,9 @@
                 "heard_ms": heard_ms,
             },
         )
+        address = owner.peer.address
         task = asyncio.create_task(
-            self.peers.call(owner.peer.address, call, JobReply, FORWARD_TIMEOUT_S)
+            call_repeatedly(self.peers, address, call, JobReply, FORWARD_TIMEOUT_S)
         )
         try:
             while not task.done():
@@ -245,8 +247,8 @@
             log.info("job is elsewhere", extra={"job": call.job.id, "home": home})
             passed = replace(call, here=True, again=True)
             try:
-                reply: JobReply = await self.peers.call(
-                    peer.address, passed, JobReply, FORWARD_TIMEOUT_S
+                reply: JobReply = await call_repeatedly(
+                    self.peers, peer.address, passed, JobReply, FORWARD_TIMEOUT_S
                 )
             except PeerLost as exc:
                 log.warning("home lost", extra={"job": call.job.id, "reason": str(exc)})
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -18,13 +18,16 @@
 
 # Earlier than anything that happened.
 NEVER = -1e9
+# A call is repeated after 0.7 s, and a refused caller told to stay away for a second.
+REFUSAL_COUNTS_S = 1.0
 
 
 @dataclass(slots=True, eq=False)
 class JobRecord:
     """One job under way or answered lately.
 
-    `runs` holds the highest number given to a run of each task. `offered` says that
+    `runs` holds the highest number given to a run of each task, `placed_before` the
+    runners on which an earlier owner had tasks of it. `offered` says that
     a task was ordered, here or elsewhere; `again` that an earlier owner may have begun
     the job; `ending` that it is answered or handed on. `doubt_since` is when an owner
     was lost that may have runs of it. `cleared` is set when no run is left.
@@ -40,12 +43,14 @@
     done: set[TaskId] = field(default_factory=set)
     attempts: dict[TaskId, int] = field(default_factory=dict)
     runs: dict[TaskId, int] = field(default_factory=dict)
+    placed_before: tuple[str, ...] = ()
     steps_begun: set[int] = field(default_factory=set)
     offered: bool = False
     again: bool = False
     ending: bool = False
     late: bool = False
     doubt_since: float = NEVER
+    answered_at: float = NEVER
     cleared: asyncio.Event = field(default_factory=asyncio.Event)
     _done_of_step: Counter[int] = field(default_factory=Counter)
 
@@ -59,12 +64,21 @@
         """Tell whether a task of the job is with another owner."""
         return any(work.borrowed_from for work in self.works.values())
 
-    @property
-    def still_counts(self) -> bool:
-        """Tell whether the same job, sent again, gets this record's answer."""
+    def still_counts(self, now: float) -> bool:
+        """Tell whether the same job, sent again, gets this record's answer.
+
+        A refusal counts for a while: the call that brings the job again may have
+        been sent before the refusal reached its sender.
+        """
         if not self.answer.done():
             return True
-        return self.answer.result().kind in (AnswerKind.COMPLETED, AnswerKind.FAILED)
+        match self.answer.result().kind:
+            case AnswerKind.COMPLETED | AnswerKind.FAILED:
+                return True
+            case AnswerKind.REFUSED:
+                return now - self.answered_at < REFUSAL_COUNTS_S
+            case _:
+                return False
 
     @property
     def task_count(self) -> int:
@@ -92,6 +106,7 @@
         for task in call.done:
             self.mark_done(task)
         self.runs.update(dict(call.runs))
+        self.placed_before = call.placed
 
     def handed_on(self) -> SubmitCall:
         """Return the call that hands the job to the next owner of its share."""
@@ -102,5 +117,8 @@
             self.share,
             done=tuple(self.done),
             runs=tuple(self.runs.items()),
+            placed=tuple(
+                work.link.info.id for work in self.works.values() if work.link
+            ),
             again=self.again or self.offered or self.borrows,
         )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -13,6 +13,7 @@
 
 from monsoongap.coordination.admission import aim_of
 from monsoongap.coordination.job_record import NEVER, JobRecord
+from monsoongap.coordination.lease import CLOCK_DRIFT, LAPSE_MARGIN_S
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_for_room
@@ -36,7 +37,8 @@
 # the lender's wait for its borrower, orphans' time and a lease.
 SETTLED_AFTER_S = 4.0
 SETTLE_STEP_S = 0.1
-SETTLE_TRIES_S = 1.0
+# Longer than a lease, after which nothing of an earlier owner is left here.
+SETTLE_TRIES_S = 1.5
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
 TICK_S = 0.05
@@ -123,7 +125,7 @@
         if rec is not None and rec.ending and not rec.cleared.is_set():
             await rec.cleared.wait()
             rec = self.records.get(job.id)
-        if rec is not None and rec.still_counts:
+        if rec is not None and rec.still_counts(self.timers.now()):
             self.counts.joined += 1
             log.info("job joined", extra={"job": job.id, "origin": call.origin})
             return await asyncio.shield(rec.answer)
@@ -218,13 +220,24 @@
             since = max(new_owner, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
                 return True
-            if await self.find_all(rec.job.id, rec.share):
+            if self._holds_all(rec) and await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = NEVER
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
                 return False
             await self.timers.sleep(SETTLE_STEP_S)
 
+    def _holds_all(self, rec: JobRecord) -> bool:
+        """Tell whether no run is left on a runner that is not known here yet.
+
+        The list of runners may lack some, on which an earlier owner's runs go on until
+        their lease has lapsed.
+        """
+        if all(runner in self.pool.links for runner in rec.placed_before):
+            return True
+        longest_s = self.pool.cfg.lease_s / CLOCK_DRIFT + LAPSE_MARGIN_S
+        return self.timers.now() - rec.arrived_at > longest_s
+
     def note_offer(self, work: Work) -> None:
         """Take note that a task was given to a runner or to another owner."""
         rec = self.records.get(work.task.job)
@@ -250,7 +263,7 @@
         rec.answer.set_result(reply)
         if not rec.works:
             rec.cleared.set()
-        now = self.timers.now()
+        now = rec.answered_at = self.timers.now()
         if self._open.get(rec.job.id) is rec:
             del self._open[rec.job.id]
         self._answered.append((now, rec))
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.pool import Pool
@@ -21,6 +22,7 @@
     LendReply,
     LendResult,
     ShareId,
+    TaskId,
 )
 from monsoongap.timers import TimerService
 
@@ -31,6 +33,10 @@
 FIND_WAIT_S = 0.3
 FIND_STEP_S = 0.02
 TICK_S = 0.05
+# A borrower asks again within a second; a cut may hold a call back for longer.
+KEEP_REPLY_S = 20.0
+# Enough for 1,000 tasks a second, looked at in each tick.
+FORGET_AT_ONCE = 64
 
 _RESULT_OF = {Over.DONE: LendResult.DONE, Over.FAILED: LendResult.FAILED}
 # The run never began: the borrower may place the task again at once.
@@ -48,6 +54,14 @@
     given_up: bool = False
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Known:
+    """A run that a borrower asked for, and the reply it gets however often it asks."""
+
+    asked_at: float
+    reply: asyncio.Future[LendReply]
+
+
 @dataclass(slots=True)
 class Lending:
     """The lender's side of lending."""
@@ -57,6 +71,7 @@
     timers: TimerService
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
+    _replies: dict[tuple[TaskId, int], _Known] = field(default_factory=dict)
 
     def start(self) -> None:
         """Begin to watch borrowers."""
@@ -70,7 +85,12 @@
                 extra={"job": call.task.job, "borrower": call.home},
             )
             return LendReply(LendResult.NO_ROOM, call.run)
+        known = self._replies.get((call.task, call.run))
+        if known is not None:
+            # Sent again on another connection: the first one's reply may be lost.
+            return await asyncio.shield(known.reply)
         fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
+        self._replies[call.task, call.run] = _Known(self.timers.now(), fut)
 
         def over(work: Work, how: Over, runner: str) -> None:
             self._lent.pop(id(work), None)
@@ -91,14 +111,16 @@
             estimate_s=call.estimate_s,
             label=call.label,
             rack=call.rack,
+            most_per_runner=call.most_per_runner,
             run=call.run,
         )
         already = self.pool.runs_of(call.task.job)
         twice = any(run.task == call.task for _, run in already)
         if twice or not self.pool.place_now(work):
-            return LendReply(LendResult.NO_ROOM, call.run)
-        self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
-        return await fut
+            fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
+        else:
+            self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
+        return await asyncio.shield(fut)
 
     def leave_running(self, works: Iterable[Work]) -> None:
         """Tell borrowers that their tasks go on under another owner."""
@@ -144,7 +166,8 @@
             link.stop(run)
 
     def _tick(self) -> None:
-        """Stop what runs for borrowers that went silent or were replaced."""
+        """Stop what runs for borrowers that went silent; forget old replies."""
+        self._forget()
         for lent in [held for held in self._lent.values() if not held.given_up]:
             peer = self.members.peer(lent.borrower)
             silent = (
@@ -162,3 +185,12 @@
                     },
                 )
                 self.pool.withdraw(lent.work)
+
+    def _forget(self) -> None:
+        """Drop the replies that nobody asks for any more, the oldest first."""
+        oldest = self.timers.now() - KEEP_REPLY_S
+        for key, known in list(islice(self._replies.items(), FORGET_AT_ONCE)):
+            if known.asked_at > oldest:
+                return
+            if known.reply.done():
+                del self._replies[key]
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -66,6 +66,7 @@
     timers: TimerService
     on_fenced: Callable[["Link"], None]
     on_room: Callable[[], None]
+    guards_room: Callable[[str], bool]
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     looks: int = 0
@@ -80,7 +81,13 @@
         lapsed_at = self.timers.now() + cfg.lease_s / CLOCK_DRIFT
         self._lease = RunnerLease(cfg.lease_s, lapsed_at)
         orphan_s = cfg.resend_s + ORPHAN_MARGIN_S
-        self.table = RunTable(self.info, self.timers, orphan_s, self.stop)
+        self.table = RunTable(
+            self.info,
+            self.timers,
+            orphan_s,
+            self.stop,
+            lambda: self.guards_room(self.info.upstream),
+        )
 
     def open(self) -> None:
         """Begin to hold the runner."""
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from statistics import median
 
 from monsoongap.coordination.members import Members, Peer
 from monsoongap.protocol.messages import Claim, HostCard, ShareId, share_index
@@ -21,9 +22,10 @@
 log = logging.getLogger(__name__)
 
 CHECK_S = 0.05
-# A runner ends some ten tasks a second, each takes 2 ms of its owner's processor; so
-# an owner of this many spends a quarter of a usual core, half of the smallest one.
-RUNNERS_PER_SHARE = 11
+# A runner ends some ten tasks a second, each takes 2 ms of its owner's processor. An
+# owner may spend half of what a usual host of its data centre has.
+CORES_PER_RUNNER = 0.02
+OWNER_PART = 0.5
 # Hosts start within 0.3 s of each other; a first owner waits to hear them all.
 START_WAIT_S = 0.6
 # A host that hears nobody is more likely cut off than the last one left.
@@ -89,9 +91,17 @@
         if newest is not None:
             count = newest.of
         else:
-            count = -(-self._runners[dc] // RUNNERS_PER_SHARE) or 1
+            count = -(-self._runners[dc] // self._runners_per_share(dc)) or 1
         return [ShareId(dc, index) for index in range(count)]
 
+    def _runners_per_share(self, dc: str) -> int:
+        """Return how many runners one owner has the processor for."""
+        cards = self._hosts_of(dc)
+        if dc == self.members.card.dc:
+            cards.append(self.members.card)
+        usual = median(card.cores for card in cards) if cards else 1.0
+        return max(int(OWNER_PART * usual / CORES_PER_RUNNER), 1)
+
     def all_shares(self) -> list[ShareId]:
         """Return the shares of every data centre that has runners."""
         return [share for dc in sorted(self._runners) for share in self.shares_of(dc)]
@@ -175,6 +185,9 @@
         own = self.members.card
         if self.leaving or now < self._yield_until.get(share, 0.0):
             return False
+        if not self._runners:
+            # An owner that knows no runner could not tell what runs on them.
+            return False
         if now - self._started_at < START_WAIT_S:
             return False
         candidates = self._hosts_of(share.dc)
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -19,6 +19,7 @@
 from monsoongap.coordination.work import Over, Run, Work
 from monsoongap.protocol.messages import Claim, FreeRoom, Room, RunnerInfo, ShareId
 from monsoongap.settings import BoundsSection
+from monsoongap.state.directory import Directory
 from monsoongap.timers import TimerService
 
 log = logging.getLogger(__name__)
@@ -49,14 +50,13 @@
 class Pool:
     """The runners this host owns and the tasks that wait for them.
 
-    `upstream_of` names the upstream that the newest configuration gives a queue.
     `on_offer` is told of each task that is given to a runner.
     """
 
     cfg: BoundsSection
     runners: RunnerPort
     timers: TimerService
-    upstream_of: Callable[[str], str | None]
+    directory: Directory
     borrowing: Borrowing
     on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
@@ -150,6 +150,7 @@
             self.timers,
             on_fenced=self._fenced,
             on_room=self.pump,
+            guards_room=self.directory.guards_room,
         )
         self.links[info.id] = link
         link.open()
@@ -211,7 +212,7 @@
 
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
-        upstream = self.upstream_of(work.queue)
+        upstream = self.directory.upstream_of(work.queue)
         link = self._best(work, upstream) if upstream else None
         if link is None:
             return False
@@ -274,7 +275,7 @@
         tried = placed = 0
         for work in self._waiting.first(PUMP_LIMIT):
             tried += 1
-            upstream = self.upstream_of(work.queue)
+            upstream = self.directory.upstream_of(work.queue)
             kind = (work.queue, work.size, work.label)
             if not upstream or (kind in nowhere and not work.avoid):
                 continue
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -73,9 +73,17 @@
     """Calls to other entry hosts. Raises `PeerLost`, of which `PeerGone` is one."""
 
     async def call(
-        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+        self,
+        address: str,
+        request: Any,
+        reply_type: type[Any],
+        timeout_s: float,
+        fresh: bool = False,
     ) -> Any:
-        """Send a message and wait for the reply of the given type."""
+        """Send a message and wait for the reply of the given type.
+
+        `fresh` asks for a new connection.
+        """
         ...
 
 
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -23,14 +23,17 @@
 
 log = logging.getLogger(__name__)
 
-# The room of an earlier owner's run is not told; a runner holds two or three.
+# The room of an earlier owner's run is not told; a runner holds two or three. One that
+# starts whatever it is told to gets nothing more until such a run is over.
 ORPHAN_SHARE = 0.5
+ORPHAN_SHARE_UNGUARDED = 1.0
 
 
 @dataclass(slots=True)
 class RunTable:
     """The runs on one runner, its free room, and which ends are noted.
 
+    `guards_room` tells whether the runner refuses what does not fit.
     `done_before` holds tasks that ended well under an earlier owner. `stop` orders
     the end of a run. Runs that nobody claims are stopped after `orphan_s`.
     """
@@ -39,6 +42,7 @@
     timers: TimerService
     orphan_s: float
     stop: Callable[[Run], None]
+    guards_room: Callable[[], bool]
     free: Room = field(init=False)
     health: RunnerHealth = field(default_factory=RunnerHealth)
     runs: dict[TaskId, Run] = field(default_factory=dict)
@@ -182,7 +186,8 @@
 
     def _adopt(self, row: RunRow, now: float) -> Run:
         """Take in a run of an earlier owner, for its caller to claim."""
-        size = Room(int(self.info.room.cpu_milli * ORPHAN_SHARE), 0, 0)
+        share = ORPHAN_SHARE if self.guards_room() else ORPHAN_SHARE_UNGUARDED
+        size = Room(int(self.info.room.cpu_milli * share), 0, 0)
         run = Run(row.task, row.run, size, state=RunState.RUNNING)
         self.begin(run)
         run.confirmed_at = now
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -43,9 +43,11 @@
         """Have every other owner stop what it runs of a job; tell if all did.
 
         Runs on this host's own runners are only known, for the job to adopt them.
-        `home` is the share that sees the job through.
+        `home` is the share that sees the job through; as long as no runner of its data
+        centre is known, nothing can be said.
         """
-        return await self._settle(job, home, tuple(self.ownership.all_shares()))
+        shares = tuple(self.ownership.all_shares())
+        return home in shares and await self._settle(job, home, shares)
 
     def settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         """Make sure a lent task is over, then let it be placed again."""
@@ -83,7 +85,7 @@
         call = FindCall(job, share, claim)
         try:
             reply: FindReply = await self.peers.call(
-                peer.address, call, FindReply, FIND_TIMEOUT_S
+                peer.address, call, FindReply, FIND_TIMEOUT_S, fresh=True
             )
         except PeerLost as exc:
             log.info(
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -320,8 +320,9 @@
     """Hands a job to the owner of the share that will see it through.
 
     `done` names the tasks that are known to have ended, `runs` the highest run
-    number given to each task so far, both from an earlier owner of the job. `again`
-    says that an earlier owner may have begun it: it cannot be refused as not run.
+    number given to each task so far, `placed` the runners of tasks that were under way,
+    all from an earlier owner of the job. `again` says that an earlier owner may have
+    begun it: it cannot be refused as not run.
     `here` says that the callee has the job, as another owner knows.
     """
 
@@ -331,6 +332,7 @@
     share: ShareId
     done: tuple[TaskId, ...] = ()
     runs: tuple[tuple[TaskId, int], ...] = ()
+    placed: tuple[str, ...] = ()
     again: bool = False
     here: bool = False
 
@@ -361,6 +363,7 @@
     estimate_s: float = 0.0
     label: str = ""
     rack: str = ""
+    most_per_runner: int = 0
 
 
 class LendResult(StrEnum):
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -27,6 +27,7 @@
     runners: tuple[RunnerInfo, ...] = ()
     runners_read_at: float = -1e9
     _rules: dict[str, QueueRule] = field(default_factory=dict)
+    _guards: dict[str, bool] = field(default_factory=dict)
     _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
     _fetching: tuple[int, float] = (0, -1e9)
 
@@ -59,6 +60,7 @@
         self.config = config
         self.text = text
         self._rules = {rule.name: rule for rule in config.queues}
+        self._guards = {rule.name: rule.guards_room for rule in config.upstreams}
         by_host: dict[str, list[QueueRule]] = {}
         for rule in config.queues:
             by_host.setdefault(rule.host, []).append(rule)
@@ -77,6 +79,10 @@
         rule = self._rules.get(queue)
         return rule.upstream if rule else None
 
+    def guards_room(self, upstream: str) -> bool:
+        """Tell whether an upstream's runners refuse what does not fit."""
+        return self._guards.get(upstream, False)
+
     def match(self, host: str, path: str) -> QueueRule | None:
         """Return the queue of the host with the longest prefix of the path."""
         for rule in self._by_host.get(host, ()):
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -92,14 +92,19 @@
         self._http = http
 
     async def call(
-        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+        self,
+        address: str,
+        request: Any,
+        reply_type: type[Any],
+        timeout_s: float,
+        fresh: bool = False,
     ) -> Any:
         """Send a message and wait for its reply; raises `PeerLost`."""
         assert dataclasses.is_dataclass(request)
         path = f"/{type(request).__name__}"
         req = HttpRequest("POST", path, msgspec.msgpack.encode(request))
         try:
-            reply = await self._http.exchange(address, req, timeout_s)
+            reply = await self._http.exchange(address, req, timeout_s, fresh)
         except Refused as exc:
             raise PeerGone(str(exc)) from exc
         except (NotConnected, ExchangeLost) as exc:
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-import ssl
+import struct
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -21,9 +21,14 @@
 from tornado.tcpclient import TCPClient
 
 MAX_REPLY_BYTES = 8_000_000
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 3
+# The two integers of SO_LINGER: on, for no time.
+DROP_UNSENT = struct.pack("ii", 1, 0)
+# A connection that went silent is found within some 3 s while idle, and while data
+# waits to be acknowledged, so that it is not taken for the next exchange.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 1500
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,15 +99,13 @@
         self._http = HTTP1Connection(stream, True, params)
 
     @classmethod
-    async def open(
-        cls, address: str, timeout_s: float, tls: ssl.SSLContext | None = None
-    ) -> "KeepAliveConnection":
+    async def open(cls, address: str, timeout_s: float) -> "KeepAliveConnection":
         """Connect to `address`; raises `NotConnected`."""
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
         try:
             async with asyncio.timeout(timeout_s):
-                stream = await TCPClient().connect(host, int(port), ssl_options=tls)
+                stream = await TCPClient().connect(host, int(port))
         except ConnectionRefusedError as exc:
             raise Refused(f"{address}: connection refused") from exc
         except (OSError, TimeoutError, StreamClosedError, ValueError) as exc:
@@ -122,6 +125,13 @@
         """Close the connection at once."""
         self._stream.close()
 
+    def abort(self) -> None:
+        """Close the connection and drop what was sent and has not arrived yet."""
+        if not self._stream.closed():
+            sock = self._stream.socket
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
+        self._stream.close()
+
     async def exchange(self, req: HttpRequest, timeout_s: float | None) -> HttpReply:
         """Send a request and read the whole reply; raises `ExchangeLost`.
 
@@ -137,20 +147,20 @@
                 async with asyncio.timeout(timeout_s):
                     reusable = await self._send_and_read(req, collector)
         except (StreamClosedError, OSError) as exc:
-            self.close()
+            self.abort()
             raise ExchangeLost(f"{self._address}: connection closed") from exc
         except TimeoutError as exc:
-            self.close()
+            self.abort()
             raise ExchangeLost(f"{self._address}: no reply in {timeout_s} s") from exc
         except Exception as exc:
             # The library has faults of its own for connections that break half way.
-            self.close()
+            self.abort()
             raise ExchangeLost(f"{self._address}: {exc!r}") from exc
         except BaseException:
-            self.close()
+            self.abort()
             raise
         if not collector.complete:
-            self.close()
+            self.abort()
             raise ExchangeLost(f"{self._address}: reply cut short")
         if not reusable:
             self.close()
@@ -178,3 +188,4 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import pytest
+
 from monsoongap.protocol.messages import AnswerKind, JobReply
 from tests import clock
 from tests.host_world import OrderFaults, World
@@ -417,7 +419,7 @@
 
 def test_many_runners_are_divided_over_several_owners() -> None:
     async def main() -> None:
-        world = World({"ibk": 4, "kuf": 4}, runners_per_dc=25)
+        world = World({"ibk": 4, "kuf": 4}, runners_per_dc=25, cores=0.45)
         await world.start()
         await asyncio.sleep(5)
         owned = {n: len(h.ownership.claims) for n, h in world.hosts.items()}
@@ -519,3 +521,93 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_is_answered_though_open_connections_went_silent() -> None:
+    async def main() -> None:
+        world = World({"a": 2}, runners_per_dc=1)
+        await world.start()
+        owner = world.owner("a")
+        other = next(name for name in world.hosts if name != owner)
+        world.silent.add(frozenset((owner, other)))
+        reply = await world.submit(other, f"{7:016x}", 2, 100.0)
+        assert reply.kind is AnswerKind.COMPLETED
+        assert len(world.ledger) == 2
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_lent_task_whose_reply_is_lost_runs_once() -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1}, runners_per_dc=1)
+        await world.start()
+        world.muted.add(frozenset(("a-h0", "b-h0")))
+        reply = await world.submit("a-h0", f"{5:016x}", 6, 300.0)
+        assert reply.kind is AnswerKind.COMPLETED
+        lent = [e for e in world.ledger if e.runner.startswith("b")]
+        assert len(lent) == 2 and len(world.ledger) == 6
+        world.check()
+
+    run_virtual(main())
+
+
+def test_a_job_refused_while_it_is_sent_again_stays_refused() -> None:
+    async def main() -> None:
+        world = World({"a": 2}, runners_per_dc=1)
+        await world.start()
+        owner = world.owner("a")
+        crowd = [
+            asyncio.create_task(world.submit(owner, f"{i:016x}", 8, 900.0))
+            for i in range(1, 6)
+        ]
+        await asyncio.sleep(0.1)
+        one = f"{99:016x}"
+        first = await world.submit(owner, one, 1, 50.0)
+        assert first.kind is AnswerKind.REFUSED
+        await asyncio.sleep(0.5)
+        again = await world.submit(owner, one, 1, 50.0)
+        assert again == first
+        await asyncio.gather(*crowd)
+        world.check()
+
+    run_virtual(main())
+
+
+def test_hosts_with_little_processor_divide_the_runners_further() -> None:
+    async def main() -> None:
+        for cores, shares in ((1.0, 1), (0.12, 6)):
+            world = World({"a": 4}, runners_per_dc=16, cores=cores)
+            await world.start()
+            assert len(world.hosts["a-h0"].ownership.shares_of("a")) == shares
+            world.check()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("left_out", [(), ("a-r0",), ("a-r0", "a-r1")])
+def test_a_new_owner_that_lacks_a_list_of_runners_runs_nothing_twice(
+    left_out: tuple[str, ...],
+) -> None:
+    """The store was slow: a restarted host took over before it had read the list."""
+
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        owner = world.owner("a")
+        other = next(n for n in world.hosts if n.startswith("a") and n != owner)
+        job = asyncio.create_task(world.submit(owner, f"{5:016x}", 6, 1200.0))
+        await asyncio.sleep(0.3)
+        world.kill(other)
+        fresh = world.start_host(other, listed=False)
+        if left_out:
+            world.tell_runners(fresh, *left_out)
+        world.hosts[owner].leave()
+        await asyncio.sleep(1.0)
+        world.tell_runners(fresh)
+        await asyncio.sleep(1.0)
+        assert fresh.owns("a")
+        assert (await job).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -35,7 +35,10 @@
         self.timers = StillTimers()
         self.stopped: list[Run] = []
         self.overs: list[Over] = []
-        self.table = RunTable(INFO, self.timers, 2.0, self.stopped.append)
+        self.guards = True
+        self.table = RunTable(
+            INFO, self.timers, 2.0, self.stopped.append, lambda: self.guards
+        )
         self.look()
 
     def look(
@@ -122,3 +125,10 @@
         bench.look((RunRow(TASK, 1, 40),))
         bench.timers.at += 0.1
     assert bench.stopped and bench.stopped[0] is run
+
+
+def test_a_runner_without_a_guard_gets_nothing_beside_a_run_of_unknown_size() -> None:
+    bench = Bench()
+    bench.guards = False
+    bench.look((RunRow(TASK, 3, 10),))
+    assert bench.table.free.cpu_milli == 0
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -77,11 +77,14 @@
     dcs: dict[str, int]
     runners_per_dc: int = 2
     seed: int = 1
+    cores: float = 1.0
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
     models: dict[str, RunnerModel] = field(default_factory=dict)
     orders: OrderFaults = field(default_factory=OrderFaults)
     cut: set[frozenset[str]] = field(default_factory=set)
+    silent: set[frozenset[str]] = field(default_factory=set)
+    muted: set[frozenset[str]] = field(default_factory=set)
     replies: dict[str, list[JobReply]] = field(default_factory=dict)
     config: Configuration = field(
         default_factory=lambda: Configuration(
@@ -107,13 +110,13 @@
         for dc, count in self.dcs.items():
             for i in range(count):
                 name = f"{dc}-h{i}"
-                self._cards[name] = HostCard(name, dc, name, 1, 0)
+                self._cards[name] = HostCard(name, dc, name, 1, 0, self.cores)
         for name in self._cards:
             self.start_host(name)
         await asyncio.sleep(1.5)
 
-    def start_host(self, name: str) -> Host:
-        """Start a host, or start it again."""
+    def start_host(self, name: str, listed: bool = True) -> Host:
+        """Start a host, or start it again, with a list of runners or without."""
         self._boots += 1
         card = msgspec.structs.replace(self._cards[name], boot_ms=self._boots)
         ports = HostPorts(
@@ -124,10 +127,15 @@
         host.members.learn(tuple(self._cards.values()))
         host.start()
         host.directory.accept_text(msgspec.json.encode(self.config), "test")
-        infos = tuple(m.info for m in self.models.values())
-        host.set_runners(infos, host.timers.now())
+        if listed:
+            self.tell_runners(host)
         return host
 
+    def tell_runners(self, host: Host, *left_out: str) -> None:
+        """Give a host the list of runners, some left out."""
+        infos = (m.info for m in self.models.values() if m.info.id not in left_out)
+        host.set_runners(tuple(infos), host.timers.now())
+
     def kill(self, name: str) -> None:
         """Kill a host's process: all that it did stops at once."""
         host = self.hosts.pop(name)
@@ -183,8 +191,12 @@
                 tasks = {e.task for e in self.ledger if e.task.job == id_}
                 assert tasks <= done, f"{id_} completed, but not all of it is done"
 
-    async def deliver_call(self, source: str, target: str, request: Any) -> Any:
-        """Carry a call between hosts."""
+    async def deliver_call(
+        self, source: str, target: str, request: Any, fresh: bool = False
+    ) -> Any:
+        """Carry a call between hosts; old connections may lose calls or replies."""
+        if not fresh and frozenset((source, target)) in self.silent:
+            await asyncio.Event().wait()
         await asyncio.sleep(LINK_S)
         host = self.hosts.get(target)
         if not self.reachable(source, target):
@@ -203,6 +215,8 @@
         await asyncio.sleep(LINK_S)
         if not self.reachable(source, target):
             raise PeerLost("cut")
+        if not fresh and frozenset((source, target)) in self.muted:
+            await asyncio.Event().wait()
         return reply
 
     def deliver_beat(self, source: str, target: str, payload: bytes) -> None:
@@ -297,11 +311,19 @@
     name: str
 
     async def call(
-        self, address: str, request: Any, reply_type: type[Any], timeout_s: float
+        self,
+        address: str,
+        request: Any,
+        reply_type: type[Any],
+        timeout_s: float,
+        fresh: bool = False,
     ) -> Any:
         target = address.rpartition(":")[0]
-        async with asyncio.timeout(timeout_s):
-            return await self.world.deliver_call(self.name, target, request)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.world.deliver_call(self.name, target, request, fresh)
+        except TimeoutError as exc:
+            raise PeerLost("no reply in time") from exc
 
 
 @dataclass(slots=True)
