No early refusal while no runner is there to work off what waits

Test: every runner silent, four jobs come; refused before, completed now. Refusals after a wait in vain say so.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -16,7 +16,7 @@
 from monsoongap.coordination.lease import CLOCK_DRIFT, LAPSE_MARGIN_S
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.steps import Steps
-from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_for_room
+from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_in_vain
 from monsoongap.coordination.work import Work
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -195,7 +195,7 @@
             if rec.offered or rec.borrows:
                 continue
             if age > rec.aim.useless_s:
-                self._end(rec, refusal_for_room(rec, 0.0))
+                self._end(rec, refusal_in_vain(rec, now))
             elif age > rec.aim.slack_s and not rec.late:
                 rec.late = True
                 self.pool.reorder(list(rec.works.values()), rec.order)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -113,6 +113,11 @@
             and self.timers.now() >= self.avoid_until
         )
 
+    @property
+    def serves(self) -> bool:
+        """Tell whether the runner works off what waits, now or in a moment."""
+        return self.state in (LinkState.NEW, LinkState.HELD) and not self.info.draining
+
     @property
     def settled(self) -> bool:
         """Tell whether every run of an earlier owner is known or surely over."""
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -203,12 +203,13 @@
         """Give tasks that wait another place, by a new head of their order."""
         self._waiting.reorder(works, order)
 
-    def backlog(self) -> Backlog:
-        """Return what waits now, as work over the room that works it off."""
-        usable = sum(
-            link.info.room.cpu_milli for link in self.links.values() if link.placeable
-        )
-        return self._waiting.backlog(max(usable, 1))
+    def backlog(self) -> Backlog | None:
+        """Return what waits now, as work over the room that works it off.
+
+        None while no runner is held or about to be: then nothing can be told.
+        """
+        usable = sum(k.info.room.cpu_milli for k in self.links.values() if k.serves)
+        return self._waiting.backlog(usable) if usable else None
 
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
--- a/monsoongap/coordination/triage.py
+++ b/monsoongap/coordination/triage.py
@@ -68,7 +68,7 @@
                 undecided.append(rec)
             elif age <= rec.aim.decide_s + DECIDE_AFTER_S:
                 backlog = backlog or self.pool.backlog()
-                ahead_s = backlog.ahead_s(rec.order)
+                ahead_s = backlog.ahead_s(rec.order) if backlog else 0.0
                 if is_hopeless(rec.aim, age, ahead_s):
                     self.refuse(rec, refusal_for_room(rec, ahead_s))
                 else:
@@ -83,6 +83,12 @@
         self._decided_at = now
 
 
+def refusal_in_vain(rec: JobRecord, now: float) -> JobReply:
+    """Return the refusal of a job that no room was found for in all its time."""
+    waited_ms = round((now - rec.arrived_at) * MS_PER_S)
+    return JobReply(AnswerKind.REFUSED, f"no room in {waited_ms} ms", RETRY_AFTER_S)
+
+
 def refusal_for_room(rec: JobRecord, ahead_s: float) -> JobReply:
     """Return the refusal of a job that has `ahead_s` of work before it."""
     slack_ms = round(rec.aim.slack_s * MS_PER_S)
--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -611,3 +611,27 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_that_comes_while_every_runner_is_silent_waits_for_one() -> None:
+    """What no runner works off is no backlog by which to refuse."""
+
+    async def main() -> None:
+        world = World({"a": 1}, runners_per_dc=1)
+        await world.start()
+        (model,) = world.models.values()
+        first = asyncio.create_task(world.submit("a-h0", f"{1:016x}", 1, 400.0))
+        await asyncio.sleep(0.1)
+        model.crash()
+        await asyncio.sleep(1.0)
+        crowd = [
+            asyncio.create_task(world.submit("a-h0", f"{i:016x}", 1, 50.0))
+            for i in range(2, 6)
+        ]
+        await asyncio.sleep(0.3)
+        model.begin_life()
+        replies = await asyncio.gather(first, *crowd)
+        assert {r.kind for r in replies} == {AnswerKind.COMPLETED}
+        world.check()
+
+    run_virtual(main())
