--- a/monsoongap/standin/runner_model.py
+++ b/monsoongap/standin/runner_model.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -32,12 +33,21 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskPlan:
-    """What a task of the stand-in does."""
+    """What the tasks of a job do on the stand-in.
+
+    `works_ms` gives each task its own time, by its index; else all take `work_ms`.
+    """
 
     work_ms: float = 50.0
     cpu_milli: int = 1000
     mem_mb: int = 64
     fails: bool = False
+    works_ms: tuple[float, ...] = ()
+
+    def work_s(self, task: TaskId) -> float:
+        """Return the time that a task takes, in seconds."""
+        work_ms = self.works_ms[task.index] if self.works_ms else self.work_ms
+        return work_ms / MS_PER_S
 
 
 @dataclass(slots=True)
@@ -119,8 +129,10 @@
         now = self.clock()
         entry = LedgerEntry(order.task, order.run, self.info.id, now)
         self.ledger.append(entry)
-        work_s = plan.work_ms / MS_PER_S
+        work_s = plan.work_s(order.task)
         self._runs[order.task] = _Run(order.task, order.run, plan, entry, work_s, now)
+        # A look that waits has to count with this run's end too.
+        self._changed.set()
         return Started(clock)
 
     def stop(self, task: TaskId, run: int, fence: int) -> int:
@@ -152,7 +164,10 @@
         until = self.clock() + wait_s
         while not self._ends and (left := until - self.clock()) > 0:
             due = min([left, *self._due_in()])
-            await asyncio.sleep(max(due, 0.001))
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(due, 0.001)):
+                    await self._changed.wait()
             self.advance()
 
     def free(self) -> Room:
@@ -207,7 +222,7 @@
         return [r.at + r.left_s * self.faults.slow - now for r in self._runs.values()]
 
     def _progress(self, run: _Run) -> int:
-        whole = run.plan.work_ms / MS_PER_S
+        whole = run.plan.work_s(run.task)
         return int(100 * (1 - run.left_s / whole)) if whole else 100
 
     def _check_fence(self, fence: int) -> None:
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -78,6 +78,7 @@
     runners_per_dc: int = 2
     seed: int = 1
     cores: float = 1.0
+    room: Room = ROOM
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
     models: dict[str, RunnerModel] = field(default_factory=dict)
@@ -105,7 +106,7 @@
         for dc in self.dcs:
             for i in range(self.runners_per_dc):
                 id_ = f"{dc}-r{i}"
-                info = RunnerInfo(id_, UPSTREAM, id_, dc, False, ROOM, ("a",), 1)
+                info = RunnerInfo(id_, UPSTREAM, id_, dc, False, self.room, ("a",), 1)
                 self.models[id_] = RunnerModel(info, loop.time, self.ledger)
         for dc, count in self.dcs.items():
             for i in range(count):
@@ -165,7 +166,10 @@
         plan = TaskPlan(work_ms, **more)
         payload = msgspec.json.encode(plan).decode()
         step = Step(plans, Room(plan.cpu_milli, plan.mem_mb), work_ms / 1000)
-        job = Job(id_, QUEUE, payload, (step,))
+        return await self.submit_job(host, Job(id_, QUEUE, payload, (step,)))
+
+    async def submit_job(self, host: str, job: Job) -> JobReply:
+        """Submit a job at a host as a caller would."""
         task = asyncio.create_task(self.hosts[host].take(job))
         self._tasks.setdefault(host, set()).add(task)
         try:
@@ -174,7 +178,7 @@
             if host in self.hosts:
                 raise
             reply = JobReply(AnswerKind.BROKEN, "the host died")
-        self.replies.setdefault(id_, []).append(reply)
+        self.replies.setdefault(job.id, []).append(reply)
         return reply
 
     def check(self) -> None:
