--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(PY) -m soak.run --rounds 3
 
 bench: $(STAMP)
-	$(PY) -m bench.run
+	$(PY) -m bench.start_cost
 
 lint: $(STAMP)
 	.venv/bin/ruff format --check .
--- /dev/null
+++ b/bench/start_cost.py
@@ -0,0 +1,80 @@
+"""`make bench`: what a start costs the owner that orders it, in processor time.
+
+One entry host takes 60 jobs a second and owns all 24 runners of the stand-in. The bound
+is the target: an owner spends at most 0.15 core on that. Exits 1 when it is missed.
+"""
+
+import asyncio
+import os
+import tempfile
+import time
+from pathlib import Path
+
+from monsoongap.load.runner import run_load
+from monsoongap.load.settings import (
+    ArrivalsSection,
+    LoadProfile,
+    MixSection,
+    TargetSection,
+)
+from soak.processes import Processes
+
+IP = "127.0.0.1"
+PORT = 31_000
+RUNNERS = 24
+JOBS_PER_S = 60.0
+DURATION_S = 10.0
+WARM_UP_S = 4.0
+MOST_CORES = 0.15
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def main() -> int:
+    """Measure, print and compare with the bound."""
+    with tempfile.TemporaryDirectory(prefix="monsoongap-bench-") as folder:
+        procs = Processes(Path(folder), f"{IP}:{PORT}", PORT + 10)
+        try:
+            procs.start(
+                "standin",
+                "monsoongap.standin.main",
+                f"--port={PORT}",
+                f"--runner-port={PORT + 50}",
+                "--dcs=a",
+                f"--runners={RUNNERS}",
+            )
+            procs.add_node("a0", "a", IP)
+            time.sleep(WARM_UP_S)
+            return measure(procs)
+        finally:
+            procs.end_all()
+
+
+def measure(procs: Processes) -> int:
+    """Offer the load and return 1 if the host spent more than the bound."""
+    node, pid = procs.nodes["a0"], procs.pid("a0")
+    cfg = LoadProfile(
+        TargetSection((node.operators,)),
+        ArrivalsSection(JOBS_PER_S, JOBS_PER_S, duration_s=DURATION_S),
+        MixSection(tasks_min=3, tasks_max=4),
+    )
+    before, began = cpu_s(pid), time.monotonic()
+    calls = asyncio.run(run_load(cfg))
+    used_s, took_s = cpu_s(pid) - before, time.monotonic() - began
+    tasks = sum(call.tasks for call in calls)
+    completed = sum(call.completed for call in calls)
+    cores = used_s / took_s
+    print(f"{len(calls)} jobs, {completed} completed, {tasks} tasks")
+    print(f"{1000 * used_s / tasks:.2f} ms a start, {cores:.3f} core")
+    missed = cores > MOST_CORES or completed < len(calls)
+    print(f"bound {MOST_CORES} core: {'missed' if missed else 'kept'}")
+    return int(missed)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -88,6 +88,10 @@
         """Tell whether a process runs."""
         return self._running[name].poll() is None
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._running[name].pid
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process if it runs."""
         with contextlib.suppress(ProcessLookupError):
