--- a/monsoongap/coordination/admission.py
+++ b/monsoongap/coordination/admission.py
@@ -15,14 +15,20 @@
 HOPELESS_SLACKS = 2.0
 # A late answer is worth something up to three objectives.
 LATE_FACTOR = 3.0
+# A caller that is refused before half of its time is over can still turn elsewhere.
+HELD_SHARE = 0.45
 
 
 @dataclass(frozen=True, slots=True)
 class Aim:
-    """When a job's answer is due. Times are in seconds from its arrival."""
+    """When a job's answer is due. Times are in seconds from its arrival.
+
+    `wait_s` is how long the caller waits; 0 if it did not say.
+    """
 
     chain_s: float
     objective_s: float
+    wait_s: float = 0.0
 
     @property
     def slack_s(self) -> float:
@@ -35,24 +41,31 @@
         return self.objective_s * DECIDE_SHARE
 
     @property
-    def useless_s(self) -> float:
-        """From when on an answer is worth nothing."""
-        return self.objective_s * LATE_FACTOR
+    def give_up_s(self) -> float:
+        """From when on a job that was never tried is refused."""
+        useless_s = self.objective_s * LATE_FACTOR
+        held_s = self.wait_s * HELD_SHARE
+        return min(useless_s, held_s) if held_s else useless_s
 
 
-def aim_of(job: Job, rule: QueueRule) -> Aim:
+def aim_of(job: Job, rule: QueueRule, wait_s: float = 0.0) -> Aim:
     """Return a job's aim from its declared times and its queue's objective.
 
     A queue that names no objective is held to its timeout.
     """
+    chain = longest_chain_s(job)
+    if rule.grace_s <= 0:
+        return Aim(chain, max(rule.timeout_s, rule.stretch * chain), wait_s)
+    return Aim(chain, rule.stretch * chain + rule.grace_s, wait_s)
+
+
+def longest_chain_s(job: Job) -> float:
+    """Return the declared time of a job's longest chain of steps, in seconds."""
     ends: list[float] = []
     for step in job.steps:
         before = max((ends[i] for i in step.after), default=0.0)
         ends.append(before + step.estimate_s)
-    chain = max(ends)
-    if rule.grace_s <= 0:
-        return Aim(chain, max(rule.timeout_s, rule.stretch * chain))
-    return Aim(chain, rule.stretch * chain + rule.grace_s)
+    return max(ends)
 
 
 def is_hopeless(aim: Aim, waited_s: float, ahead_s: float) -> bool:
--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -144,7 +144,12 @@
         )
         try:
             reply: LendReply = await call_repeatedly(
-                self.peers, peer.address, call, LendReply, LEND_TIMEOUT_S
+                self.peers,
+                peer.address,
+                call,
+                LendReply,
+                LEND_TIMEOUT_S,
+                work.estimate_s,
             )
         except PeerLost as exc:
             log.warning(
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from monsoongap.coordination.admission import longest_chain_s
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
@@ -150,14 +151,17 @@
 
     # Jobs from callers.
 
-    async def take(self, job: Job) -> JobReply:
+    async def take(self, job: Job, wait_s: float = 0.0) -> JobReply:
         """Have a caller's job seen through by the owner of its share.
 
+        `wait_s` is how long the caller waits for the answer; 0 if it did not say.
+
         A lost owner is replaced by the next one, with all that is known of the
         job; the caller learns nothing of it.
         """
         share = self.ownership.home_share(job.id)
-        call = SubmitCall(job, self.card.name, self.directory.version, share)
+        version = self.directory.version
+        call = SubmitCall(job, self.card.name, version, share, wait_s=wait_s)
         return await self._submit(call)
 
     async def _submit(self, call: SubmitCall) -> JobReply:
@@ -220,10 +224,7 @@
                 "heard_ms": heard_ms,
             },
         )
-        address = owner.peer.address
-        task = asyncio.create_task(
-            call_repeatedly(self.peers, address, call, JobReply, FORWARD_TIMEOUT_S)
-        )
+        task = asyncio.create_task(self._hand_in(owner.peer, call))
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=OWNER_WAIT_S / 2)
@@ -247,9 +248,7 @@
             log.info("job is elsewhere", extra={"job": call.job.id, "home": home})
             passed = replace(call, here=True, again=True)
             try:
-                reply: JobReply = await call_repeatedly(
-                    self.peers, peer.address, passed, JobReply, FORWARD_TIMEOUT_S
-                )
+                reply = await self._hand_in(peer, passed)
             except PeerLost as exc:
                 log.warning("home lost", extra={"job": call.job.id, "reason": str(exc)})
             else:
@@ -258,6 +257,18 @@
         self.jobs.doubt(call.job.id)
         return await self.jobs.submit(replace(call, again=True))
 
+    async def _hand_in(self, peer: Peer, call: SubmitCall) -> JobReply:
+        """Hand a job to another host; raises `PeerLost`."""
+        reply: JobReply = await call_repeatedly(
+            self.peers,
+            peer.address,
+            call,
+            JobReply,
+            FORWARD_TIMEOUT_S,
+            longest_chain_s(call.job),
+        )
+        return reply
+
     def cancel(self, job: str) -> None:
         """Drop a job whose caller has left."""
         owner = self.ownership.owner_of(self.ownership.home_share(job))
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -121,4 +121,5 @@
                 work.link.info.id for work in self.works.values() if work.link
             ),
             again=self.again or self.offered or self.borrows,
+            wait_s=self.aim.wait_s,
         )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -156,7 +156,8 @@
         """Make a job's record; `former` is that of an earlier try without a result."""
         job, now = call.job, self.timers.now()
         answer = asyncio.get_running_loop().create_future()
-        rec = JobRecord(job, rule, call.share, aim_of(job, rule), now, answer)
+        aim = aim_of(job, rule, call.wait_s)
+        rec = JobRecord(job, rule, call.share, aim, now, answer)
         if former is not None:
             rec.runs = former.runs
             rec.doubt_since = former.doubt_since
@@ -194,7 +195,7 @@
             age = now - rec.arrived_at
             if rec.offered or rec.borrows:
                 continue
-            if age > rec.aim.useless_s:
+            if age > rec.aim.give_up_s:
                 self._end(rec, refusal_in_vain(rec, now))
             elif age > rec.aim.slack_s and not rec.late:
                 rec.late = True
--- a/monsoongap/coordination/repeated_call.py
+++ b/monsoongap/coordination/repeated_call.py
@@ -10,9 +10,11 @@
 
 from monsoongap.coordination.ports import PeerCallPort, PeerLost
 
-# Most tasks are shorter, so that few calls are sent twice; a caller's deadline of 1.5 s
-# leaves time for the second reply.
+# A reply that comes this much later than the work should take may be lost; a caller's
+# deadline of 1.5 s leaves time for the second one.
 REPEAT_AFTER_S = 0.7
+# Declared times are off by two fifths, and what runs twice as long is not yet lost.
+WORK_FACTOR = 2.0
 
 
 async def call_repeatedly(
@@ -21,9 +23,11 @@
     request: Any,
     reply_type: type[Any],
     timeout_s: float,
+    work_s: float,
 ) -> Any:
     """Send a message, again on new connections while no reply comes.
 
+    `work_s` is how long the peer should work on it.
     Raises `PeerLost` as soon as a new connection shows that the peer is out of reach,
     whatever the first one still waits for.
     """
@@ -38,7 +42,7 @@
                     peers.call(address, request, reply_type, left_s, fresh)
                 )
             )
-            wait_s = min(REPEAT_AFTER_S, left_s)
+            wait_s = min(REPEAT_AFTER_S + WORK_FACTOR * work_s, left_s)
             done, calls = await asyncio.wait(
                 calls, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
             )
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -23,6 +23,8 @@
 log = logging.getLogger(__name__)
 
 READY_PATH = "/monsoongap/ready"
+# How long a caller waits for its answer, in whole milliseconds from its sending.
+WAIT_HEADER = "X-Monsoongap-Deadline-Ms"
 MAX_HEADER_BYTES = 65_536
 # A host has its first configuration within a second of its start.
 CONFIG_RETRY_S = 1.0
@@ -128,7 +130,7 @@
         if isinstance(conn, HTTP1Connection):
             conn.set_close_callback(left)
         began = self._host.timers.now()
-        reply = await self._host.take(job)
+        reply = await self._host.take(job, _wait_s(req))
         done = True
         took_s = self._host.timers.now() - began
         self._metrics.observe_response(reply.kind.value, took_s)
@@ -157,6 +159,12 @@
         send_reply(req, status, msgspec.json.encode(body), headers)
 
 
+def _wait_s(req: HTTPServerRequest) -> float:
+    """Return how long a caller waits, 0 if it tells nothing that can be read."""
+    text = req.headers.get(WAIT_HEADER, "")
+    return int(text) / wire.MS_PER_S if text.isdecimal() else 0.0
+
+
 class TrackingServer(HTTPServer):
     """An HTTP server that knows its open connections."""
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -323,7 +323,8 @@
     number given to each task so far, `placed` the runners of tasks that were under way,
     all from an earlier owner of the job. `again` says that an earlier owner may have
     begun it: it cannot be refused as not run.
-    `here` says that the callee has the job, as another owner knows.
+    `here` says that the callee has the job, as another owner knows. The caller waits
+    for `wait_s`; 0 if it did not say.
     """
 
     job: Job
@@ -335,6 +336,7 @@
     placed: tuple[str, ...] = ()
     again: bool = False
     here: bool = False
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -80,7 +80,9 @@
         self.start_node(name)
 
     def start_node(self, name: str) -> None:
-        """Start a daemon, or start it again."""
+        """Start a daemon, or start it again, unless another trouble already has."""
+        if name in self._running and self.is_up(name):
+            return
         path = self.out / f"{name}.ini"
         self.start(name, "monsoongap.entry", f"--config={path}")
 
