Calls between hosts are parsed by httptools at the server too

Cause: in a profile of three owners at 110 jobs a second tornado's server took 1.6 of 6 s of one owner's busy time, for calls of other hosts; now 0.1 of 4.5. Log records no longer look for their place in the source.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -101,7 +101,7 @@
         """Listen, beat and read what the store tells."""
         listen = self._cfg.listen
         await self._heartbeats.listen(listen.peers)
-        self._calls.listen(listen.peers)
+        await self._calls.listen(listen.peers)
         self._callers.listen(listen.callers)
         self._ready.listen(listen.ready)
         self._listen_for_operators()
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -118,7 +118,8 @@
     logging.basicConfig(level=cfg.level.upper(), handlers=[handler], force=True)
     # A refusal is an ordinary answer and has a line of its own where it was decided.
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
-    # Nothing here prints a record's thread, process or task.
+    # Nothing here prints a record's place in the source, thread, process or task.
+    logging._srcfile = None
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -9,11 +9,11 @@
 import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from http import HTTPStatus
+from typing import Any, cast
 
+import httptools
 import msgspec
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
 
 from monsoongap.coordination.ports import PeerGone, PeerLost
 from monsoongap.protocol import messages
@@ -24,7 +24,7 @@
     NotConnected,
     Refused,
 )
-from monsoongap.transport.http_server import listen, send_reply
+from monsoongap.transport.http_server import BACKLOG
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
@@ -38,9 +38,6 @@
     messages.RunnersCall,
 )
 _DECODERS = {f"/{kind.__name__}": msgspec.msgpack.Decoder(kind) for kind in CALL_TYPES}
-OK = 200
-BAD_REQUEST = 400
-FAILED = 500
 MAX_BODY_BYTES = 16_000_000
 
 
@@ -50,39 +47,94 @@
     def __init__(self, answer: Callable[[Any], Awaitable[Any]]) -> None:
         self._answer = answer
         self._background = Background()
-        self._server = HTTPServer(
-            self._handle, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES
-        )
+        self._server: asyncio.Server | None = None
 
-    def listen(self, address: str) -> None:
+    async def listen(self, address: str) -> None:
         """Listen for calls on `IP:port`."""
-        listen(self._server, address)
+        ip, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _CallConnection(self._serve),
+            ip.strip("[]"),
+            int(port),
+            backlog=BACKLOG,
+        )
 
     def close(self) -> None:
         """Take no more calls."""
-        self._server.stop()
+        if self._server is not None:
+            self._server.close()
 
-    def _handle(self, req: HTTPServerRequest) -> None:
-        self._background.spawn(self._serve(req), "call")
+    def _serve(self, conn: "_CallConnection", path: str, body: bytes) -> None:
+        self._background.spawn(self._reply(conn, path, body), "call")
 
-    async def _serve(self, req: HTTPServerRequest) -> None:
-        decoder = _DECODERS.get(req.path)
+    async def _reply(self, conn: "_CallConnection", path: str, body: bytes) -> None:
+        decoder = _DECODERS.get(path)
         if decoder is None:
-            send_reply(req, BAD_REQUEST, b"no such call", {})
+            conn.reply(HTTPStatus.NOT_FOUND, b"no such call")
             return
         try:
-            call = decoder.decode(req.body)
+            call = decoder.decode(body)
         except msgspec.MsgspecError as exc:
             log.warning("call not understood", extra={"error": str(exc)})
-            send_reply(req, BAD_REQUEST, str(exc).encode(), {})
+            conn.reply(HTTPStatus.BAD_REQUEST, str(exc).encode())
             return
         try:
             reply = await self._answer(call)
         except Exception:
-            log.exception("call failed", extra={"call": req.path})
-            send_reply(req, FAILED, b"", {})
+            log.exception("call failed", extra={"call": path})
+            conn.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b"")
             return
-        send_reply(req, OK, msgspec.msgpack.encode(reply), {})
+        conn.reply(HTTPStatus.OK, msgspec.msgpack.encode(reply))
+
+
+class _CallConnection(asyncio.Protocol):
+    """One connection of another host, which sends one call at a time."""
+
+    def __init__(self, serve: Callable[["_CallConnection", str, bytes], None]) -> None:
+        self._serve = serve
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = b""
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        self._size += len(data)
+        try:
+            if self._size > MAX_BODY_BYTES:
+                raise httptools.HttpParserError("call too large")
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            log.warning("call not understood", extra={"error": str(exc)})
+            if self._transport is not None:
+                self._transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        self._path += url
+
+    def on_body(self, body: bytes) -> None:
+        self._chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        path, body = self._path.decode("latin-1"), b"".join(self._chunks)
+        self._path = b""
+        self._chunks.clear()
+        self._size = 0
+        self._serve(self, path, body)
+
+    def reply(self, status: HTTPStatus, body: bytes) -> None:
+        """Send a reply, unless the other host has gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+            size = f"Content-Length: {len(body)}\r\n\r\n"
+            self._transport.write((head + size).encode() + body)
 
 
 class HostCallClient:
@@ -109,7 +161,7 @@
             raise PeerGone(str(exc)) from exc
         except (NotConnected, ExchangeLost) as exc:
             raise PeerLost(str(exc)) from exc
-        if reply.status != OK:
+        if reply.status != HTTPStatus.OK:
             raise PeerLost(f"{address}: status {reply.status}")
         try:
             return msgspec.msgpack.decode(reply.body, type=reply_type)
--- /dev/null
+++ b/tests/transport/test_host_calls.py
@@ -0,0 +1,90 @@
+"""Tests of calls between hosts over real sockets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from monsoongap.coordination.ports import PeerGone, PeerLost
+from monsoongap.protocol.messages import CancelCall, ConfigCall, ConfigReply
+from monsoongap.transport.host_calls import (
+    MAX_BODY_BYTES,
+    HostCallClient,
+    HostCallServer,
+)
+from monsoongap.transport.http_client import HttpClient
+from monsoongap.transport.http_conn import ExchangeLost, HttpReply, HttpRequest
+from tests.platform.site import free_ports
+
+
+async def answer(request: Any) -> Any:
+    match request:
+        case ConfigCall():
+            return ConfigReply(7, b"text")
+        case CancelCall(job):
+            raise RuntimeError(job)
+
+
+def play(test: Callable[[HttpClient, str], Awaitable[None]]) -> None:
+    async def main() -> None:
+        server = HostCallServer(answer)
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        await server.listen(address)
+        http = HttpClient()
+        try:
+            await test(http, address)
+        finally:
+            http.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_a_call_is_answered_again_and_again() -> None:
+    async def test(http: HttpClient, address: str) -> None:
+        client = HostCallClient(http)
+        for _ in range(3):
+            reply = await client.call(address, ConfigCall(), ConfigReply, 1.0)
+            assert reply == ConfigReply(7, b"text")
+        assert http.counts.connections_opened == 1
+
+    play(test)
+
+
+def test_a_call_that_fails_is_a_lost_one() -> None:
+    async def test(http: HttpClient, address: str) -> None:
+        client = HostCallClient(http)
+        with pytest.raises(PeerLost, match="status 500"):
+            await client.call(address, CancelCall("ab"), bool, 1.0)
+        with pytest.raises(PeerLost):
+            await client.call(address, ConfigCall(), int, 1.0)
+        with pytest.raises(PeerGone):
+            await client.call("127.0.0.1:1", ConfigCall(), ConfigReply, 1.0)
+
+    play(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status"),
+    [("/ConfigCall", b"\xc1", 400), ("/NoCall", b"", 404), ("/CancelCall", b"", 400)],
+)
+def test_what_is_no_call_is_refused(path: str, body: bytes, status: int) -> None:
+    async def test(http: HttpClient, address: str) -> None:
+        reply = await http.exchange(address, HttpRequest("POST", path, body), 1.0)
+        assert reply.status == status
+        good = msgspec.msgpack.encode(ConfigCall())
+        again = HttpRequest("POST", "/ConfigCall", good)
+        assert isinstance(await http.exchange(address, again, 1.0), HttpReply)
+
+    play(test)
+
+
+def test_a_call_that_is_too_large_ends_its_connection() -> None:
+    async def test(http: HttpClient, address: str) -> None:
+        req = HttpRequest("POST", "/ConfigCall", b"x" * (MAX_BODY_BYTES + 1))
+        with pytest.raises(ExchangeLost):
+            await http.exchange(address, req, 5.0)
+
+    play(test)
