--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from monsoongap.protocol.messages import AnswerKind, JobReply
+from monsoongap.errors import AnswerKind
+from monsoongap.protocol.messages import Job, JobReply, Room, Step
 from tests import clock
 from tests.host_world import OrderFaults, World
 
@@ -635,3 +636,22 @@
         world.check()
 
     run_virtual(main())
+
+
+def test_a_job_that_finds_no_room_is_refused_in_its_caller_s_time() -> None:
+    async def main() -> None:
+        world = World({"a": 1}, runners_per_dc=1)
+        await world.start()
+        host = world.hosts["a-h0"]
+        running = asyncio.create_task(world.submit("a-h0", f"{1:016x}", 4, 1400.0))
+        await asyncio.sleep(0.05)
+        began = host.timers.now()
+        job = Job(f"{2:016x}", "scan", "{}", (Step(1, Room(1000, 64), 0.05),))
+        reply = await host.take(job, wait_s=0.8)
+        assert reply.kind is AnswerKind.REFUSED
+        assert 0.3 < host.timers.now() - began < 0.45
+        assert reply.retry_after_s > 0
+        await running
+        assert all(entry.task.job != job.id for entry in world.ledger)
+
+    run_virtual(main())
