--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -52,8 +52,9 @@
 OWNER_STEP_S = 0.05
 # A forwarded job answers within its deadline; this only bounds a leak.
 FORWARD_TIMEOUT_S = 30.0
-# Changed room is told to other owners at once, but not more often than this.
-ROOM_TOLD_S = 0.02
+# Changed room is told to other owners at once, but not more often than this: short jobs
+# can spare twice as long, and each beat costs every other owner a look at its queue.
+ROOM_TOLD_S = 0.04
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,7 +325,7 @@
         if newer and self.directory.begin_fetch(version, now):
             self._background.spawn(self.calls.fetch_config(peer), "config")
         if new:
-            self.members.beat_now()
+            self.members.greet(peer)
 
     # What changes inside.
 
@@ -353,7 +354,8 @@
         if not self.ownership.claims or self.leaving:
             return
         now = self.timers.now()
-        wanted = any(p.beat is not None and p.beat.queued for p in self.members.live())
-        if wanted and now - self._room_told_at >= ROOM_TOLD_S:
+        if now - self._room_told_at < ROOM_TOLD_S:
+            return
+        if any(p.beat is not None and p.beat.queued for p in self.members.live()):
             self._room_told_at = now
             self.members.beat_to_owners()
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -129,6 +129,10 @@
         """Send a beat to every live host outside the usual pace."""
         self._send(self.live())
 
+    def greet(self, peer: Peer) -> None:
+        """Send a beat to a host that was just heard, which may not hear this one."""
+        self._send(iter((peer,)))
+
     def beat_to_owners(self) -> None:
         """Send a beat to every owner outside the usual pace."""
         self._send(p for p in self.live() if p.beat is not None and p.beat.claims)
@@ -167,10 +171,11 @@
 
     def _silent_after(self, beat: Beat) -> float:
         """Return how long a host that beats like this may be silent."""
-        near = beat.card.dc == self.card.dc
-        if beat.claims:
-            return SILENT_S if near else FAR_OWNER_SILENT_S
-        return NEAR_SILENT_S if near else FAR_SILENT_S
+        if beat.card.dc == self.card.dc:
+            return SILENT_S if beat.claims else NEAR_SILENT_S
+        # Owners beat often to each other, and seldom to other hosts far away.
+        both_own = bool(beat.claims) and self.is_owner()
+        return FAR_OWNER_SILENT_S if both_own else FAR_SILENT_S
 
     def _tick(self) -> None:
         self._ticks += 1
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -22,6 +22,11 @@
 log = logging.getLogger(__name__)
 
 CHECK_S = 0.05
+# Shares of other data centres are owned from here only after long, so that looking at
+# them seldom costs little.
+FOREIGN_CHECK_S = 0.5
+# Owners are asked for with each job; who they are changes with heartbeats only.
+OWNERS_FRESH_S = 0.01
 # A runner ends some ten tasks a second, each takes 2 ms of its owner's processor. An
 # owner may spend half of what a usual host of its data centre has.
 CORES_PER_RUNNER = 0.02
@@ -74,6 +79,9 @@
     _yield_until: dict[ShareId, float] = field(default_factory=dict)
     _last_owner: dict[ShareId, str] = field(default_factory=dict)
     _runners: Counter[str] = field(default_factory=Counter)
+    _owners: dict[ShareId, Owner] = field(default_factory=dict)
+    _owners_at: float = -1e9
+    _foreign_checked_at: float = -1e9
 
     def start(self) -> None:
         """Begin to watch."""
@@ -86,7 +94,8 @@
 
     def shares_of(self, dc: str) -> list[ShareId]:
         """Return the shares of a data centre: as claimed, else by its runners."""
-        claims = [owner.claim for owner in self._owners(dc)]
+        owners = self._owners_by_share().values()
+        claims = [owner.claim for owner in owners if owner.claim.share.dc == dc]
         newest = max(claims, key=lambda claim: claim.fence, default=None)
         if newest is not None:
             count = newest.of
@@ -113,8 +122,20 @@
 
     def owner_of(self, share: ShareId) -> Owner | None:
         """Return the owner as this host sees it, the highest fence first."""
-        owners = [o for o in self._owners(share.dc) if o.claim.share == share]
-        return max(owners, key=lambda owner: owner.claim.fence, default=None)
+        return self._owners_by_share().get(share)
+
+    def _owners_by_share(self) -> dict[ShareId, Owner]:
+        """Return the owner of each claimed share, worked out anew each few ms."""
+        now = self.timers.now()
+        if now - self._owners_at > OWNERS_FRESH_S:
+            owners: dict[ShareId, Owner] = {}
+            for owner in self._claimed():
+                known = owners.get(owner.claim.share)
+                if known is None or owner.claim.fence > known.claim.fence:
+                    owners[owner.claim.share] = owner
+            self._owners = owners
+            self._owners_at = now
+        return self._owners
 
     def yield_to_fence(self, share: ShareId) -> None:
         """Give up a share one of whose runners obeys a higher fence."""
@@ -130,22 +151,28 @@
         now = self.timers.now()
         if any(True for _ in self.members.live()):
             self._heard_someone_at = now
-        for dc in sorted({*self._runners, self.members.card.dc}):
-            shares = self.shares_of(dc)
-            for share in [s for s in self.claims if s.dc == dc]:
-                if self.claims[share].of != len(shares):
-                    self._release(share, "the data centre is divided otherwise")
-            for share in shares:
-                self._check_share(share, now)
-
-    def _owners(self, dc: str) -> Iterator[Owner]:
+        self._check_dc(self.members.card.dc, now)
+        if now - self._foreign_checked_at >= FOREIGN_CHECK_S:
+            self._foreign_checked_at = now
+            for dc in sorted(self._runners):
+                if dc != self.members.card.dc:
+                    self._check_dc(dc, now)
+
+    def _check_dc(self, dc: str, now: float) -> None:
+        shares = self.shares_of(dc)
+        for share in [s for s in self.claims if s.dc == dc]:
+            if self.claims[share].of != len(shares):
+                self._release(share, "the data centre is divided otherwise")
+        for share in shares:
+            self._check_share(share, now)
+
+    def _claimed(self) -> Iterator[Owner]:
+        """Yield every claim of a live host, this one's too."""
         for peer in self.members.live():
             for claim in peer.beat.claims if peer.beat else ():
-                if claim.share.dc == dc:
-                    yield Owner(claim, peer)
+                yield Owner(claim, peer)
         for claim in self.claims.values():
-            if claim.share.dc == dc:
-                yield Owner(claim, None)
+            yield Owner(claim, None)
 
     def _check_share(self, share: ShareId, now: float) -> None:
         owner = self.owner_of(share)
@@ -227,6 +254,7 @@
         self._highest_fence = fence
         claim = Claim(share, len(self.shares_of(share.dc)), fence)
         self.claims[share] = claim
+        self._owners_at = -1e9
         self.counts.acquired += 1
         self._absent_since.pop(share, None)
         log.info(
@@ -245,6 +273,7 @@
         claim = self.claims.pop(share, None)
         if claim is None:
             return
+        self._owners_at = -1e9
         self.counts.released += 1
         log.info(
             "ownership released",
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -113,27 +113,31 @@
         return all(k.settled for k in self.links.values() if k.share == share)
 
     def _sync(self) -> None:
-        now = self.timers.now()
+        """Hold the listed runners of the owned shares, let go of those that left."""
         for info in self._listed.values():
-            claim = self._claim_on(info)
             link = self.links.get(info.id)
+            if link is not None and link.info.address != info.address:
+                self._drop(link)
+                link = None
             if link is not None:
                 self._absent.pop(info.id, None)
-                if link.info.address != info.address:
-                    self._drop(link)
-                    link = None
-                else:
-                    link.update(info)
-            if claim is not None and link is None:
+                link.update(info)
+            elif (claim := self._claim_on(info)) is not None:
                 self._open(info, claim)
-        for id_, link in list(self.links.items()):
-            if id_ not in self._listed:
-                since = self._absent.setdefault(id_, now)
-                silent = link.state is not LinkState.HELD
-                if now - since > ABSENT_S or (silent and not link.table.runs):
-                    self._retire(link)
+        self._retire_absent()
         self.pump()
 
+    def _retire_absent(self) -> None:
+        """Let go of runners that have left the list for a while."""
+        now = self.timers.now()
+        for id_, link in list(self.links.items()):
+            if id_ in self._listed:
+                continue
+            since = self._absent.setdefault(id_, now)
+            silent = link.state is not LinkState.HELD
+            if now - since > ABSENT_S or (silent and not link.table.runs):
+                self._retire(link)
+
     def _claim_on(self, info: RunnerInfo) -> Claim | None:
         for claim in self._claims.values():
             if claim.covers(info.dc, info.id):
@@ -267,7 +271,9 @@
         slow = sorted(link.table.health.slowness for link in self.links.values())
         if slow:
             self.usual_slowness = slow[len(slow) // 2]
-        self._sync()
+        self._retire_absent()
+        if self._waiting:
+            self.pump()
 
     def _pump(self) -> None:
         """Place what has room, in order; what fits nowhere is passed over."""
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -17,10 +17,10 @@
 MAX_REPLY_BYTES = 8_000_000
 # The two integers of SO_LINGER: on, for no time.
 DROP_UNSENT = struct.pack("ii", 1, 0)
-# A connection that went silent is found within some 3 s while idle, and while data
-# waits to be acknowledged, so that it is not taken for the next exchange.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
+# Idle connections are used for 8 s at most; one whose data is not acknowledged is given
+# up before a caller's deadline of 1.5 s.
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 1500
 
