--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -1,6 +1,6 @@
 """Placement: waiting tasks onto held runners, or to another owner with room.
 
-Tasks wait at the owner of the data centre that their job came to, in one order,
+Tasks wait at the owner of the share that their job falls to, in one order,
 and are bound to a runner only when it has room: the one that is left with the least
 room by it. What finds no room here goes to an owner whose heartbeat told of room; it
 starts there at once or comes back.
