An overload refusal stays: the same request that comes again is refused again

Its loop counts as late, so the first was refused without a record; 160 ms later the second was taken in and ran, while the caller had been told not run. Test: refused, then run, before; refused each time now.

Change: an overload refusal leaves a record, and calls carry the number of their request, so that one that comes twice or late gets what the first got.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -82,6 +82,7 @@
         self.leaving = False
         self.peers = ports.peers
         self._serial = 0
+        self._requests = 0
         self._room_told_at = 0.0
         self._background = Background()
         self.directory = Directory(decode_config, self._config_changed)
@@ -162,7 +163,15 @@
         """
         share = self.ownership.home_share(job.id)
         version = self.directory.version
-        call = SubmitCall(job, self.card.name, version, share, wait_s=wait_s)
+        self._requests += 1
+        call = SubmitCall(
+            job,
+            self.card.name,
+            version,
+            share,
+            wait_s=wait_s,
+            number=self._requests,
+        )
         return await self._submit(call)
 
     async def _submit(self, call: SubmitCall) -> JobReply:
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -49,6 +49,7 @@
     again: bool = False
     ending: bool = False
     late: bool = False
+    requests: set[tuple[str, int]] = field(default_factory=set)
     doubt_since: float = NEVER
     answered_at: float = NEVER
     cleared: asyncio.Event = field(default_factory=asyncio.Event)
@@ -64,11 +65,11 @@
         """Tell whether a task of the job is with another owner."""
         return any(work.borrowed_from for work in self.works.values())
 
-    def still_counts(self, now: float) -> bool:
-        """Tell whether the same job, sent again, gets this record's answer.
+    def still_counts(self, call: SubmitCall, now: float) -> bool:
+        """Tell whether a call for the same job gets this record's answer.
 
-        A refusal counts for a while: the call that brings the job again may have
-        been sent before the refusal reached its sender.
+        A refusal counts for the request that got it, however late its call comes
+        again, and for a while for all: another call may have been under way.
         """
         if not self.answer.done():
             return True
@@ -76,7 +77,8 @@
             case AnswerKind.COMPLETED | AnswerKind.FAILED:
                 return True
             case AnswerKind.REFUSED:
-                return now - self.answered_at < REFUSAL_COUNTS_S
+                same = call.number > 0 and (call.origin, call.number) in self.requests
+                return same or now - self.answered_at < REFUSAL_COUNTS_S
             case _:
                 return False
 
@@ -103,6 +105,7 @@
     def learn(self, call: SubmitCall) -> None:
         """Take in what another owner knows of the job."""
         self.again = call.again
+        self.requests.add((call.origin, call.number))
         for task in call.done:
             self.mark_done(task)
         self.runs.update(dict(call.runs))
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -125,19 +125,19 @@
         if rec is not None and rec.ending and not rec.cleared.is_set():
             await rec.cleared.wait()
             rec = self.records.get(job.id)
-        if rec is not None and rec.still_counts(self.timers.now()):
+        if rec is not None and rec.still_counts(call, self.timers.now()):
             self.counts.joined += 1
+            rec.requests.add((call.origin, call.number))
             log.info("job joined", extra={"job": job.id, "origin": call.origin})
             return await asyncio.shield(rec.answer)
         rule = self.rule_of(job.queue)
         if rule is None:
             return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+        new = self._take_in(call, rule, rec)
         overload = self.triage.overload()
         if overload is not None and not call.again and not call.here:
-            self.counts.refused += 1
-            log.info("job refused", extra={"job": job.id, "reason": overload.detail})
+            self._answer(new, overload)
             return overload
-        new = self._take_in(call, rule, rec)
         settled = await self._settle_past(new)
         if new.ending:
             # Meanwhile cancelled, or handed to the next owner, who answers.
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -324,7 +324,8 @@
     all from an earlier owner of the job. `again` says that an earlier owner may have
     begun it: it cannot be refused as not run.
     `here` says that the callee has the job, as another owner knows. The caller waits
-    for `wait_s`; 0 if it did not say.
+    for `wait_s`; 0 if it did not say. `origin` and `number` name the caller's one
+    request: a call that comes twice, or late, gets the refusal that it had.
     """
 
     job: Job
@@ -337,6 +338,7 @@
     again: bool = False
     here: bool = False
     wait_s: float = 0.0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from monsoongap.errors import AnswerKind
-from monsoongap.protocol.messages import Job, JobReply, Room, Step
+from monsoongap.protocol.messages import Job, JobReply, Room, Step, SubmitCall
 from tests import clock
 from tests.host_world import OrderFaults, World
 
@@ -655,3 +656,27 @@
         assert all(entry.task.job != job.id for entry in world.ledger)
 
     run_virtual(main())
+
+
+def test_a_call_that_an_overloaded_host_refused_stays_refused() -> None:
+    """A frozen owner wakes with both calls of one request in its sockets."""
+
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        host = world.hosts["a-h0"]
+        step = Step(1, Room(1000, 64), 0.05)
+        job = Job(f"{3:016x}", "scan", '{"work_ms": 50}', (step,))
+        share = host.ownership.home_share(job.id)
+        call = SubmitCall(job, "a-h9", 1, share, number=7)
+        host.jobs.triage.lag_s = 1.0
+        first = await host.jobs.submit(call)
+        assert first.kind is AnswerKind.REFUSED
+        for _ in range(3):
+            await asyncio.sleep(1.1)
+            assert (await host.jobs.submit(call)).kind is AnswerKind.REFUSED
+        assert world.ledger == []
+        other = await host.jobs.submit(replace(call, number=8))
+        assert other.kind is AnswerKind.COMPLETED
+
+    run_virtual(main())
