--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -41,12 +41,11 @@
 from monsoongap.settings import EntrySettings
 from monsoongap.state.directory import Directory
 from monsoongap.state.elsewhere import Elsewhere
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 # A takeover takes about half a second; beyond it the caller should come back.
 OWNER_WAIT_S = 0.7
 OWNER_STEP_S = 0.05
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -26,11 +26,10 @@
     SubmitCall,
 )
 from monsoongap.state.elsewhere import number_of
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 
 log = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 # A lost job comes again a few times within its deadline; answers are kept for that.
 KEEP_ANSWER_S = 15.0
 # What an earlier owner or a lost lender began is over after this at the latest:
--- a/monsoongap/coordination/lease.py
+++ b/monsoongap/coordination/lease.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-MS_PER_S = 1000
+from monsoongap.timers import MS_PER_S
+
 # Runners may be a little slow: 2 % in the lease, and a margin for rounding.
 CLOCK_DRIFT = 0.98
 LAPSE_MARGIN_S = 0.03
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -28,12 +28,11 @@
     StartOrder,
 )
 from monsoongap.settings import BoundsSection
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 # A look waits this long for an end. It renews the lease, so it stays well below.
 LOOK_WAIT_S = 0.4
 RETRY_S = 0.1
--- a/monsoongap/coordination/triage.py
+++ b/monsoongap/coordination/triage.py
@@ -14,9 +14,8 @@
 from monsoongap.coordination.waiting import Backlog
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import JobReply
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 
-MS_PER_S = 1000
 # Short jobs are refused within some 35 ms or not at all.
 DECIDE_TICK_S = 0.02
 # Lending answers within one round trip between data centres.
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -26,7 +26,7 @@
 from monsoongap.platform.store import StoreClient
 from monsoongap.protocol.messages import HostCard
 from monsoongap.settings import EntrySettings, load_settings
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.transport.host_calls import (
     HeartbeatSocket,
     HostCallClient,
@@ -34,6 +34,7 @@
 )
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.operators import OperatorServer
+from monsoongap.util.addresses import split_address
 from monsoongap.util.ini import SettingsErrors
 
 # Not `__name__`, which is another one in a program.
@@ -44,7 +45,6 @@
 # Time kept free at the end of the grace for closing.
 CLOSING_S = 0.4
 STEP_S = 0.05
-MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,15 +187,15 @@
 
 
 def _card_of(cfg: EntrySettings, boot_ms: int) -> HostCard:
-    ip, _, port = cfg.listen.peers.rpartition(":")
-    return HostCard(cfg.host.name, cfg.host.dc, ip, int(port), boot_ms, cfg.host.cores)
+    ip, port = split_address(cfg.listen.peers)
+    return HostCard(cfg.host.name, cfg.host.dc, ip, port, boot_ms, cfg.host.cores)
 
 
 def _seed_cards(cfg: EntrySettings) -> list[HostCard]:
     """Return cards of the seeds, whose names are not known yet."""
-    own, _, port = cfg.listen.peers.rpartition(":")
-    ips = (seed.rpartition(":")[0] for seed in cfg.peers.seeds)
-    return [HostCard(f"seed-{ip}", "", ip, int(port), 0) for ip in ips if ip != own]
+    own, port = split_address(cfg.listen.peers)
+    ips = (split_address(seed)[0] for seed in cfg.peers.seeds)
+    return [HostCard(f"seed-{ip}", "", ip, port, 0) for ip in ips if ip != own]
 
 
 def serve(source: SettingsSource) -> None:
--- a/monsoongap/load/plan.py
+++ b/monsoongap/load/plan.py
@@ -13,10 +13,9 @@
 
 from monsoongap.load.settings import ArrivalsSection, LoadProfile, MixSection
 from monsoongap.standin.runner_model import TaskPlan
+from monsoongap.timers import MS_PER_S
 from monsoongap.transport.operators import JobBody, StepBody
 
-MS_PER_S = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class PlannedJob:
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -27,8 +27,8 @@
     UpstreamRule,
     is_job_id,
 )
+from monsoongap.timers import MS_PER_S
 
-MS_PER_S = 1000
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 # The id of a job of one occurrence has this in the place of its occurrence.
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -212,7 +212,6 @@
     LEASE_OVER = "lease_over"
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
-    OTHER_LIFE = "other_life"
     MALFORMED = "malformed"
 
 
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -11,6 +11,7 @@
 
 from msgspec import Meta
 
+from monsoongap.timers import MS_PER_S
 from monsoongap.util.ini import load_ini
 
 Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
@@ -19,8 +20,6 @@
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Factor = Annotated[float, Meta(gt=0, le=1024)]
 
-MS_PER_S = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class HostSection:
--- a/monsoongap/standin/runner_model.py
+++ b/monsoongap/standin/runner_model.py
@@ -26,9 +26,7 @@
     StartOrder,
     TaskId,
 )
-
-MS_PER_S = 1000
-STOP_S = 0.02
+from monsoongap.timers import MS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -25,6 +25,7 @@
     Refused,
 )
 from monsoongap.transport.http_server import BACKLOG
+from monsoongap.util.addresses import split_address
 from monsoongap.util.background import Background
 
 log = logging.getLogger(__name__)
@@ -51,12 +52,12 @@
 
     async def listen(self, address: str) -> None:
         """Listen for calls on `IP:port`."""
-        ip, _, port = address.rpartition(":")
+        ip, port = split_address(address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _CallConnection(self._serve),
-            ip.strip("[]"),
-            int(port),
+            ip,
+            port,
             backlog=BACKLOG,
         )
 
@@ -178,10 +179,10 @@
 
     async def listen(self, address: str) -> None:
         """Bind the socket to `IP:port`."""
-        ip, _, port = address.rpartition(":")
+        ip, port = split_address(address)
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(ip, int(port))
+            lambda: self, local_addr=(ip, port)
         )
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -14,6 +14,8 @@
 
 import httptools
 
+from monsoongap.util.addresses import split_address
+
 MAX_REPLY_BYTES = 8_000_000
 # The two integers of SO_LINGER: on, for no time.
 DROP_UNSENT = struct.pack("ii", 1, 0)
@@ -84,13 +86,11 @@
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "KeepAliveConnection":
         """Connect to `address`; raises `NotConnected`."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
+            ip, port = split_address(address)
             async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(
-                    lambda: cls(address), host.strip("[]"), int(port)
-                )
+                _, conn = await loop.create_connection(lambda: cls(address), ip, port)
         except ConnectionRefusedError as exc:
             raise Refused(f"{address}: connection refused") from exc
         except (OSError, TimeoutError, ValueError) as exc:
--- a/monsoongap/transport/http_server.py
+++ b/monsoongap/transport/http_server.py
@@ -6,14 +6,16 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from monsoongap.util.addresses import split_address
+
 # New connections that wait to be taken; one that finds no place is lost for seconds.
 BACKLOG = 512
 
 
 def listen(server: HTTPServer, address: str) -> None:
     """Listen on `IP:port`."""
-    ip, _, port = address.rpartition(":")
-    server.listen(int(port), ip.strip("[]"), backlog=BACKLOG)
+    ip, port = split_address(address)
+    server.listen(port, ip, backlog=BACKLOG)
 
 
 def send_reply(
