--- /dev/null
+++ b/tests/coordination/test_runner_lists.py
@@ -0,0 +1,129 @@
+"""Tests of owners whose list of runners lacks some that an earlier owner used."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from monsoongap.errors import AnswerKind
+from monsoongap.protocol.messages import Job, Room, Step
+from monsoongap.standin.runner_model import TaskPlan
+from tests.coordination.test_host import run_virtual
+from tests.host_world import QUEUE, World
+
+# Each of four cores: a job of six tasks of one core takes both runners.
+BOTH_RUNNERS = 6
+LONG_MS = 1200.0
+
+
+def next_owner(world: World, dc: str) -> str:
+    """Return a host of a data centre that owns none of its runners."""
+    return next(
+        n for n, h in world.hosts.items() if n.startswith(dc) and not h.owns(dc)
+    )
+
+
+# Guards against a takeover with an old list: the killed owner had tasks on a runner
+# that its successor does not know yet.
+@pytest.mark.parametrize("left_out", [("a-r0",), ("a-r0", "a-r1")])
+def test_a_killed_owner_s_runs_on_unlisted_runners_are_not_begun_again(
+    left_out: tuple[str, ...],
+) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        successor = next_owner(world, "a")
+        world.tell_runners(world.hosts[successor], *left_out)
+        job = asyncio.create_task(
+            world.submit(successor, f"{1:016x}", BOTH_RUNNERS, LONG_MS)
+        )
+        await asyncio.sleep(0.3)
+        world.kill(world.owner("a"))
+        await asyncio.sleep(1.0)
+        world.tell_runners(world.hosts[successor])
+        assert (await job).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+# Guards against a job that is handed on twice while its runs go on at a runner that
+# neither the second nor the third owner knows.
+def test_a_job_handed_on_twice_is_not_begun_again() -> None:
+    async def main() -> None:
+        world = World({"a": 3, "b": 1})
+        await world.start()
+        first = world.owner("a")
+        for name, host in world.hosts.items():
+            if name != first:
+                world.tell_runners(host, "a-r0")
+        job = asyncio.create_task(
+            world.submit(first, f"{2:016x}", BOTH_RUNNERS, LONG_MS)
+        )
+        await asyncio.sleep(0.3)
+        world.hosts[first].leave()
+        await asyncio.sleep(0.2)
+        second = world.owner("a")
+        assert second != first
+        world.hosts[second].leave()
+        assert (await job).kind in (AnswerKind.COMPLETED, AnswerKind.BROKEN)
+        world.check()
+
+    run_virtual(main())
+
+
+# Guards against a lender's successor that calls a job's runs over without knowing the
+# runner that they are on.
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_lent_task_on_an_unlisted_runner_is_not_begun_again(leaves: bool) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 2})
+        await world.start()
+        await asyncio.sleep(5)
+        lender = world.owner("b")
+        successor = next_owner(world, "b")
+        world.tell_runners(world.hosts[successor], "b-r0", "b-r1")
+        job = asyncio.create_task(
+            world.submit(world.owner("a"), f"{4:016x}", 14, LONG_MS)
+        )
+        await asyncio.sleep(0.3)
+        assert any(entry.runner.startswith("b") for entry in world.ledger)
+        world.tell_runners(world.hosts[successor], "b-r0")
+        if leaves:
+            world.hosts[lender].leave()
+        else:
+            world.kill(lender)
+        await asyncio.sleep(1.0)
+        world.tell_runners(world.hosts[successor])
+        assert (await job).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
+
+
+# Guards against a new owner that does not ask a data centre's owner for what it runs
+# of a job, since the list names no runner there.
+def test_owners_of_a_data_centre_without_listed_runners_are_asked() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        successor = next_owner(world, "a")
+        world.tell_runners(world.hosts[successor], "b-r0", "b-r1")
+        # The last four tasks find room with the lender only, and last longer.
+        plan = TaskPlan(works_ms=(100.0,) * 8 + (1600.0,) * 4)
+        step = Step(12, Room(plan.cpu_milli, plan.mem_mb), 0.4)
+        payload = msgspec.json.encode(plan).decode()
+        job = asyncio.create_task(
+            world.submit_job(successor, Job(f"{5:016x}", QUEUE, payload, (step,)))
+        )
+        await asyncio.sleep(0.2)
+        assert any(entry.runner.startswith("b") for entry in world.ledger)
+        world.kill(world.owner("a"))
+        world.cut_off(successor, "b")
+        await asyncio.sleep(1.2)
+        world.cut.clear()
+        assert (await job).kind in (AnswerKind.COMPLETED, AnswerKind.BROKEN)
+        world.check()
+
+    run_virtual(main())
