A new owner vouches for its share only with the runners that the former one held

Cause: an owner new to its share took its own list of runners to be complete. A run on a runner that the list lacks was neither seen nor barred, and its job's past was called settled. Entries of living runners lapse while their data centre is cut off from the store; a host that owns nothing reads the list each 5 s, so a runner added since is unknown to it.

Change: an owner tells with each heartbeat a digest of the runners that it holds by each claim. The next one calls its share settled when it holds the same runners, else when every lease that an earlier owner may have given has lapsed, counted from the last sign of it. An owner that waits tells that it is no witness. That bars what it does not know by time and what it knows by its fence. The names in a hand-over are needless now.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -8,6 +8,7 @@
 
 from monsoongap.coordination.admission import longest_chain_s
 from monsoongap.coordination.borrowing import Borrowing
+from monsoongap.coordination.coverage import Coverage
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.jobs import Jobs
@@ -97,12 +98,14 @@
         self.borrowing = Borrowing(
             self.members, self.ownership, timers, ports.peers, self.directory
         )
+        self.coverage = Coverage(timers, cfg.bounds.lease_s)
         self.pool = Pool(
             cfg.bounds,
             ports.runners,
             timers,
             self.directory,
             self.borrowing,
+            self.coverage,
             self.ownership.yield_to_fence,
             self._room_changed,
         )
@@ -114,6 +117,7 @@
             self.pool, timers, self.directory.rule, self.settling.settle_everywhere
         )
         self.pool.on_offer = self.jobs.note_offer
+        self.pool.on_held = self.members.beat_now
         self.borrowing.on_offer = self.jobs.note_offer
         self.borrowing.on_lost = self.settling.settle_lent
         self.elsewhere = Elsewhere(timers)
@@ -306,17 +310,19 @@
 
     def _make_beat(self, hears: tuple[str, ...], known: tuple[HostCard, ...]) -> Beat:
         self._serial += 1
+        claims = tuple(self.ownership.claims.values())
         return Beat(
             self.card,
             self._serial,
             self.leaving,
             self.directory.version,
-            tuple(self.ownership.claims.values()),
+            claims,
             hears,
             self.pool.free_rooms() if not self.leaving else (),
             self.pool.waiting,
             self.jobs.begun_lately(),
             known,
+            self.pool.digests(claims),
         )
 
     def _heard(self, peer: Peer, new: bool) -> None:
@@ -324,6 +330,7 @@
         assert beat is not None
         if beat.claims:
             self.lending.note_claims(beat.claims)
+            self.coverage.hear(beat.claims, beat.held)
             self.borrowing.hear_room(peer)
             self.elsewhere.hear(peer.card.name, beat.begun)
             if beat.free and self.pool.waiting:
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -26,8 +26,7 @@
 class JobRecord:
     """One job under way or answered lately.
 
-    `runs` holds the highest number given to a run of each task, `placed_before` the
-    runners on which an earlier owner had tasks of it. `offered` says that
+    `runs` holds the highest number given to a run of each task. `offered` says that
     a task was ordered, here or elsewhere; `again` that an earlier owner may have begun
     the job; `ending` that it is answered or handed on. `doubt_since` is when an owner
     was lost that may have runs of it. `cleared` is set when no run is left.
@@ -43,7 +42,6 @@
     done: set[TaskId] = field(default_factory=set)
     attempts: dict[TaskId, int] = field(default_factory=dict)
     runs: dict[TaskId, int] = field(default_factory=dict)
-    placed_before: tuple[str, ...] = ()
     steps_begun: set[int] = field(default_factory=set)
     offered: bool = False
     again: bool = False
@@ -109,7 +107,6 @@
         for task in call.done:
             self.mark_done(task)
         self.runs.update(dict(call.runs))
-        self.placed_before = call.placed
 
     def handed_on(self) -> SubmitCall:
         """Return the call that hands the job to the next owner of its share."""
@@ -120,9 +117,6 @@
             self.share,
             done=tuple(self.done),
             runs=tuple(self.runs.items()),
-            placed=tuple(
-                work.link.info.id for work in self.works.values() if work.link
-            ),
             again=self.again or self.offered or self.borrows,
             wait_s=self.aim.wait_s,
         )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -13,7 +13,6 @@
 
 from monsoongap.coordination.admission import aim_of
 from monsoongap.coordination.job_record import NEVER, JobRecord
-from monsoongap.coordination.lease import CLOCK_DRIFT, LAPSE_MARGIN_S
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_in_vain
@@ -220,24 +219,13 @@
             since = max(new_owner, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
                 return True
-            if self._holds_all(rec) and await self.find_all(rec.job.id, rec.share):
+            if await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = NEVER
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
                 return False
             await self.timers.sleep(SETTLE_STEP_S)
 
-    def _holds_all(self, rec: JobRecord) -> bool:
-        """Tell whether no run is left on a runner that is not known here yet.
-
-        The list of runners may lack some, on which an earlier owner's runs go on until
-        their lease has lapsed.
-        """
-        if all(runner in self.pool.links for runner in rec.placed_before):
-            return True
-        longest_s = self.pool.cfg.lease_s / CLOCK_DRIFT + LAPSE_MARGIN_S
-        return self.timers.now() - rec.arrived_at > longest_s
-
     def note_offer(self, work: Work) -> None:
         """Take note that a task was given to a runner or to another owner."""
         rec = self.records.get(work.task.job)
--- a/monsoongap/coordination/lease.py
+++ b/monsoongap/coordination/lease.py
@@ -14,6 +14,11 @@
 LAPSE_MARGIN_S = 0.03
 
 
+def longest_lease_s(lease_s: float) -> float:
+    """Return after how long a lease of `lease_s` has certainly lapsed, in seconds."""
+    return lease_s / CLOCK_DRIFT + LAPSE_MARGIN_S
+
+
 @dataclass(slots=True)
 class RunnerLease:
     """What an owner knows of a runner's clock, and until when its runs may live.
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from monsoongap.coordination.borrowing import Borrowing
+from monsoongap.coordination.coverage import Coverage
 from monsoongap.coordination.link import Link, LinkState
 from monsoongap.coordination.placement import best_runner
 from monsoongap.coordination.ports import RunnerPort
@@ -50,7 +51,8 @@
 class Pool:
     """The runners this host owns and the tasks that wait for them.
 
-    `on_offer` is told of each task that is given to a runner.
+    `on_offer` is told of each task that is given to a runner, `on_held` when a runner
+    is newly held.
     """
 
     cfg: BoundsSection
@@ -58,9 +60,11 @@
     timers: TimerService
     directory: Directory
     borrowing: Borrowing
+    coverage: Coverage
     on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
     on_offer: Callable[[Work], None] = lambda work: None
+    on_held: Callable[[], None] = lambda: None
     counts: PoolCounts = field(default_factory=PoolCounts)
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
@@ -79,11 +83,13 @@
     def acquire(self, claim: Claim) -> None:
         """Hold every runner of a share by the claim's fence."""
         self._claims[claim.share] = claim
+        self.coverage.acquire(claim)
         self._sync()
 
     def release(self, share: ShareId) -> list[Work]:
         """Let the runners of a share go; returns what was placed on them."""
         self._claims.pop(share, None)
+        self.coverage.release(share)
         dropped: list[Work] = []
         for link in [k for k in self.links.values() if k.share == share]:
             for run in link.table.runs.values():
@@ -108,12 +114,23 @@
 
     def is_settled(self, share: ShareId) -> bool:
         """Tell whether all that runs in a share is known here."""
-        if share not in self._claims or not self._listed:
+        claim = self._claims.get(share)
+        if claim is None or not self._listed:
             return False
-        return all(k.settled for k in self.links.values() if k.share == share)
+        links = [link for link in self.links.values() if link.share == share]
+        held = (link.info.id for link in links)
+        return self.coverage.is_complete(claim, held) and all(k.settled for k in links)
+
+    def digests(self, claims: Iterable[Claim]) -> tuple[int, ...]:
+        """Return a digest of the runners held by each claim, for the next owner."""
+        held: dict[ShareId, list[str]] = {}
+        for link in self.links.values():
+            held.setdefault(link.share, []).append(link.info.id)
+        return tuple(self.coverage.digest(c, held.get(c.share, ())) for c in claims)
 
     def _sync(self) -> None:
         """Hold the listed runners of the owned shares, let go of those that left."""
+        before = len(self.links)
         for info in self._listed.values():
             link = self.links.get(info.id)
             if link is not None and link.info.address != info.address:
@@ -124,6 +141,8 @@
                 link.update(info)
             elif (claim := self._claim_on(info)) is not None:
                 self._open(info, claim)
+        if len(self.links) > before:
+            self.on_held()
         self._retire_absent()
         self.pump()
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -286,7 +286,8 @@
     """A host's heartbeat. `hears` names the hosts it heard lately.
 
     `begun` holds the numbers of the jobs that it began to see through lately: sent
-    again to another data centre, they are answered from where they are.
+    again to another data centre, they are answered from where they are. `held` has a
+    digest of the runners held by each claim, see `coordination.coverage`.
     """
 
     card: HostCard
@@ -299,6 +300,7 @@
     queued: int = 0
     begun: tuple[int, ...] = ()
     known: tuple[HostCard, ...] = ()
+    held: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,9 +321,8 @@
     """Hands a job to the owner of the share that will see it through.
 
     `done` names the tasks that are known to have ended, `runs` the highest run
-    number given to each task so far, `placed` the runners of tasks that were under way,
-    all from an earlier owner of the job. `again` says that an earlier owner may have
-    begun it: it cannot be refused as not run.
+    number given to each task so far, both from an earlier owner of the job. `again`
+    says that an earlier owner may have begun it: it cannot be refused as not run.
     `here` says that the callee has the job, as another owner knows. The caller waits
     for `wait_s`; 0 if it did not say. `origin` and `number` name the caller's one
     request: a call that comes twice, or late, gets the refusal that it had.
@@ -333,7 +334,6 @@
     share: ShareId
     done: tuple[TaskId, ...] = ()
     runs: tuple[tuple[TaskId, int], ...] = ()
-    placed: tuple[str, ...] = ()
     again: bool = False
     here: bool = False
     wait_s: float = 0.0
--- /dev/null
+++ b/tests/coordination/test_coverage.py
@@ -0,0 +1,109 @@
+"""Tests of what an owner may say of runners that an earlier one held."""
+
+import pytest
+
+from monsoongap.coordination.coverage import (
+    FRESH_S,
+    INCOMPLETE,
+    RELEASE_S,
+    Coverage,
+    digest_of,
+)
+from monsoongap.coordination.lease import longest_lease_s
+from monsoongap.protocol.messages import Claim, ShareId
+from tests.coordination.test_members import Clock
+
+LEASE_S = 1.0
+LAPSED_S = longest_lease_s(LEASE_S) + RELEASE_S + 0.001
+SHARE = ShareId("a", 0)
+OLD, NEW = Claim(SHARE, 1, 10), Claim(SHARE, 1, 20)
+HELD = ("r0", "r1")
+
+
+@pytest.fixture
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def coverage(clock: Clock) -> Coverage:
+    made = Coverage(clock, LEASE_S)
+    clock.at += 10.0
+    return made
+
+
+def test_an_owner_with_the_former_one_s_runners_knows_them_at_once(
+    coverage: Coverage,
+) -> None:
+    coverage.hear((OLD,), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    assert coverage.is_complete(NEW, reversed(HELD))
+    assert coverage.digest(NEW, HELD) == digest_of(HELD)
+
+
+# Guards against runs that go on at a runner which left the list or is not on it yet.
+@pytest.mark.parametrize("known", [(), ("r0",), ("r0", "r2"), ("r0", "r1", "r2")])
+def test_an_owner_with_other_runners_waits_for_leases_to_lapse(
+    coverage: Coverage, clock: Clock, known: tuple[str, ...]
+) -> None:
+    coverage.hear((OLD,), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    assert not coverage.is_complete(NEW, known)
+    assert coverage.digest(NEW, known) == INCOMPLETE
+    clock.at += longest_lease_s(LEASE_S)
+    assert not coverage.is_complete(NEW, known)
+    clock.at += RELEASE_S + 0.001
+    assert coverage.is_complete(NEW, known)
+
+
+# Guards against a chain of takeovers in which every owner knows as little as the first.
+@pytest.mark.parametrize("digests", [(INCOMPLETE,), ()])
+def test_an_owner_that_lacked_runners_itself_is_no_witness(
+    coverage: Coverage, clock: Clock, digests: tuple[int, ...]
+) -> None:
+    coverage.hear((OLD,), digests)
+    coverage.acquire(NEW)
+    assert not coverage.is_complete(NEW, HELD)
+    assert not coverage.is_complete(NEW, ())
+    clock.at += LAPSED_S
+    assert coverage.is_complete(NEW, HELD)
+
+
+def test_another_division_of_the_data_centre_tells_nothing(coverage: Coverage) -> None:
+    coverage.hear((Claim(SHARE, 2, 10),), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    assert not coverage.is_complete(NEW, HELD)
+
+
+# Guards against an owner that was frozen, wakes, and renews leases once more.
+def test_a_replaced_owner_that_still_claims_the_share_starts_the_wait_anew(
+    coverage: Coverage, clock: Clock
+) -> None:
+    coverage.hear((OLD,), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    clock.at += LAPSED_S
+    assert coverage.is_complete(NEW, ("r0",))
+    coverage.hear((OLD,), (digest_of(HELD),))
+    assert not coverage.is_complete(NEW, ("r0",))
+    assert coverage.is_complete(NEW, HELD)
+    clock.at += LAPSED_S
+    assert coverage.is_complete(NEW, ("r0",))
+
+
+def test_after_a_start_leases_count_from_the_start(clock: Clock) -> None:
+    coverage = Coverage(clock, LEASE_S)
+    clock.at += FRESH_S - 0.1
+    coverage.acquire(NEW)
+    assert not coverage.is_complete(NEW, HELD)
+    clock.at += LAPSED_S - (FRESH_S - 0.1)
+    assert coverage.is_complete(NEW, HELD)
+
+
+def test_an_owner_of_which_none_was_ever_heard_waits_from_its_claim(
+    coverage: Coverage, clock: Clock
+) -> None:
+    coverage.acquire(NEW)
+    clock.at += LAPSED_S - 0.1
+    assert not coverage.is_complete(NEW, HELD)
+    clock.at += 0.1
+    assert coverage.is_complete(NEW, HELD)
