A new owner asks every owner it hears, also where the list names no runner

What callers would see: a task runs twice at one time. Cause: the owners that were asked to stop what they run of a job were those of data centres with a runner on the list; one whose entries had all lapsed was left out, and what it had lent went on until it gave its borrower up. Change: shares that a live host claims are asked too. An owner's own share is always among them, so the check for it is gone; what an empty list means there is decided by the digest of the former owner.

Evidence: test_owners_of_a_data_centre_without_listed_runners_are_asked failed before.

--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -112,8 +112,10 @@
         return max(int(OWNER_PART * usual / CORES_PER_RUNNER), 1)
 
     def all_shares(self) -> list[ShareId]:
-        """Return the shares of every data centre that has runners."""
-        return [share for dc in sorted(self._runners) for share in self.shares_of(dc)]
+        """Return the shares of every data centre that has runners or an owner."""
+        owned = {share.dc for share in self._owners_by_share()}
+        dcs = sorted(owned.union(self._runners))
+        return [share for dc in dcs for share in self.shares_of(dc)]
 
     def home_share(self, job: str) -> ShareId:
         """Return the share of this data centre that a job falls to."""
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -43,11 +43,10 @@
         """Have every other owner stop what it runs of a job; tell if all did.
 
         Runs on this host's own runners are only known, for the job to adopt them.
-        `home` is the share that sees the job through; as long as no runner of its data
-        centre is known, nothing can be said.
+        `home` is the share that sees the job through.
         """
         shares = tuple(self.ownership.all_shares())
-        return home in shares and await self._settle(job, home, shares)
+        return await self._settle(job, home, shares)
 
     def settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         """Make sure a lent task is over, then let it be placed again."""
