A hand-over that joins a job tells what is done of it

What callers would see: work done again, and a first run that is refused as old. Cause: the former owner's hand-over and a forwarding host's call for the same job race to the next owner. When the second came first, the hand-over only joined it, and the tasks done and the run numbers that it names were dropped. Change: a call that joins a job teaches it, until its first task is begun. A joined job that an earlier owner may have begun is not called not run any more.

Evidence: test_a_hand_over_that_joins_a_job_tells_what_is_done failed before.

--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -101,12 +101,18 @@
             self._done_of_step[task.step] += 1
 
     def learn(self, call: SubmitCall) -> None:
-        """Take in what another owner knows of the job."""
-        self.again = call.again
+        """Take in what another host knows of the job.
+
+        Which tasks are done and how often they ran counts until the first one is begun.
+        """
+        self.again = self.again or call.again
         self.requests.add((call.origin, call.number))
+        if self.steps_begun:
+            return
         for task in call.done:
             self.mark_done(task)
-        self.runs.update(dict(call.runs))
+        for task, run in call.runs:
+            self.runs[task] = max(self.runs.get(task, 0), run)
 
     def handed_on(self) -> SubmitCall:
         """Return the call that hands the job to the next owner of its share."""
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -125,7 +125,7 @@
             rec = self.records.get(job.id)
         if rec is not None and rec.still_counts(call, self.timers.now()):
             self.counts.joined += 1
-            rec.requests.add((call.origin, call.number))
+            rec.learn(call)
             log.info("job joined", extra={"job": job.id, "origin": call.origin})
             return await asyncio.shield(rec.answer)
         rule = self.rule_of(job.queue)
--- a/tests/coordination/test_runner_lists.py
+++ b/tests/coordination/test_runner_lists.py
@@ -6,7 +6,7 @@
 import pytest
 
 from monsoongap.errors import AnswerKind
-from monsoongap.protocol.messages import Job, Room, Step
+from monsoongap.protocol.messages import Job, Room, Step, SubmitCall, TaskId
 from monsoongap.standin.runner_model import TaskPlan
 from tests.coordination.test_host import run_virtual
 from tests.host_world import QUEUE, World
@@ -127,3 +127,34 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against a hand-over that teaches nothing, since another host's call for its
+# job came first: what the former owner saw end would run again.
+def test_a_hand_over_that_joins_a_job_tells_what_is_done() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        host = world.hosts[world.owner("a")]
+        (share,) = host.ownership.claims
+        # With the other data centre out of sight, its past is not settled.
+        world.cut_off("a", "b")
+        host.jobs.in_doubt_since[share] = host.timers.now()
+        step = Step(2, Room(1000, 64), 0.1)
+        payload = msgspec.json.encode(TaskPlan(100.0)).decode()
+        job = Job(f"{6:016x}", QUEUE, payload, (step,))
+        done = (TaskId(job.id, 0, 0),)
+        runs = ((TaskId(job.id, 0, 1), 3),)
+        forwarded = SubmitCall(job, "a-h1", 1, share, again=True)
+        handed_on = SubmitCall(job, "", 0, share, done=done, runs=runs, again=True)
+        first = asyncio.create_task(host.see_through(forwarded))
+        await asyncio.sleep(0.05)
+        second = asyncio.create_task(host.see_through(handed_on))
+        await asyncio.sleep(0.2)
+        world.cut.clear()
+        replies = await asyncio.gather(first, second)
+        assert [r.kind for r in replies] == [AnswerKind.COMPLETED] * 2
+        assert [(e.task.index, e.run) for e in world.ledger] == [(1, 4)]
+        world.check()
+
+    run_virtual(main())
