A refusal that counts for a while is no promise to a host whose owner was lost

What callers would see: REFUSED; a job of which something ran, whose every try was answered not run. Cause: a refusal counts a second for all calls of its job. A host whose owner was lost, and may have begun the job, hands it in with that said; it got the refusal that another host's call had got before. Change: such a call gets it as broken.

Evidence: test_a_refusal_is_no_promise_to_a_host_whose_owner_may_have_begun_the_job failed before.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -127,7 +127,8 @@
             self.counts.joined += 1
             rec.learn(call)
             log.info("job joined", extra={"job": job.id, "origin": call.origin})
-            return await asyncio.shield(rec.answer)
+            reply = await asyncio.shield(rec.answer)
+            return _without_promise(reply) if call.again else reply
         rule = self.rule_of(job.queue)
         if rule is None:
             return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
@@ -245,9 +246,8 @@
     def _answer(self, rec: JobRecord, reply: JobReply) -> None:
         if rec.answer.done():
             return
-        if rec.again and reply.kind is AnswerKind.REFUSED:
-            # An earlier owner may have run some of it: "not run" could be untrue.
-            reply = JobReply(AnswerKind.BROKEN, reply.detail)
+        if rec.again:
+            reply = _without_promise(reply)
         rec.answer.set_result(reply)
         if not rec.works:
             rec.cleared.set()
@@ -281,3 +281,10 @@
                 self.counts.refused += 1
             case _:
                 self.counts.broken += 1
+
+
+def _without_promise(reply: JobReply) -> JobReply:
+    """Return a reply that does not call a job not run that another owner may have."""
+    if reply.kind is AnswerKind.REFUSED:
+        return JobReply(AnswerKind.BROKEN, reply.detail)
+    return reply
--- a/tests/coordination/test_runner_lists.py
+++ b/tests/coordination/test_runner_lists.py
@@ -158,3 +158,22 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against "not run" said of a job that a lost owner began, because its next owner
+# had refused the same job to another host a moment before.
+def test_a_refusal_is_no_promise_to_a_host_whose_owner_may_have_begun_the_job() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        host = world.hosts[world.owner("a")]
+        (share,) = host.ownership.claims
+        job = Job(f"{7:016x}", QUEUE, "{}", (Step(1, Room(1000, 64), 0.1),))
+        host.jobs.triage.lag_s = 1.0
+        refused = await host.see_through(SubmitCall(job, "a-h1", 1, share, number=1))
+        assert refused.kind is AnswerKind.REFUSED
+        again = SubmitCall(job, "b-h0", 1, share, again=True, number=1)
+        assert (await host.see_through(again)).kind is not AnswerKind.REFUSED
+
+    run_virtual(main())
