A new owner that lacks runners reads the list at once

An owner whose runners are not those of the former one holds up jobs that may have been begun, for up to a lease.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -9,7 +9,7 @@
 
 import logging
 import zlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from monsoongap.coordination.lease import longest_lease_s
@@ -84,24 +84,22 @@
         """Take note that this host no longer owns a share."""
         self._owned_since.pop(share, None)
 
-    def is_complete(self, claim: Claim, runners: Iterable[str]) -> bool:
+    def is_complete(self, claim: Claim, runners: Collection[str]) -> bool:
         """Tell whether no earlier owner can have a run on a runner not among these."""
         former = self._former.get(claim.share)
-        ids = list(runners)
         known = (
             former is not None
             and former.claim.of == claim.of
-            and former.digest == digest_of(ids)
+            and former.digest == digest_of(runners)
         )
         doubt_s = self.timers.now() - self._doubt_since.get(claim.share, 0.0)
         lapsed = doubt_s > longest_lease_s(self.lease_s) + RELEASE_S
-        self._note(claim.share, known or lapsed, known, len(ids))
+        self._note(claim.share, known or lapsed, known, len(runners))
         return known or lapsed
 
-    def digest(self, claim: Claim, runners: Iterable[str]) -> int:
+    def digest(self, claim: Claim, runners: Collection[str]) -> int:
         """Return what this owner tells of the runners that it holds."""
-        ids = list(runners)
-        return digest_of(ids) if self.is_complete(claim, ids) else INCOMPLETE
+        return digest_of(runners) if self.is_complete(claim, runners) else INCOMPLETE
 
     def _note(self, share: ShareId, complete: bool, known: bool, count: int) -> None:
         """Log a change of what is known of a share's runners."""
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -117,16 +117,24 @@
         claim = self._claims.get(share)
         if claim is None or not self._listed:
             return False
-        links = [link for link in self.links.values() if link.share == share]
-        held = (link.info.id for link in links)
-        return self.coverage.is_complete(claim, held) and all(k.settled for k in links)
+        if not self.coverage.is_complete(claim, self._held(share)):
+            return False
+        return all(k.settled for k in self.links.values() if k.share == share)
+
+    @property
+    def lacks_runners(self) -> bool:
+        """Tell whether an earlier owner may have used a runner not held here."""
+        claims = self._claims.values()
+        return not all(
+            self.coverage.is_complete(c, self._held(c.share)) for c in claims
+        )
 
     def digests(self, claims: Iterable[Claim]) -> tuple[int, ...]:
         """Return a digest of the runners held by each claim, for the next owner."""
-        held: dict[ShareId, list[str]] = {}
-        for link in self.links.values():
-            held.setdefault(link.share, []).append(link.info.id)
-        return tuple(self.coverage.digest(c, held.get(c.share, ())) for c in claims)
+        return tuple(self.coverage.digest(c, self._held(c.share)) for c in claims)
+
+    def _held(self, share: ShareId) -> list[str]:
+        return [id_ for id_, link in self.links.items() if link.share == share]
 
     def _sync(self) -> None:
         """Hold the listed runners of the owned shares, let go of those that left."""
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -31,6 +31,8 @@
 # An owner reads the runners twice and more within the bound on draining.
 OWNER_READ_BOUNDS = 0.4
 OTHER_READ_S = 5.0
+# A new owner that lacks runners holds jobs up; one that was added lately is listed now.
+LACKING_READ_S = 0.2
 CHECK_S = 0.1
 # After so many failures in a row another host is asked for the list.
 ASK_PEERS_AFTER = 2
@@ -104,11 +106,17 @@
     async def _wait_for_turn(self, read_at: float) -> None:
         while True:
             await asyncio.sleep(CHECK_S)
-            owner = bool(self._host.ownership.claims)
-            pace_s = self._owner_read_s if owner else OTHER_READ_S
-            if self._timers.now() - read_at >= pace_s:
+            if self._timers.now() - read_at >= self._pace_s():
                 return
 
+    def _pace_s(self) -> float:
+        """Return how old the list of runners may get, in seconds."""
+        if not self._host.ownership.claims:
+            return OTHER_READ_S
+        if self._host.pool.lacks_runners:
+            return LACKING_READ_S
+        return self._owner_read_s
+
     async def _hosts(self) -> None:
         """Make this host known, and learn of the others, once after the start."""
         topic = Topic(HOSTS_TOPIC)
--- a/tests/coordination/test_coverage.py
+++ b/tests/coordination/test_coverage.py
@@ -37,7 +37,7 @@
 ) -> None:
     coverage.hear((OLD,), (digest_of(HELD),))
     coverage.acquire(NEW)
-    assert coverage.is_complete(NEW, reversed(HELD))
+    assert coverage.is_complete(NEW, HELD[::-1])
     assert coverage.digest(NEW, HELD) == digest_of(HELD)
 
 
