An owner again does not count on a digest from before its first claim

A host that gave a share up to a higher fence, and takes it again, may never have heard the owner between. What it heard earlier is dropped with the release. Found by reading.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -80,9 +80,15 @@
         self._doubt_since[claim.share] = self._started_at if fresh else now
         self._complete.discard(claim.share)
 
-    def release(self, share: ShareId) -> None:
-        """Take note that this host no longer owns a share."""
-        self._owned_since.pop(share, None)
+    def release(self, claim: Claim) -> None:
+        """Take note that this host no longer owns a share.
+
+        What was heard before its own claim says nothing of the owner that comes next.
+        """
+        self._owned_since.pop(claim.share, None)
+        former = self._former.get(claim.share)
+        if former is not None and former.claim.fence < claim.fence:
+            del self._former[claim.share]
 
     def is_complete(self, claim: Claim, runners: Collection[str]) -> bool:
         """Tell whether no earlier owner can have a run on a runner not among these."""
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -88,8 +88,9 @@
 
     def release(self, share: ShareId) -> list[Work]:
         """Let the runners of a share go; returns what was placed on them."""
-        self._claims.pop(share, None)
-        self.coverage.release(share)
+        claim = self._claims.pop(share, None)
+        if claim is not None:
+            self.coverage.release(claim)
         dropped: list[Work] = []
         for link in [k for k in self.links.values() if k.share == share]:
             for run in link.table.runs.values():
--- a/tests/coordination/test_coverage.py
+++ b/tests/coordination/test_coverage.py
@@ -107,3 +107,22 @@
     assert not coverage.is_complete(NEW, HELD)
     clock.at += 0.1
     assert coverage.is_complete(NEW, HELD)
+
+
+# Guards against an old digest: between the two claims of this host there was an owner
+# that it never heard.
+def test_an_owner_again_does_not_count_on_what_it_heard_before_its_first_claim(
+    coverage: Coverage, clock: Clock
+) -> None:
+    coverage.hear((OLD,), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    clock.at += 60.0
+    coverage.release(NEW)
+    newest = Claim(SHARE, 1, 40)
+    coverage.acquire(newest)
+    assert not coverage.is_complete(newest, HELD)
+    coverage.release(newest)
+    coverage.hear((Claim(SHARE, 1, 50),), (digest_of(HELD),))
+    again = Claim(SHARE, 1, 60)
+    coverage.acquire(again)
+    assert coverage.is_complete(again, HELD)
