Lines of other hosts keep the name of the host that wrote them

'host heard', 'owner silent' and 'host card not understood' had a field 'host', which replaced the writer's name: a merged log named the wrong host, and 'owner silent' was never told by 'monsoongap explain', which looks for 'owner'.

--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -159,7 +159,7 @@
             return
         was_live = self._is_live(known, now)
         if not was_live:
-            log.info("host heard", extra={"host": beat.card.name, "dc": beat.card.dc})
+            log.info("host heard", extra={"peer": beat.card.name, "dc": beat.card.dc})
         known.beat = beat
         known.heard_at = now
         known.silent_s = self._silent_after(beat)
@@ -209,7 +209,7 @@
                 continue
             silent = not self._is_live(peer, now)
             if silent and not peer.told_silent:
-                log.warning("owner silent", extra={"host": peer.card.name})
+                log.warning("owner silent", extra={"owner": peer.card.name})
                 newly = True
             peer.told_silent = silent
         if newly:
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -48,7 +48,9 @@
             "logger": record.name,
             "event": record.getMessage(),
         }
-        line.update(extras(record))
+        for key, value in extras(record).items():
+            # The writer's name is not lost to a field of the same name.
+            line.setdefault(key, value)
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
         return msgspec.json.encode(line, enc_hook=str).decode()
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -158,5 +158,5 @@
             yield msgspec.json.decode(text, type=HostCard)
         except msgspec.MsgspecError as exc:
             log.warning(
-                "host card not understood", extra={"host": name, "error": str(exc)}
+                "host card not understood", extra={"entry": name, "error": str(exc)}
             )
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -1,8 +1,12 @@
 """Tests of who is heard, told by heartbeats."""
 
+import logging
+
 import msgspec
+import pytest
 
 from monsoongap.coordination.members import FAR_OWNER_SILENT_S, SILENT_S, Members, Peer
+from monsoongap.logs import extras
 from monsoongap.protocol.messages import Beat, Claim, HostCard, ShareId
 from monsoongap.timers import TimerService
 
@@ -108,3 +112,14 @@
     scene.beat("a-h1", 1, owns=True)
     scene.members.lost("a-h1")
     assert not scene.members.is_live("a-h1")
+
+
+def test_lines_of_other_hosts_name_them_and_not_the_writer(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "monsoongap")
+    scene = Scene()
+    scene.beat("a-h1", 1, owns=True)
+    scene.members.lost("a-h1")
+    told = [extras(rec) for rec in caplog.records]
+    assert told == [{"peer": "a-h1", "dc": "a"}, {"owner": "a-h1"}]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -21,6 +21,11 @@
     assert "x" not in line
 
 
+def test_a_field_does_not_replace_the_writer_of_a_line() -> None:
+    line = json.loads(JsonFormatter("a1").format(record("x", host="b2", time=0)))
+    assert line["host"] == "a1" and line["time"] > 0
+
+
 def test_lines_beyond_the_rate_are_dropped_counted_and_told() -> None:
     read, write = os.pipe()
     handler = BoundedHandler(write, 5)
