An owner tells which runners it knew as it took a share over

'ownership acquired' has the number of runners known of the share's data centre and the age of the list; 'runners listed' tells each change of the listed ids, from the store or a peer; monsoongap_runners_{added,removed,lists_from_peers}_total count them.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -297,12 +297,13 @@
 
     # What is heard from outside.
 
-    def set_runners(self, runners: tuple[RunnerInfo, ...], read_at: float) -> None:
-        """Take in a list of runners."""
-        self.directory.runners = runners
-        self.directory.runners_read_at = read_at
+    def set_runners(
+        self, runners: tuple[RunnerInfo, ...], read_at: float, source: str = "store"
+    ) -> None:
+        """Take in a list of runners that was read at `read_at`."""
+        self.directory.take_runners(runners, read_at, self.timers.now(), source)
         self.pool.set_listed(runners)
-        self.ownership.note_runners(Counter(r.dc for r in runners))
+        self.ownership.note_runners(Counter(r.dc for r in runners), read_at)
 
     def _make_beat(self, hears: tuple[str, ...], known: tuple[HostCard, ...]) -> Beat:
         self._serial += 1
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -102,6 +102,7 @@
                 continue
             read_at = host.timers.now() - reply.age_s
             if reply.runners and read_at > host.directory.runners_read_at:
-                host.set_runners(reply.runners, read_at)
+                source = f"host {peer.card.name}"
+                host.set_runners(reply.runners, read_at, source)
                 return True
         return False
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -16,7 +16,7 @@
 
 from monsoongap.coordination.members import Members, Peer
 from monsoongap.protocol.messages import Claim, HostCard, ShareId, share_index
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
@@ -79,6 +79,7 @@
     _yield_until: dict[ShareId, float] = field(default_factory=dict)
     _last_owner: dict[ShareId, str] = field(default_factory=dict)
     _runners: Counter[str] = field(default_factory=Counter)
+    _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
     _owners_at: float = -1e9
     _foreign_checked_at: float = -1e9
@@ -88,9 +89,10 @@
         self._started_at = self._heard_someone_at = self.timers.now()
         self.timers.every(CHECK_S, self.check, "ownership")
 
-    def note_runners(self, dcs: Counter[str]) -> None:
-        """Tell how many runners there are in each data centre."""
+    def note_runners(self, dcs: Counter[str], read_at: float) -> None:
+        """Tell how many runners each data centre has, as read at `read_at`."""
         self._runners = dcs
+        self._runners_read_at = read_at
 
     def shares_of(self, dc: str) -> list[ShareId]:
         """Return the shares of a data centre: as claimed, else by its runners."""
@@ -264,6 +266,10 @@
                 "share": share.index,
                 "of": claim.of,
                 "fence": fence,
+                "runners": self._runners[share.dc],
+                "list_age_ms": round(
+                    (self.timers.now() - self._runners_read_at) * MS_PER_S
+                ),
             },
         )
         self.on_acquire(claim)
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -135,6 +135,7 @@
         host = self.host
         metrics.add_counters("members", lambda: host.members.counts)
         metrics.add_counters("ownership", lambda: host.ownership.counts)
+        metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
         metrics.add_counters("jobs", lambda: host.jobs.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -5,15 +5,28 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from monsoongap.protocol.messages import Configuration, QueueRule, RunnerInfo
+from monsoongap.timers import MS_PER_S
 
 log = logging.getLogger(__name__)
 
 # A fetch from a peer is not repeated before the first has had time to end.
 FETCH_AGAIN_S = 0.3
+# So many runners that left the list are named in one line.
+NAMED_GONE = 6
+
+
+@dataclass(slots=True)
+class RunnersCounts:
+    """Changes of the list of runners, for the metrics."""
+
+    added: int = 0
+    removed: int = 0
+    lists_from_peers: int = 0
 
 
 @dataclass(slots=True)
@@ -26,6 +39,7 @@
     text: bytes = b""
     runners: tuple[RunnerInfo, ...] = ()
     runners_read_at: float = -1e9
+    runners_counts: RunnersCounts = field(default_factory=RunnersCounts)
     _rules: dict[str, QueueRule] = field(default_factory=dict)
     _guards: dict[str, bool] = field(default_factory=dict)
     _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
@@ -70,6 +84,33 @@
         self.on_change()
         return True
 
+    def take_runners(
+        self, runners: tuple[RunnerInfo, ...], read_at: float, now: float, source: str
+    ) -> None:
+        """Take in a list of runners that the store or a peer told."""
+        former = {r.id for r in self.runners}
+        listed = {r.id for r in runners}
+        added, gone = listed - former, sorted(former - listed)
+        self.runners = runners
+        self.runners_read_at = read_at
+        self.runners_counts.lists_from_peers += source != "store"
+        if not added and not gone:
+            return
+        self.runners_counts.added += len(added)
+        self.runners_counts.removed += len(gone)
+        log.info(
+            "runners listed",
+            extra={
+                "source": source,
+                "age_ms": round((now - read_at) * MS_PER_S),
+                "runners": len(listed),
+                "added": len(added),
+                "removed": len(gone),
+                "gone": gone[:NAMED_GONE] or None,
+                "by_dc": dict(Counter(r.dc for r in runners)),
+            },
+        )
+
     def rule(self, name: str) -> QueueRule | None:
         """Return the queue of that name."""
         return self._rules.get(name)
