A job's past is called settled or not in one line, with what the call named

'past settled' and 'past not settled' tell by what (all owners, or time), how long it took, and how many runs and runners the call named; only for jobs that an earlier owner may have begun or that had to wait. 'job joined' tells what of a call is not taken in. 'runs not found out' has its reason, for own runners and unknown owners too, each at most twice a second: it was a line per job, try and peer, 90 in a second of a cut.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -38,6 +38,8 @@
 SETTLE_STEP_S = 0.1
 # Longer than a lease, after which nothing of an earlier owner is left here.
 SETTLE_TRIES_S = 1.5
+# So many runners that are not held are named in one line.
+NAMED_RUNNERS = 6
 # Long enough for three heartbeats to tell of a job.
 TELL_BEGUN_S = 0.35
 TICK_S = 0.05
@@ -45,7 +47,7 @@
 
 @dataclass(slots=True)
 class JobCounts:
-    """Answers, by kind, and joins, for the metrics."""
+    """Answers, by kind, joins, and ends of doubts, for the metrics."""
 
     submitted: int = 0
     joined: int = 0
@@ -54,6 +56,9 @@
     refused: int = 0
     broken: int = 0
     cancelled: int = 0
+    past_found: int = 0
+    past_lapsed: int = 0
+    past_unsettled: int = 0
 
 
 @dataclass(slots=True)
@@ -127,7 +132,16 @@
         if rec is not None and rec.still_counts(call, self.timers.now()):
             self.counts.joined += 1
             rec.requests.add((call.origin, call.number))
-            log.info("job joined", extra={"job": job.id, "origin": call.origin})
+            log.info(
+                "job joined",
+                extra={
+                    "job": job.id,
+                    "origin": call.origin,
+                    # What the call knows of runs is not taken in.
+                    "runs_named": len(call.runs) or None,
+                    "runners_named": len(set(call.placed)) or None,
+                },
+            )
             return await asyncio.shield(rec.answer)
         rule = self.rule_of(job.queue)
         if rule is None:
@@ -215,18 +229,52 @@
     async def _settle_past(self, rec: JobRecord) -> bool:
         """Make sure that no unknown run of the job is left anywhere."""
         began = self.timers.now()
+        tries = 0
         while True:
             new_owner = self.in_doubt_since.get(rec.share, NEVER)
             since = max(new_owner, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
+                if tries:
+                    self.counts.past_lapsed += 1
+                    self._tell_past(rec, "past settled", "time", began, tries)
                 return True
+            tries += 1
             if self._holds_all(rec) and await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = NEVER
+                self.counts.past_found += 1
+                self._tell_past(rec, "past settled", "owners", began, tries)
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
+                self.counts.past_unsettled += 1
+                self._tell_past(rec, "past not settled", None, began, tries)
                 return False
             await self.timers.sleep(SETTLE_STEP_S)
 
+    def _tell_past(
+        self, rec: JobRecord, event: str, by: str | None, began: float, tries: int
+    ) -> None:
+        """Tell on what ground a past is called over, if there may be one."""
+        if tries == 1 and not rec.again and not rec.runs:
+            # A new job right after a takeover; there are too many of them.
+            return
+        links = self.pool.links
+        named = set(rec.placed_before)
+        missing = sorted(named - links.keys())
+        log.info(
+            event,
+            extra={
+                "job": rec.job.id,
+                "by": by,
+                "waited_ms": round((self.timers.now() - began) * MS_PER_S),
+                "tries": tries,
+                "again": rec.again,
+                "runs_named": len(rec.runs),
+                "runners_named": len(named),
+                "not_held": missing[:NAMED_RUNNERS] or None,
+                "held": sum(link.share == rec.share for link in links.values()),
+            },
+        )
+
     def _holds_all(self, rec: JobRecord) -> bool:
         """Tell whether no run is left on a runner that is not known here yet.
 
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -24,6 +24,8 @@
 
 FIND_TIMEOUT_S = 0.5
 STEP_S = 0.1
+# What keeps pasts from being settled is told so often; jobs are many, reasons few.
+TELL_EVERY_S = 0.5
 # A lender that answers no call for so long has long stopped the run or is gone.
 LENT_SETTLE_S = 8.0
 
@@ -38,6 +40,8 @@
     timers: TimerService
     peers: PeerCallPort
     _background: Background = field(default_factory=Background)
+    _told_at: dict[tuple[str, ShareId], float] = field(default_factory=dict)
+    _untold: int = 0
 
     async def settle_everywhere(self, job: str, home: ShareId) -> bool:
         """Have every other owner stop what it runs of a job; tell if all did.
@@ -47,7 +51,10 @@
         centre is known, nothing can be said.
         """
         shares = tuple(self.ownership.all_shares())
-        return home in shares and await self._settle(job, home, shares)
+        if home not in shares:
+            self._tell(job, home, "no runner of its data centre known")
+            return False
+        return await self._settle(job, home, shares)
 
     def settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         """Make sure a lent task is over, then let it be placed again."""
@@ -69,10 +76,12 @@
         for share in shares:
             owner = self.ownership.owner_of(share)
             if owner is None:
+                self._tell(job, share, "no owner known")
                 return False
             if owner.peer is not None:
                 asked.append((owner.peer, share))
             elif not self.pool.is_settled(share) or not self.lending.none_lent(job):
+                self._tell(job, share, "not settled here")
                 return False
         calls = (self._find(peer, share, job, home) for peer, share in asked)
         return all(await asyncio.gather(*calls))
@@ -88,9 +97,36 @@
                 peer.address, call, FindReply, FIND_TIMEOUT_S, fresh=True
             )
         except PeerLost as exc:
-            log.info(
-                "runs not found out",
-                extra={"job": job, "peer": peer.card.name, "reason": str(exc)},
-            )
+            self._tell(job, share, "no reply", peer.card.name, str(exc))
             return False
+        if not reply.settled:
+            self._tell(job, share, "not settled there", peer.card.name)
         return reply.settled
+
+    def _tell(
+        self,
+        job: str,
+        share: ShareId,
+        reason: str,
+        peer: str | None = None,
+        detail: str | None = None,
+    ) -> None:
+        """Tell why runs of a job are not known, each reason seldom."""
+        now = self.timers.now()
+        if now - self._told_at.get((reason, share), -TELL_EVERY_S) < TELL_EVERY_S:
+            self._untold += 1
+            return
+        self._told_at[reason, share] = now
+        log.info(
+            "runs not found out",
+            extra={
+                "job": job,
+                "dc": share.dc,
+                "share": share.index,
+                "peer": peer,
+                "reason": reason,
+                "detail": detail,
+                "untold": self._untold or None,
+            },
+        )
+        self._untold = 0
--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from monsoongap.errors import AnswerKind
 from monsoongap.logs import JsonFormatter
+from monsoongap.protocol.messages import SubmitCall
 from tests import clock
 from tests.host_world import World
 
@@ -106,3 +108,116 @@
         assert len(told.lines("runners listed")[-1]["gone"]) == 6
 
     run_virtual(main())
+
+
+JOB = f"{5:016x}"
+
+
+async def hand_over(world: World, *left_out: str) -> None:
+    """Hand a job of six tasks to a host that was started again meanwhile."""
+    owner = world.owner("a")
+    other = other_of(world, owner)
+    job = asyncio.create_task(world.submit(owner, JOB, 6, 1200.0))
+    await asyncio.sleep(0.3)
+    world.kill(other)
+    fresh = world.start_host(other, listed=False)
+    world.tell_runners(fresh, *left_out)
+    world.hosts[owner].leave()
+    await asyncio.sleep(1.0)
+    world.tell_runners(fresh)
+    assert (await job).kind is AnswerKind.COMPLETED
+    world.check()
+
+
+def test_a_past_found_with_all_owners_tells_what_the_call_named(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await hand_over(world)
+        (line,) = told.lines("past settled")
+        assert (line["job"], line["by"], line["again"]) == (JOB, "owners", True)
+        assert (line["runs_named"], line["runners_named"]) == (6, 2)
+        assert line["held"] == 2 and "not_held" not in line
+        assert line["waited_ms"] < 300
+        fresh = world.hosts[world.owner("a")]
+        assert fresh.jobs.counts.past_found == 1
+
+    run_virtual(main())
+
+
+def test_a_past_that_waited_for_a_runner_tells_how_long(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await hand_over(world, "a-r0")
+        (line,) = told.lines("past settled")
+        assert line["waited_ms"] > 300 and line["tries"] > 3
+
+    run_virtual(main())
+
+
+def test_a_past_that_cannot_be_settled_is_told_with_few_lines(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1, "c": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        other = other_of(world, owner)
+        for dc in ("b", "c"):
+            world.cut_off("a", dc)
+        world.kill(owner)
+        await asyncio.sleep(0.9)
+        assert world.owner("a") == other
+        told.clear()
+        jobs = [world.submit(other, f"{i:016x}", 1) for i in range(20, 40)]
+        await asyncio.gather(*jobs)
+        lines = told.lines("past not settled")
+        assert len(lines) == 20 and all(line["tries"] > 1 for line in lines)
+        assert all(line["runs_named"] == 0 for line in lines)
+        assert world.hosts[other].jobs.counts.past_unsettled == 20
+        found = told.lines("runs not found out")
+        assert {line["reason"] for line in found} == {"no reply"}
+        assert 1 <= len(found) <= 8
+        assert sum(line.get("untold", 0) for line in found) > 20
+        # A while later nothing is left of what the former owner began.
+        told.clear()
+        await asyncio.sleep(2.0)
+        reply = await world.submit(other, JOB, 1)
+        assert reply.kind is AnswerKind.COMPLETED
+        assert told.lines("past settled") == []
+
+    run_virtual(main())
+
+
+def test_a_new_job_right_after_a_takeover_is_counted_only(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        other = other_of(world, owner)
+        world.kill(owner)
+        await asyncio.sleep(0.9)
+        told.clear()
+        assert (await world.submit(other, JOB, 1)).kind is AnswerKind.COMPLETED
+        assert told.lines("past settled") == []
+        assert world.hosts[other].jobs.counts.past_found == 1
+
+    run_virtual(main())
+
+
+def test_a_joined_call_tells_what_of_its_runs_was_not_taken_in(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        host = world.hosts["a-h0"]
+        first = asyncio.create_task(world.submit("a-h0", JOB, 1, 300.0))
+        await asyncio.sleep(0.1)
+        rec = host.jobs.records[JOB]
+        call = SubmitCall(rec.job, "a-h1", 1, rec.share, placed=("a-r1",), again=True)
+        assert await host.jobs.submit(call) == await first
+        (line,) = told.lines("job joined")
+        assert line["runners_named"] == 1 and "runs_named" not in line
+
+    run_virtual(main())
