Metrics of owners, placement and jobs come first and without help lines

The users' record keeps the first 4,000 characters of a host's metrics, and they were sorted by name: none of the ownership, placement and store counters was ever in it.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -133,14 +133,15 @@
     def _publish(self, metrics: Metrics, store: StoreClient) -> None:
         """Name the counters and values that are told on the metrics address."""
         host = self.host
-        metrics.add_counters("members", lambda: host.members.counts)
+        # What tells of owners and placement first, see `Metrics.render`.
         metrics.add_counters("ownership", lambda: host.ownership.counts)
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
         metrics.add_counters("jobs", lambda: host.jobs.counts)
+        metrics.add_counters("members", lambda: host.members.counts)
+        metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
         metrics.add_counters("connections", lambda: self._http.counts)
-        metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
         metrics.add_gauge(
             "config_version",
--- a/monsoongap/metrics.py
+++ b/monsoongap/metrics.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+from aioprometheus.formats.text import TextFormatter
 
 PREFIX = "monsoongap"
 RESPONSE_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, float("inf"))
@@ -47,11 +47,20 @@
         """Count one response time under its outcome."""
         self._responses.observe({"outcome": outcome}, took_s)
 
-    def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
-        """Return the current metrics in a form that the reader accepts."""
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the current metrics as text.
+
+        They stand in the order in which they were added, the histogram last, and only
+        the histogram has a help line: the users' record keeps 4,000 characters.
+        """
         self.refresh()
-        content, headers = render(self.registry, accepts)
-        return content, headers
+        formatter = TextFormatter()
+        lines: list[str] = []
+        for collector in [*(g for g, _ in self._gauges), *self._counters.values()]:
+            _, kind, *samples = formatter.marshall_lines(collector)
+            lines += [kind, *samples]
+        lines += formatter.marshall_lines(self._responses)
+        return "\n".join([*lines, ""]).encode(), formatter.get_headers()
 
     def refresh(self) -> None:
         """Copy the parts' counters and values into the registry."""
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -101,7 +101,7 @@
     def _handle(self, req: HTTPServerRequest) -> None:
         match (req.method, req.path):
             case ("GET", path) if path == METRICS_PATH:
-                content, headers = self._metrics.render(req.headers.get_list("Accept"))
+                content, headers = self._metrics.render()
                 send_reply(req, HTTPStatus.OK, content, headers)
             case ("GET", path) if path == STATUS_PATH:
                 _send_json(req, HTTPStatus.OK, self._status())
--- a/tests/transport/test_operators.py
+++ b/tests/transport/test_operators.py
@@ -10,6 +10,8 @@
 from tests.platform.site import Site, open_site
 
 JOB = "5c0e7a21d94b36f8"
+# So much of a host's metrics is kept in the users' record of a day.
+RECORDED_CHARS = 4000
 
 
 async def put(site: Site, id_: str, body: bytes) -> tuple[int, JobAnswer]:
@@ -48,6 +50,12 @@
             assert owned in (0, 3)
             metrics = await site.get(address, "/metrics")
             assert b"monsoongap_jobs_submitted_total" in metrics.body
+            kept = metrics.body[:RECORDED_CHARS].decode()
+            for name in ("ownership", "runners", "placement", "jobs"):
+                assert f"# TYPE monsoongap_{name}_" in kept
+            assert "monsoongap_jobs_past_unsettled_total{" in kept
+            assert "monsoongap_log_lines_dropped_total{" in metrics.body.decode()
+            assert b"# HELP monsoongap_response_seconds" in metrics.body
 
     asyncio.run(main())
 
