--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -189,6 +189,25 @@
     run_virtual(main())
 
 
+def test_a_past_that_time_settles_says_so(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        other = other_of(world, owner)
+        world.cut_off("a", "b")
+        world.kill(owner)
+        await asyncio.sleep(0.9 + 3.0)
+        assert (await world.submit(other, JOB, 1)).kind is AnswerKind.COMPLETED
+        (line,) = told.lines("past settled")
+        assert (line["by"], line["again"]) == ("time", False)
+        assert line["waited_ms"] > 200
+        assert world.hosts[other].jobs.counts.past_lapsed == 1
+
+    run_virtual(main())
+
+
 def test_a_new_job_right_after_a_takeover_is_counted_only(told: Told) -> None:
     async def main() -> None:
         world = World({"a": 2, "b": 1})
