--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class JobCounts:
-    """Answers, by kind, and joins, for the metrics."""
+    """Answers, by kind, joins, and ends of doubts, for the metrics."""
 
     submitted: int = 0
     joined: int = 0
@@ -53,6 +53,9 @@
     refused: int = 0
     broken: int = 0
     cancelled: int = 0
+    past_found: int = 0
+    past_lapsed: int = 0
+    past_unsettled: int = 0
 
 
 @dataclass(slots=True)
@@ -125,8 +128,16 @@
             rec = self.records.get(job.id)
         if rec is not None and rec.still_counts(call, self.timers.now()):
             self.counts.joined += 1
+            log.info(
+                "job joined",
+                extra={
+                    "job": job.id,
+                    "origin": call.origin,
+                    "again": call.again,
+                    "runs_named": len(call.runs) or None,
+                },
+            )
             rec.learn(call)
-            log.info("job joined", extra={"job": job.id, "origin": call.origin})
             reply = await asyncio.shield(rec.answer)
             return _without_promise(reply) if call.again else reply
         rule = self.rule_of(job.queue)
@@ -215,18 +226,48 @@
     async def _settle_past(self, rec: JobRecord) -> bool:
         """Make sure that no unknown run of the job is left anywhere."""
         began = self.timers.now()
+        tries = 0
         while True:
             new_owner = self.in_doubt_since.get(rec.share, NEVER)
             since = max(new_owner, rec.doubt_since)
             if self.timers.now() - since > SETTLED_AFTER_S:
+                if tries:
+                    self.counts.past_lapsed += 1
+                    self._tell_past(rec, "past settled", "time", began, tries)
                 return True
+            tries += 1
             if await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = NEVER
+                self.counts.past_found += 1
+                self._tell_past(rec, "past settled", "owners", began, tries)
                 return True
             if self.timers.now() - began > SETTLE_TRIES_S:
+                self.counts.past_unsettled += 1
+                self._tell_past(rec, "past not settled", None, began, tries)
                 return False
             await self.timers.sleep(SETTLE_STEP_S)
 
+    def _tell_past(
+        self, rec: JobRecord, event: str, by: str | None, began: float, tries: int
+    ) -> None:
+        """Tell on what ground a past is called over, if there may be one."""
+        if tries == 1 and not rec.again and not rec.runs:
+            # A new job right after a takeover; there are too many of them.
+            return
+        links = self.pool.links
+        log.info(
+            event,
+            extra={
+                "job": rec.job.id,
+                "by": by,
+                "waited_ms": round((self.timers.now() - began) * MS_PER_S),
+                "tries": tries,
+                "again": rec.again,
+                "runs_named": len(rec.runs),
+                "held": sum(link.share == rec.share for link in links.values()),
+            },
+        )
+
     def note_offer(self, work: Work) -> None:
         """Take note that a task was given to a runner or to another owner."""
         rec = self.records.get(work.task.job)
--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -615,6 +615,39 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("left_out", [(), ("a-r0",), ("a-r0", "a-r1")])
+def test_a_forwarding_host_that_is_the_next_owner_runs_nothing_twice(
+    left_out: tuple[str, ...],
+) -> None:
+    """The forwarding host is the next owner, and lacks runners of the former one.
+
+    It takes up its callers' jobs before the former owner hands them on.
+    """
+
+    async def main(leaves_after_s: float) -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        other = next(n for n in world.hosts if n.startswith("a") and n != owner)
+        world.kill(other)
+        fresh = world.start_host(other, listed=False)
+        await asyncio.sleep(1.0)
+        calls = [world.submit(other, f"{i:016x}", 2, 2000.0) for i in range(1, 5)]
+        jobs = asyncio.gather(*calls)
+        await asyncio.sleep(leaves_after_s)
+        world.tell_runners(fresh, *left_out)
+        world.hosts[owner].leave()
+        await asyncio.sleep(1.5)
+        world.tell_runners(fresh)
+        await jobs
+        world.check()
+
+    # The forwarding host looks for a new owner 0.35 s after it forwarded.
+    for ms in range(290, 370, 10):
+        run_virtual(main(ms / 1000))
+
+
 def test_a_job_that_comes_while_every_runner_is_silent_waits_for_one() -> None:
     """What no runner works off is no backlog by which to refuse."""
 
