--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -137,7 +137,7 @@
                     "runs_named": len(call.runs) or None,
                 },
             )
-            rec.learn(call)
+            self._learn(rec, call)
             reply = await asyncio.shield(rec.answer)
             return _without_promise(reply) if call.again else reply
         rule = self.rule_of(job.queue)
@@ -171,13 +171,21 @@
         if former is not None:
             rec.runs = former.runs
             rec.doubt_since = former.doubt_since
-        rec.learn(call)
+        self._learn(rec, call)
         rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
         self.records[job.id] = self._open[job.id] = rec
         self._begun.append((now, number_of(job.id)))
         self.counts.submitted += 1
         return rec
 
+    def _learn(self, rec: JobRecord, call: SubmitCall) -> None:
+        """Take in what a call tells of a job and of earlier owners."""
+        rec.learn(call)
+        if call.is_hand_over:
+            # Its sender may have given leases until now.
+            self.pool.coverage.doubt(call.share)
+            rec.doubt_since = self.timers.now()
+
     def cancel(self, job: str) -> None:
         """Drop a job whose caller has left."""
         rec = self._open.get(job)
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -339,6 +339,11 @@
     wait_s: float = 0.0
     number: int = 0
 
+    @property
+    def is_hand_over(self) -> bool:
+        """Tell whether the share's former owner hands the job on."""
+        return not self.origin
+
 
 @dataclass(frozen=True, slots=True)
 class CancelCall:
--- a/tests/coordination/test_coverage.py
+++ b/tests/coordination/test_coverage.py
@@ -18,6 +18,7 @@
 SHARE = ShareId("a", 0)
 OLD, NEW = Claim(SHARE, 1, 10), Claim(SHARE, 1, 20)
 HELD = ("r0", "r1")
+NEWER = ("r2", "r3")
 
 
 @pytest.fixture
@@ -42,7 +43,7 @@
 
 
 # Guards against runs that go on at a runner which left the list or is not on it yet.
-@pytest.mark.parametrize("known", [(), ("r0",), ("r0", "r2"), ("r0", "r1", "r2")])
+@pytest.mark.parametrize("known", [(), ("r0",), ("r0", "r2"), ("r0", *NEWER)])
 def test_an_owner_with_other_runners_waits_for_leases_to_lapse(
     coverage: Coverage, clock: Clock, known: tuple[str, ...]
 ) -> None:
@@ -56,6 +57,17 @@
     assert coverage.is_complete(NEW, known)
 
 
+# Guards against needless waits: entries of living runners come back one by one.
+def test_an_owner_that_holds_more_than_the_former_one_knows_its_runners(
+    coverage: Coverage,
+) -> None:
+    coverage.hear((OLD,), (digest_of(HELD),))
+    coverage.acquire(NEW)
+    assert not coverage.is_complete(NEW, (*HELD, *NEWER, "r4"))
+    assert coverage.is_complete(NEW, (*HELD, *NEWER))
+    assert coverage.is_complete(NEW, HELD)
+
+
 # Guards against a chain of takeovers in which every owner knows as little as the first.
 @pytest.mark.parametrize("digests", [(INCOMPLETE,), ()])
 def test_an_owner_that_lacked_runners_itself_is_no_witness(
