A runner that joins a share gets no task before three heartbeats have told of it

What callers would see: TWICE, if the owner opens a newly listed runner, starts work there and dies within one heartbeat that is lost. Runs adopted there are not held up.

--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -33,6 +33,8 @@
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
 ABSENT_S = 2.5
+# A runner that joins gets no task before three heartbeats have told that it is held.
+JOIN_S = 0.3
 
 
 @dataclass(slots=True)
@@ -84,7 +86,7 @@
         """Hold every runner of a share by the claim's fence."""
         self._claims[claim.share] = claim
         self.coverage.acquire(claim)
-        self._sync()
+        self._sync(joins=False)
 
     def release(self, share: ShareId) -> list[Work]:
         """Let the runners of a share go; returns what was placed on them."""
@@ -137,8 +139,11 @@
     def _held(self, share: ShareId) -> list[str]:
         return [id_ for id_, link in self.links.items() if link.share == share]
 
-    def _sync(self) -> None:
-        """Hold the listed runners of the owned shares, let go of those that left."""
+    def _sync(self, joins: bool = True) -> None:
+        """Hold the listed runners of the owned shares, let go of those that left.
+
+        `joins` tells that runners not held yet are new to the share.
+        """
         before = len(self.links)
         for info in self._listed.values():
             link = self.links.get(info.id)
@@ -149,7 +154,9 @@
                 self._absent.pop(info.id, None)
                 link.update(info)
             elif (claim := self._claim_on(info)) is not None:
-                self._open(info, claim)
+                link = self._open(info, claim)
+                if joins:
+                    link.avoid_until = self.timers.now() + JOIN_S
         if len(self.links) > before:
             self.on_held()
         self._retire_absent()
@@ -172,7 +179,7 @@
                 return claim
         return None
 
-    def _open(self, info: RunnerInfo, claim: Claim) -> None:
+    def _open(self, info: RunnerInfo, claim: Claim) -> Link:
         link = Link(
             self.cfg,
             info,
@@ -186,6 +193,7 @@
         )
         self.links[info.id] = link
         link.open()
+        return link
 
     def _retire(self, link: Link) -> None:
         """Give no more work to a runner that is gone; drop it when it is empty."""
--- a/tests/coordination/test_takeover_doubts.py
+++ b/tests/coordination/test_takeover_doubts.py
@@ -148,6 +148,37 @@
             assert digest_of(one) != digest_of(two)
 
 
+# Guards against a lost beat: the owner opens a new runner, starts work there and dies
+# before its next beat.
+@pytest.mark.parametrize("lost", [True, False])
+def test_a_runner_opened_in_the_last_beat_s_time_is_counted(lost: bool) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner, successor = world.owner("a"), next_owner(world, "a")
+        for host in world.hosts.values():
+            world.tell_runners(host, "a-r1", "b-r0", "b-r1")
+        await asyncio.sleep(6)
+        job = asyncio.create_task(
+            world.submit(
+                successor, f"{1:016x}", 6, works_ms=(450.0,) * 4 + (1500.0,) * 2
+            )
+        )
+        await asyncio.sleep(0.2)
+        if lost:
+            world.cut_off(owner, successor)
+        world.tell_runners(world.hosts[owner], "b-r0", "b-r1")
+        await asyncio.sleep(STEP_S / 2)
+        world.cut.clear()
+        await asyncio.sleep(0.015)
+        world.kill(owner)
+        assert (await job).kind in (AnswerKind.COMPLETED, AnswerKind.BROKEN)
+        world.check()
+
+    run_virtual(main())
+
+
 # Guards against an owner in between that this host never heard.
 def test_an_owner_in_between_that_was_not_heard_is_counted() -> None:
     async def main() -> None:
