After a start of all hosts a lease is waited for, and no more

An owner lost before the start gives no lease after it, so the two heartbeats that a replaced owner may need are not added. The test counts the wait exactly now.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -126,7 +126,9 @@
         now = self.timers.now()
         unheard = all(share.dc != claim.share.dc for share in self._former)
         fresh = unheard and now - self._started_at < FRESH_S
-        self._own[claim.share] = _Own(claim, now, self._started_at if fresh else now)
+        # An owner that was lost before the start gave no lease after it.
+        doubt_since = self._started_at - RELEASE_S if fresh else now
+        self._own[claim.share] = _Own(claim, now, doubt_since)
 
     def release(self, claim: Claim) -> None:
         """Take note that this host no longer owns a share.
--- a/tests/coordination/test_coverage.py
+++ b/tests/coordination/test_coverage.py
@@ -104,10 +104,13 @@
 
 def test_after_a_start_leases_count_from_the_start(clock: Clock) -> None:
     coverage = Coverage(clock, LEASE_S)
+    lapsed_at = clock.at + longest_lease_s(LEASE_S)
     clock.at += FRESH_S - 0.1
     coverage.acquire(NEW)
     assert not coverage.is_complete(NEW, HELD)
-    clock.at += LAPSED_S - (FRESH_S - 0.1)
+    clock.at = lapsed_at - 0.01
+    assert not coverage.is_complete(NEW, HELD)
+    clock.at = lapsed_at + 0.01
     assert coverage.is_complete(NEW, HELD)
 
 
