--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -1,8 +1,8 @@
 """Entry hosts over model runners and a model network.
 
 Runs on virtual time. Hosts are real; runners are the stand-in's models. The network
-can be cut between any two places, hosts can be killed and started again, orders can
-be lost, or carried out late.
+can be cut between any two places, hosts can be killed, frozen and started again, orders
+and calls can be lost, or carried out late.
 """
 
 import asyncio
@@ -39,7 +39,7 @@
     StoreSection,
 )
 from monsoongap.standin.runner_model import LedgerEntry, RunnerModel, TaskPlan, twice
-from monsoongap.timers import TimerService
+from monsoongap.timers import Callback, Subscription, TimerService
 
 LINK_S = 0.001
 LATE_S = (2.0, 6.0)
@@ -54,13 +54,27 @@
 class WorldTimers(TimerService):
     """The timer service with a time of day that the test can step."""
 
-    def __init__(self) -> None:
+    def __init__(self, thawed: asyncio.Event) -> None:
         super().__init__()
         self.step_ms = 0
+        self._thawed = thawed
 
     def wall_ms(self) -> int:
         return WALL_START_MS + self.step_ms + int(self.now() * 1000)
 
+    async def sleep(self, delay_s: float) -> None:
+        await super().sleep(delay_s)
+        await self._thawed.wait()
+
+    def every(self, period_s: float, callback: Callback, name: str) -> Subscription:
+        async def call() -> None:
+            await self._thawed.wait()
+            result = callback()
+            if result is not None:
+                await result
+
+        return super().every(period_s, call, name)
+
 
 @dataclass(slots=True)
 class OrderFaults:
@@ -86,6 +100,8 @@
     cut: set[frozenset[str]] = field(default_factory=set)
     silent: set[frozenset[str]] = field(default_factory=set)
     muted: set[frozenset[str]] = field(default_factory=set)
+    held_s: dict[frozenset[str], float] = field(default_factory=dict)
+    unlisted: set[str] = field(default_factory=set)
     replies: dict[str, list[JobReply]] = field(default_factory=dict)
     config: Configuration = field(
         default_factory=lambda: Configuration(
@@ -98,16 +114,14 @@
     _rng: random.Random = field(default_factory=random.Random)
     _cards: dict[str, HostCard] = field(default_factory=dict)
     _boots: int = 0
+    _thawed: dict[str, asyncio.Event] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Start every host and runner, and wait for owners."""
         self._rng.seed(self.seed)
-        loop = asyncio.get_running_loop()
         for dc in self.dcs:
             for i in range(self.runners_per_dc):
-                id_ = f"{dc}-r{i}"
-                info = RunnerInfo(id_, UPSTREAM, id_, dc, False, self.room, ("a",), 1)
-                self.models[id_] = RunnerModel(info, loop.time, self.ledger)
+                self.join_runner(dc, f"{dc}-r{i}")
         for dc, count in self.dcs.items():
             for i in range(count):
                 name = f"{dc}-h{i}"
@@ -116,14 +130,36 @@
             self.start_host(name)
         await asyncio.sleep(1.5)
 
+    def join_runner(self, dc: str, id_: str, address: str = "") -> RunnerModel:
+        """Start a runner; hosts learn of it from their next list."""
+        address = address or id_
+        info = RunnerInfo(id_, UPSTREAM, address, dc, False, self.room, ("a",), 1)
+        clock = asyncio.get_running_loop().time
+        model = self.models[address] = RunnerModel(info, clock, self.ledger)
+        return model
+
+    def freeze(self, name: str) -> None:
+        """Stop a host's process until `thaw`; what comes for it waits."""
+        self._thawed[name].clear()
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen host go on."""
+        self._thawed[name].set()
+
+    async def thawed(self, name: str) -> None:
+        """Wait until a host is not frozen."""
+        await self._thawed[name].wait()
+
     def start_host(self, name: str, listed: bool = True) -> Host:
         """Start a host, or start it again, with a list of runners or without."""
         self._boots += 1
+        thawed = self._thawed[name] = asyncio.Event()
+        thawed.set()
         card = msgspec.structs.replace(self._cards[name], boot_ms=self._boots)
         ports = HostPorts(
             _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
         )
-        host = Host(_settings(card), card, ports, WorldTimers(), _decode)
+        host = Host(_settings(card), card, ports, WorldTimers(thawed), _decode)
         self.hosts[name] = host
         host.members.learn(tuple(self._cards.values()))
         host.start()
@@ -134,9 +170,15 @@
 
     def tell_runners(self, host: Host, *left_out: str) -> None:
         """Give a host the list of runners, some left out."""
-        infos = (m.info for m in self.models.values() if m.info.id not in left_out)
+        without = {*left_out, *self.unlisted}
+        infos = (m.info for a, m in self.models.items() if a not in without)
         host.set_runners(tuple(infos), host.timers.now())
 
+    def tell_all(self) -> None:
+        """Give every host the list of runners."""
+        for host in self.hosts.values():
+            self.tell_runners(host)
+
     def kill(self, name: str) -> None:
         """Kill a host's process: all that it did stops at once."""
         host = self.hosts.pop(name)
@@ -201,6 +243,9 @@
         """Carry a call between hosts; old connections may lose calls or replies."""
         if not fresh and frozenset((source, target)) in self.silent:
             await asyncio.Event().wait()
+        if not fresh and (held_s := self.held_s.get(frozenset((source, target)))):
+            asyncio.create_task(self._deliver_late(target, request, held_s))
+            await asyncio.Event().wait()
         await asyncio.sleep(LINK_S)
         host = self.hosts.get(target)
         if not self.reachable(source, target):
@@ -208,6 +253,7 @@
             raise PeerLost("cut")
         if host is None:
             raise PeerGone("refused")
+        await self.thawed(target)
         task = asyncio.create_task(host.calls.answer(request))
         self._tasks.setdefault(target, set()).add(task)
         try:
@@ -223,6 +269,14 @@
             await asyncio.Event().wait()
         return reply
 
+    async def _deliver_late(self, target: str, request: Any, delay_s: float) -> None:
+        """Carry a call whose caller may have given it up long before."""
+        await asyncio.sleep(delay_s)
+        host = self.hosts.get(target)
+        if host is not None:
+            task = asyncio.create_task(host.calls.answer(request))
+            self._tasks.setdefault(target, set()).add(task)
+
     def deliver_beat(self, source: str, target: str, payload: bytes) -> None:
         """Carry a heartbeat, unless the network is cut."""
         if self.reachable(source, target):
@@ -231,8 +285,16 @@
 
     def _receive(self, target: str, payload: bytes) -> None:
         host = self.hosts.get(target)
-        if host is not None:
+        if host is None:
+            return
+        if self._thawed[target].is_set():
             host.members.receive(payload)
+        else:
+            asyncio.create_task(self._receive_thawed(target, payload))
+
+    async def _receive_thawed(self, target: str, payload: bytes) -> None:
+        await self.thawed(target)
+        self._receive(target, payload)
 
     async def order(
         self, source: str, target: str, act: Callable[[RunnerModel], Awaitable[Any]]
@@ -255,6 +317,7 @@
             await asyncio.sleep(REPLY_S)
             raise NoAnswer("lost")
         await asyncio.sleep(LINK_S)
+        await self.thawed(source)
         return result
 
 
@@ -281,13 +344,13 @@
         async def act(model: RunnerModel) -> Started | NotStarted:
             return model.start(order)
 
-        return await self.world.order(self.name, runner.id, act)
+        return await self.world.order(self.name, runner.address, act)
 
     async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
         async def act(model: RunnerModel) -> int:
             return model.stop(task, run, fence)
 
-        return await self.world.order(self.name, runner.id, act)
+        return await self.world.order(self.name, runner.address, act)
 
     async def look(
         self,
@@ -303,7 +366,7 @@
             await model.wait_for_end(wait_ms / 1000)
             return model.look(fence, seen, None)
 
-        return await self.world.order(self.name, runner.id, act)
+        return await self.world.order(self.name, runner.address, act)
 
     def forget(self, runner: RunnerInfo) -> None:
         return None
@@ -325,7 +388,9 @@
         target = address.rpartition(":")[0]
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.world.deliver_call(self.name, target, request, fresh)
+                reply = await self.world.deliver_call(self.name, target, request, fresh)
+            await self.world.thawed(self.name)
+            return reply
         except TimeoutError as exc:
             raise PeerLost("no reply in time") from exc
 
