--- a/tests/coordination/test_settling_races.py
+++ b/tests/coordination/test_settling_races.py
@@ -4,13 +4,17 @@
 """
 
 import asyncio
-from dataclasses import replace
+import random
+from collections.abc import Coroutine
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import pytest
 
+from monsoongap.coordination.host import Host
 from monsoongap.errors import AnswerKind
 from tests.coordination.test_host import open_world, run_virtual
-from tests.host_world import World
+from tests.host_world import OrderFaults, World
 
 JOB = "ab" * 8
 OTHER_JOB = "cd" * 8
@@ -21,6 +25,15 @@
     return next(n for n in world.hosts if n.startswith(dc) and n not in but)
 
 
+async def owned(host: Host, dc: str) -> None:
+    """Wait until a host owns a data centre."""
+    for _ in range(500):
+        if host.owns(dc):
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError(f"{host.card.name} doesn't own {dc}")
+
+
 def isolate(world: World, name: str, *kept: str) -> None:
     """Cut a host from every host and runner but those kept."""
     for place in (*world.hosts, *world.models):
@@ -98,8 +111,7 @@
         # The next owner has no way to the runner for a while.
         world.cut_off(other, used)
         world.kill(owner)
-        while not world.hosts[other].owns("ibk"):
-            await asyncio.sleep(0.01)
+        await owned(world.hosts[other], "ibk")
         world.tell_runners(world.hosts[other], used)
         await asyncio.wait_for(call, 10)
         world.check()
@@ -213,6 +225,46 @@
     run_virtual(main())
 
 
+# The owner was killed before a heartbeat told of the job; the next one adopts its
+# runs and tells nobody, while the caller comes to another data centre.
+@pytest.mark.parametrize("lived_s", [0.02, 0.06, 0.3])
+def test_a_job_that_a_killed_owner_told_nobody_of_is_not_begun_elsewhere(
+    lived_s: float,
+) -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5.05)
+        owner = world.owner("ibk")
+        call = asyncio.create_task(world.submit(owner, JOB, 4, work_ms=2000))
+        await asyncio.sleep(lived_s)
+        world.kill(owner)
+        await call
+        await asyncio.sleep(1.3)
+        await world.submit("kuf-h1", JOB, 4, work_ms=2000)
+        world.check()
+
+    run_virtual(main())
+
+
+# Jobs are told of for 0.35 s after they begin; who is cut off then never hears.
+def test_a_job_begun_during_a_cut_is_known_elsewhere_after_it() -> None:
+    async def main() -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        for other in ("kuf", "lnz"):
+            world.cut_off("ibk", other)
+        await asyncio.sleep(1)
+        first = asyncio.create_task(world.submit("ibk-h0", JOB, 2, work_ms=6000))
+        await asyncio.sleep(1)
+        world.cut.clear()
+        await asyncio.sleep(2.5)
+        await world.submit("kuf-h1", JOB, 2, work_ms=6000)
+        await first
+        world.check()
+
+    run_virtual(main())
+
+
 # Runs that are being stopped as the share is released leave their job never cleared.
 def test_a_job_cancelled_as_its_share_is_released_can_be_sent_again() -> None:
     async def main() -> None:
@@ -305,8 +357,7 @@
         far = world.owner("kuf")
         world.cut_off(other, far)
         world.kill(owner)
-        while not world.hosts[other].owns("ibk"):
-            await asyncio.sleep(0.01)
+        await owned(world.hosts[other], "ibk")
         await asyncio.sleep(joins_ms / 1000)
         world.tell_runners(world.hosts[other])
         await asyncio.sleep(0.001)
@@ -453,3 +504,213 @@
         world.check()
 
     run_virtual(main())
+
+
+@dataclass(slots=True)
+class Day:
+    """A day of load and faults, drawn from a seed."""
+
+    world: World
+    rng: random.Random
+    faults: tuple[str, ...]
+    story: list[str] = field(default_factory=list)
+    _left: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def play(self, length_s: float) -> None:
+        """Play the day, heal what is broken, and wait for every caller."""
+        callers = asyncio.create_task(self._load(length_s))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + length_s
+        while loop.time() < until:
+            fault = self.rng.choice(self.faults)
+            self._begin(getattr(self, f"_{fault}")())
+            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
+        await callers
+        await asyncio.wait(self._left, timeout=40)
+        self.world.orders = OrderFaults()
+        await asyncio.sleep(8)
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._left.add(task)
+
+    def _note(self, text: str) -> None:
+        self.story.append(f"{asyncio.get_running_loop().time():.2f} {text}")
+
+    async def _load(self, length_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + length_s
+        while loop.time() < until:
+            self._begin(self._call(f"{self.rng.getrandbits(64):016x}"))
+            await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+
+    async def _call(self, id_: str) -> None:
+        """Submit a job, again after a while if it was lost, as callers do."""
+        rng = random.Random(id_)
+        tasks = rng.choice((1, 2, 4, 8, 14))
+        work_ms = rng.choice((50.0, 200.0, 600.0, 1500.0))
+        for _ in range(3):
+            hosts = sorted(self.world.hosts)
+            if hosts:
+                host = rng.choice(hosts)
+                reply = await self.world.submit(host, id_, tasks, work_ms)
+                if reply.kind is not AnswerKind.BROKEN:
+                    return
+            await asyncio.sleep(1.3)
+
+    def _host(self) -> str:
+        """Draw a host, owners first."""
+        names = sorted(self.world.hosts)
+        owners = [n for n in names if self.world.hosts[n].ownership.claims]
+        return self.rng.choice(owners if owners and self.rng.random() < 0.6 else names)
+
+    async def _roll(self) -> None:
+        """Stop a host as an upgrade does, and start it again."""
+        name = self._host()
+        self._note(f"{name} leaves")
+        self.world.hosts[name].leave()
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        await self._restart(name)
+
+    async def _kill(self) -> None:
+        name = self._host()
+        await self._restart(name)
+
+    async def _restart(self, name: str) -> None:
+        if name not in self.world.hosts:
+            return
+        self._note(f"{name} is killed")
+        self.world.kill(name)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        if name in self.world.hosts:
+            return
+        self._note(f"{name} starts")
+        host = self.world.start_host(name, listed=False)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        if self.world.hosts.get(name) is host:
+            self.world.tell_runners(host)
+
+    async def _cut(self) -> None:
+        """Cut a data centre off for a while."""
+        dc = self.rng.choice(sorted(self.world.dcs))
+        others = [other for other in self.world.dcs if other != dc]
+        self._note(f"{dc} is cut off")
+        for other in others:
+            self.world.cut_off(dc, other)
+        await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+        self._note(f"{dc} is back")
+        for other in others:
+            self.world.cut.discard(frozenset((dc, other)))
+
+    async def _gap(self) -> None:
+        """Leave some runners out of one host's list for a while."""
+        name = self._host()
+        host = self.world.hosts[name]
+        runners = sorted(self.world.models)
+        gone = self.rng.sample(runners, self.rng.randint(1, len(runners) // 2))
+        self._note(f"{name} is not told of {gone}")
+        self.world.tell_runners(host, *gone)
+        await asyncio.sleep(self.rng.uniform(0.2, 4.0))
+        if self.world.hosts.get(name) is host:
+            self._note(f"{name} is told of all runners")
+            self.world.tell_runners(host)
+
+    async def _join(self) -> None:
+        """Start one more runner; hosts hear of it one after the other."""
+        dc = self.rng.choice(sorted(self.world.dcs))
+        self.world.join_runner(dc, f"{dc}-r{len(self.world.models)}")
+        for name in sorted(self.world.hosts):
+            await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+            if name in self.world.hosts:
+                self.world.tell_runners(self.world.hosts[name])
+
+    async def _orders(self) -> None:
+        """Lose some answers to orders and carry some orders out late."""
+        self._note("orders go wrong")
+        self.world.orders = OrderFaults(lost_answer=0.1, late=0.1)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        self._note("orders go well")
+        self.world.orders = OrderFaults()
+
+    async def _mute(self) -> None:
+        """Lose the replies on the open connections between two hosts."""
+        if len(self.world.hosts) < 2:
+            return
+        pair = frozenset(self.rng.sample(sorted(self.world.hosts), 2))
+        kind = self.rng.choice((self.world.silent, self.world.muted))
+        self._note(f"{sorted(pair)} lose calls or replies")
+        kind.add(pair)
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        kind.discard(pair)
+
+    async def _freeze(self) -> None:
+        name = self._host()
+        host = self.world.hosts[name]
+        self._note(f"{name} freezes")
+        self.world.freeze(name)
+        await asyncio.sleep(self.rng.uniform(0.3, 4.0))
+        if self.world.hosts.get(name) is host:
+            self._note(f"{name} goes on")
+            self.world.thaw(name)
+
+    async def _isolate(self) -> None:
+        """Cut one host from everything for a while."""
+        name = self._host()
+        pairs = {
+            frozenset((name, place))
+            for place in (*self.world.hosts, *self.world.models)
+            if place != name
+        } - self.world.cut
+        self._note(f"{name} is alone")
+        self.world.cut |= pairs
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
+        self._note(f"{name} is not alone")
+        self.world.cut -= pairs
+
+
+# What a day of any of these faults may show; the story tells what led to it.
+DAYS = {
+    "rolls": ("roll", "roll", "kill"),
+    "cuts": ("cut", "kill", "roll"),
+    "orders": ("orders", "roll", "kill", "mute"),
+    "frozen": ("freeze", "roll", "mute"),
+    "joins": ("join", "kill", "roll"),
+    "gaps": ("gap", "kill", "roll"),
+    "alone": ("isolate", "roll"),
+    "all": ("roll", "kill", "cut", "gap", "join", "orders", "mute", "freeze"),
+}
+
+
+def play_day(name: str, seed: int, length_s: float = 8.0) -> None:
+    """Play a day and check it; a failure names its faults."""
+
+    async def main() -> None:
+        world = World({"ibk": 3, "kuf": 2, "lnz": 2}, runners_per_dc=3, seed=seed)
+        await world.start()
+        await asyncio.sleep(3)
+        day = Day(world, random.Random(seed), DAYS[name])
+        await day.play(length_s)
+        try:
+            world.check()
+        except AssertionError as exc:
+            raise AssertionError(f"{exc}\n" + "\n".join(day.story)) from exc
+
+    run_virtual(main())
+
+
+# Faults that come together as no one thought of.
+@pytest.mark.parametrize(
+    ("name", "seed"),
+    [
+        ("rolls", 0),
+        ("cuts", 3),
+        ("orders", 0),
+        ("frozen", 0),
+        ("joins", 21),
+        ("gaps", 0),
+        ("alone", 20),
+        ("all", 0),
+    ],
+)
+def test_a_day_of_faults_runs_nothing_twice(name: str, seed: int) -> None:
+    play_day(name, seed)
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -110,7 +110,8 @@
             (UpstreamRule(UPSTREAM, True),),
         )
     )
-    _tasks: dict[str, set[asyncio.Task[Any]]] = field(default_factory=dict)
+    # In the order of their start, so that a seed tells the same story each time.
+    _tasks: dict[str, dict[asyncio.Task[Any], None]] = field(default_factory=dict)
     _rng: random.Random = field(default_factory=random.Random)
     _cards: dict[str, HostCard] = field(default_factory=dict)
     _boots: int = 0
@@ -183,7 +184,7 @@
         """Kill a host's process: all that it did stops at once."""
         host = self.hosts.pop(name)
         host.abandon()
-        for task in self._tasks.pop(name, set()):
+        for task in self._tasks.pop(name, {}):
             task.cancel()
 
     def owner(self, dc: str) -> str:
@@ -213,7 +214,7 @@
     async def submit_job(self, host: str, job: Job) -> JobReply:
         """Submit a job at a host as a caller would."""
         task = asyncio.create_task(self.hosts[host].take(job))
-        self._tasks.setdefault(host, set()).add(task)
+        self._tasks.setdefault(host, {})[task] = None
         try:
             reply = await task
         except asyncio.CancelledError:
@@ -255,7 +256,7 @@
             raise PeerGone("refused")
         await self.thawed(target)
         task = asyncio.create_task(host.calls.answer(request))
-        self._tasks.setdefault(target, set()).add(task)
+        self._tasks.setdefault(target, {})[task] = None
         try:
             reply = await task
         except asyncio.CancelledError:
@@ -275,7 +276,7 @@
         host = self.hosts.get(target)
         if host is not None:
             task = asyncio.create_task(host.calls.answer(request))
-            self._tasks.setdefault(target, set()).add(task)
+            self._tasks.setdefault(target, {})[task] = None
 
     def deliver_beat(self, source: str, target: str, payload: bytes) -> None:
         """Carry a heartbeat, unless the network is cut."""
