--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -114,6 +114,8 @@
             self.pool, timers, self.directory.rule, self.settling.settle_everywhere
         )
         self.pool.on_offer = self.jobs.note_offer
+        self.pool.on_found = self.jobs.tell_of
+        self._owners_told: dict[str, int] = {}
         self.borrowing.on_offer = self.jobs.note_offer
         self.borrowing.on_lost = self.settling.settle_lent
         self.elsewhere = Elsewhere(timers)
@@ -323,6 +325,7 @@
         beat = peer.beat
         assert beat is not None
         if beat.claims:
+            self._note_owner(peer, new)
             self.lending.note_claims(beat.claims)
             self.borrowing.hear_room(peer)
             self.elsewhere.hear(peer.card.name, beat.begun)
@@ -335,6 +338,19 @@
         if new:
             self.members.greet(peer)
 
+    def _note_owner(self, peer: Peer, new: bool) -> None:
+        """Tell an owner that could not hear this one of every job; note rivals."""
+        assert peer.beat is not None
+        boot = peer.card.boot_ms
+        if new or self._owners_told.get(peer.card.name) != boot:
+            self._owners_told[peer.card.name] = boot
+            self.jobs.tell_of_all()
+        for claim in peer.beat.claims:
+            own = self.ownership.claims.get(claim.share)
+            if own is not None and claim.fence < own.fence:
+                self.jobs.in_doubt_since[claim.share] = self.timers.now()
+                self.pool.note_former(claim.share)
+
     # What changes inside.
 
     def _config_changed(self) -> None:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -14,6 +14,7 @@
 from monsoongap.coordination.admission import aim_of
 from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.lease import CLOCK_DRIFT, LAPSE_MARGIN_S
+from monsoongap.coordination.link import LinkState
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.triage import RETRY_AFTER_S, Triage, refusal_in_vain
@@ -105,6 +106,15 @@
         """Take note that a lost owner may have runs of a job."""
         self._doubts[job] = self.timers.now()
 
+    def tell_of(self, job: str) -> None:
+        """Let other owners know that a job, or what was left of it, is here."""
+        self._begun.append((self.timers.now(), number_of(job)))
+
+    def tell_of_all(self) -> None:
+        """Let other owners know of every job under way."""
+        for job in self._open:
+            self.tell_of(job)
+
     def begun_lately(self) -> tuple[int, ...]:
         """Return the numbers of the jobs begun lately, for other owners."""
         oldest = self.timers.now() - TELL_BEGUN_S
@@ -136,7 +146,7 @@
         overload = self.triage.overload()
         if overload is not None and not call.again and not call.here:
             self._answer(new, overload)
-            return overload
+            return new.answer.result()
         settled = await self._settle_past(new)
         if new.ending:
             # Meanwhile cancelled, or handed to the next owner, who answers.
@@ -161,6 +171,10 @@
             rec.runs = former.runs
             rec.doubt_since = former.doubt_since
         rec.learn(call)
+        if former is not None:
+            rec.again = rec.again or former.again or former.offered
+        if call.placed:
+            rec.doubt_since = now
         rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
         self.records[job.id] = self._open[job.id] = rec
         self._begun.append((now, number_of(job.id)))
@@ -185,6 +199,10 @@
                 if work.waiting:
                     self.pool.withdraw(work)
             taken.append((rec, call))
+        for rec in [r for r in self.records.values() if r.share == share]:
+            # What is left of it is the next owner's to stop.
+            rec.works.clear()
+            rec.cleared.set()
         return taken
 
     def _tick(self) -> None:
@@ -217,8 +235,9 @@
         began = self.timers.now()
         while True:
             new_owner = self.in_doubt_since.get(rec.share, NEVER)
-            since = max(new_owner, rec.doubt_since)
-            if self.timers.now() - since > SETTLED_AFTER_S:
+            now = self.timers.now()
+            known = self._holds_all(rec) and now - rec.doubt_since > KEEP_ANSWER_S
+            if known and now - new_owner > SETTLED_AFTER_S:
                 return True
             if self._holds_all(rec) and await self.find_all(rec.job.id, rec.share):
                 rec.doubt_since = NEVER
@@ -233,7 +252,8 @@
         The list of runners may lack some, on which an earlier owner's runs go on until
         their lease has lapsed.
         """
-        if all(runner in self.pool.links for runner in rec.placed_before):
+        links = [self.pool.links.get(runner) for runner in rec.placed_before]
+        if all(link is not None and link.state is LinkState.HELD for link in links):
             return True
         longest_s = self.pool.cfg.lease_s / CLOCK_DRIFT + LAPSE_MARGIN_S
         return self.timers.now() - rec.arrived_at > longest_s
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -134,6 +134,11 @@
         """Stop what runs of a job here; tell whether nothing is left."""
         if not self._note_claim(call.claim):
             return FindReply(False)
+        if call.task is not None and (call.task, call.run) not in self._replies:
+            # Its call may still be on its way: it begins nothing any more.
+            fut = asyncio.get_running_loop().create_future()
+            fut.set_result(LendReply(LendResult.GONE, call.run))
+            self._replies[call.task, call.run] = _Known(self.timers.now(), fut)
         until = self.timers.now() + FIND_WAIT_S
         while self.pool.runs_of(call.job):
             self.cancel_runs_of(call.job)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from monsoongap.coordination.lease import CLOCK_DRIFT, RunnerLease
+from monsoongap.coordination.lease import CLOCK_DRIFT, LAPSE_MARGIN_S, RunnerLease
 from monsoongap.coordination.ports import (
     HigherFence,
     NoAnswer,
@@ -66,6 +66,7 @@
     on_fenced: Callable[["Link"], None]
     on_room: Callable[[], None]
     guards_room: Callable[[str], bool]
+    on_found: Callable[[str], None] = lambda job: None
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     looks: int = 0
@@ -86,6 +87,7 @@
             orphan_s,
             self.stop,
             lambda: self.guards_room(self.info.upstream),
+            self.on_found,
         )
 
     def open(self) -> None:
@@ -103,6 +105,13 @@
         self.info = info
         self.table.update(info)
 
+    def note_former(self) -> None:
+        """Take note that the former owner may have renewed the lease until now."""
+        if self.state is LinkState.NEW:
+            longest_s = self.cfg.lease_s / CLOCK_DRIFT + LAPSE_MARGIN_S
+            lapsed_at = self.timers.now() + longest_s
+            self._lease.lapsed_at = max(self._lease.lapsed_at, lapsed_at)
+
     @property
     def placeable(self) -> bool:
         """Tell whether new runs may be placed here."""
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -61,6 +61,7 @@
     on_fenced: Callable[[ShareId], None]
     on_room: Callable[[], None]
     on_offer: Callable[[Work], None] = lambda work: None
+    on_found: Callable[[str], None] = lambda job: None
     counts: PoolCounts = field(default_factory=PoolCounts)
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
@@ -106,6 +107,12 @@
         self._listed = {r.id: r for r in runners}
         self._sync()
 
+    def note_former(self, share: ShareId) -> None:
+        """Take note that another owner of a share may have held its runners till now."""
+        for link in self.links.values():
+            if link.share == share:
+                link.note_former()
+
     def is_settled(self, share: ShareId) -> bool:
         """Tell whether all that runs in a share is known here."""
         if share not in self._claims or not self._listed:
@@ -117,10 +124,15 @@
         for info in self._listed.values():
             link = self.links.get(info.id)
             if link is not None and link.info.address != info.address:
+                # What runs at the old address may go on until its lease has lapsed.
+                link.avoid_until = float("inf")
+                if link.table.runs or not link.settled:
+                    continue
                 self._drop(link)
                 link = None
             if link is not None:
-                self._absent.pop(info.id, None)
+                if self._absent.pop(info.id, None) is not None:
+                    link.avoid_until = min(link.avoid_until, self.timers.now())
                 link.update(info)
             elif (claim := self._claim_on(info)) is not None:
                 self._open(info, claim)
@@ -134,7 +146,7 @@
             if id_ in self._listed:
                 continue
             since = self._absent.setdefault(id_, now)
-            silent = link.state is not LinkState.HELD
+            silent = link.state is not LinkState.HELD and link.settled
             if now - since > ABSENT_S or (silent and not link.table.runs):
                 self._retire(link)
 
@@ -155,6 +167,7 @@
             on_fenced=self._fenced,
             on_room=self.pump,
             guards_room=self.directory.guards_room,
+            on_found=lambda job: self.on_found(job),
         )
         self.links[info.id] = link
         link.open()
@@ -271,7 +284,7 @@
         slow = sorted(link.table.health.slowness for link in self.links.values())
         if slow:
             self.usual_slowness = slow[len(slow) // 2]
-        self._retire_absent()
+        self._sync()
         if self._waiting:
             self.pump()
 
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -43,6 +43,7 @@
     orphan_s: float
     stop: Callable[[Run], None]
     guards_room: Callable[[], bool]
+    on_found: Callable[[str], None] = lambda job: None
     free: Room = field(init=False)
     health: RunnerHealth = field(default_factory=RunnerHealth)
     runs: dict[TaskId, Run] = field(default_factory=dict)
@@ -191,6 +192,7 @@
         run = Run(row.task, row.run, size, state=RunState.RUNNING)
         self.begin(run)
         run.confirmed_at = now
+        self.on_found(row.task.job)
         log.info(
             "run of an earlier owner found",
             extra={"runner": self.info.id, "job": row.task.job, "run": row.run},
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -57,13 +57,20 @@
     async def _settle_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         began = self.timers.now()
         while self.timers.now() - began < LENT_SETTLE_S:
-            if work.home and await self._settle(work.task.job, work.home, shares):
+            # Its data centre may have been divided anew since.
+            dcs = sorted({share.dc for share in shares})
+            now = tuple(s for dc in dcs for s in self.ownership.shares_of(dc))
+            if work.home and await self._settle(work.task.job, work.home, now, work):
                 break
             await self.timers.sleep(STEP_S)
         work.on_over(work, Over.LOST, "")
 
     async def _settle(
-        self, job: str, home: ShareId, shares: tuple[ShareId, ...]
+        self,
+        job: str,
+        home: ShareId,
+        shares: tuple[ShareId, ...],
+        lent: Work | None = None,
     ) -> bool:
         asked: list[tuple[Peer, ShareId]] = []
         for share in shares:
@@ -74,15 +81,21 @@
                 asked.append((owner.peer, share))
             elif not self.pool.is_settled(share) or not self.lending.none_lent(job):
                 return False
-        calls = (self._find(peer, share, job, home) for peer, share in asked)
-        return all(await asyncio.gather(*calls))
+        calls = (self._find(peer, share, job, home, lent) for peer, share in asked)
+        if not all(await asyncio.gather(*calls)):
+            return False
+        # A runner may have been listed meanwhile.
+        own = [s for s in shares if s in self.ownership.claims]
+        return all(self.pool.is_settled(share) for share in own)
 
-    async def _find(self, peer: Peer, share: ShareId, job: str, home: ShareId) -> bool:
+    async def _find(
+        self, peer: Peer, share: ShareId, job: str, home: ShareId, lent: Work | None
+    ) -> bool:
         """Have the owner of `share` stop all runs of a job; tell if none is left."""
         claim = self.ownership.claims.get(home)
         if claim is None:
             return False
-        call = FindCall(job, share, claim)
+        call = FindCall(job, share, claim, lent and lent.task, lent.run if lent else 0)
         try:
             reply: FindReply = await self.peers.call(
                 peer.address, call, FindReply, FIND_TIMEOUT_S, fresh=True
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -398,6 +398,8 @@
     job: str
     share: ShareId
     claim: Claim
+    task: TaskId | None = None
+    run: int = 0
 
 
 @dataclass(frozen=True, slots=True)
