--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -108,7 +108,7 @@
         self._sync()
 
     def note_former(self, share: ShareId) -> None:
-        """Take note that another owner of a share may have held its runners till now."""
+        """Take note that another owner may have held a share till now."""
         for link in self.links.values():
             if link.share == share:
                 link.note_former()
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -95,7 +95,9 @@
         claim = self.ownership.claims.get(home)
         if claim is None:
             return False
-        call = FindCall(job, share, claim, lent and lent.task, lent.run if lent else 0)
+        call = FindCall(job, share, claim)
+        if lent is not None:
+            call = FindCall(job, share, claim, lent.task, lent.run)
         try:
             reply: FindReply = await self.peers.call(
                 peer.address, call, FindReply, FIND_TIMEOUT_S, fresh=True
