--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -118,6 +118,8 @@
         )
         self.pool.on_offer = self.jobs.note_offer
         self.pool.on_held = self.members.beat_now
+        self.pool.on_found = self.jobs.tell_of
+        self._owners_told: dict[str, int] = {}
         self.borrowing.on_offer = self.jobs.note_offer
         self.borrowing.on_lost = self.settling.settle_lent
         self.elsewhere = Elsewhere(timers)
@@ -330,6 +332,7 @@
         beat = peer.beat
         assert beat is not None
         if beat.claims:
+            self._note_owner(peer, new)
             self.lending.note_claims(beat.claims)
             self.coverage.hear(beat.claims, beat.held)
             self.borrowing.hear_room(peer)
@@ -343,6 +346,18 @@
         if new:
             self.members.greet(peer)
 
+    def _note_owner(self, peer: Peer, new: bool) -> None:
+        """Tell an owner that could not hear this one of every job; note rivals."""
+        assert peer.beat is not None
+        boot = peer.card.boot_ms
+        if new or self._owners_told.get(peer.card.name) != boot:
+            self._owners_told[peer.card.name] = boot
+            self.jobs.tell_of_all()
+        for claim in peer.beat.claims:
+            own = self.ownership.claims.get(claim.share)
+            if own is not None and claim.fence < own.fence:
+                self.jobs.note_former(claim.share)
+
     # What changes inside.
 
     def _config_changed(self) -> None:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -107,6 +107,20 @@
         """Take note that a lost owner may have runs of a job."""
         self._doubts[job] = self.timers.now()
 
+    def note_former(self, share: ShareId) -> None:
+        """Take note that a share's former owner may have begun tasks until now."""
+        self.in_doubt_since[share] = self.timers.now()
+        self.pool.note_former(share)
+
+    def tell_of(self, job: str) -> None:
+        """Let other owners know that a job, or what was left of it, is here."""
+        self._begun.append((self.timers.now(), number_of(job)))
+
+    def tell_of_all(self) -> None:
+        """Let other owners know of every job under way."""
+        for job in self._open:
+            self.tell_of(job)
+
     def begun_lately(self) -> tuple[int, ...]:
         """Return the numbers of the jobs begun lately, for other owners."""
         oldest = self.timers.now() - TELL_BEGUN_S
@@ -147,7 +161,7 @@
         overload = self.triage.overload()
         if overload is not None and not call.again and not call.here:
             self._answer(new, overload)
-            return overload
+            return new.answer.result()
         settled = await self._settle_past(new)
         if new.ending:
             # Meanwhile cancelled, or handed to the next owner, who answers.
@@ -171,6 +185,7 @@
         if former is not None:
             rec.runs = former.runs
             rec.doubt_since = former.doubt_since
+            rec.again = former.again or former.offered
         self._learn(rec, call)
         rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
         self.records[job.id] = self._open[job.id] = rec
@@ -182,9 +197,7 @@
         """Take in what a call tells of a job and of earlier owners."""
         rec.learn(call)
         if call.is_hand_over:
-            # Its sender may have given leases until now.
-            self.pool.coverage.doubt(call.share)
-            rec.doubt_since = self.timers.now()
+            self.note_former(call.share)
 
     def cancel(self, job: str) -> None:
         """Drop a job whose caller has left."""
@@ -204,6 +217,10 @@
                 if work.waiting:
                     self.pool.withdraw(work)
             taken.append((rec, call))
+        for rec in [r for r in self.records.values() if r.share == share]:
+            # What is left of it is the next owner's to stop.
+            rec.works.clear()
+            rec.cleared.set()
         return taken
 
     def _tick(self) -> None:
@@ -237,8 +254,9 @@
         tries = 0
         while True:
             new_owner = self.in_doubt_since.get(rec.share, NEVER)
-            since = max(new_owner, rec.doubt_since)
-            if self.timers.now() - since > SETTLED_AFTER_S:
+            now = self.timers.now()
+            lapsed = now - new_owner > SETTLED_AFTER_S
+            if lapsed and now - rec.doubt_since > KEEP_ANSWER_S:
                 if tries:
                     self.counts.past_lapsed += 1
                     self._tell_past(rec, "past settled", "time", began, tries)
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -54,7 +54,7 @@
     """The runners this host owns and the tasks that wait for them.
 
     `on_offer` is told of each task that is given to a runner, `on_held` when a runner
-    is newly held.
+    is newly held, `on_found` of each job of which an earlier owner's run is found.
     """
 
     cfg: BoundsSection
@@ -67,6 +67,7 @@
     on_room: Callable[[], None]
     on_offer: Callable[[Work], None] = lambda work: None
     on_held: Callable[[], None] = lambda: None
+    on_found: Callable[[str], None] = lambda job: None
     counts: PoolCounts = field(default_factory=PoolCounts)
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
@@ -74,6 +75,7 @@
     _absent: dict[str, float] = field(default_factory=dict)
     _waiting: Waiting = field(default_factory=Waiting)
     _pump_due: bool = False
+    _moved: bool = False
     usual_slowness: float = 1.0
 
     def start(self) -> None:
@@ -115,6 +117,13 @@
         self._listed = {r.id: r for r in runners}
         self._sync()
 
+    def note_former(self, share: ShareId) -> None:
+        """Take note that another owner may have given leases in a share till now."""
+        self.coverage.doubt(share)
+        for link in self.links.values():
+            if link.share == share:
+                link.note_former()
+
     def is_settled(self, share: ShareId) -> bool:
         """Tell whether all that runs in a share is known here."""
         claim = self._claims.get(share)
@@ -145,13 +154,20 @@
         `joins` tells that runners not held yet are new to the share.
         """
         before = len(self.links)
+        self._moved = False
         for info in self._listed.values():
             link = self.links.get(info.id)
             if link is not None and link.info.address != info.address:
+                # What runs at the old address may go on until its lease has lapsed.
+                link.avoid_until = float("inf")
+                if link.table.runs or not link.settled:
+                    self._moved = True
+                    continue
                 self._drop(link)
                 link = None
             if link is not None:
-                self._absent.pop(info.id, None)
+                if self._absent.pop(info.id, None) is not None:
+                    link.avoid_until = min(link.avoid_until, self.timers.now())
                 link.update(info)
             elif (claim := self._claim_on(info)) is not None:
                 link = self._open(info, claim)
@@ -169,7 +185,7 @@
             if id_ in self._listed:
                 continue
             since = self._absent.setdefault(id_, now)
-            silent = link.state is not LinkState.HELD
+            silent = link.state is not LinkState.HELD and link.settled
             if now - since > ABSENT_S or (silent and not link.table.runs):
                 self._retire(link)
 
@@ -190,6 +206,7 @@
             on_fenced=self._fenced,
             on_room=self.pump,
             guards_room=self.directory.guards_room,
+            on_found=lambda job: self.on_found(job),
         )
         self.links[info.id] = link
         link.open()
@@ -307,7 +324,10 @@
         slow = sorted(link.table.health.slowness for link in self.links.values())
         if slow:
             self.usual_slowness = slow[len(slow) // 2]
-        self._retire_absent()
+        if self._moved:
+            self._sync()
+        else:
+            self._retire_absent()
         if self._waiting:
             self.pump()
 
