A repeated call joins a job that is being handed on; one handed on is never called not run

Change: a repeated call joins the hand-over's answer. An owner remembers what it handed on for as long as answers are kept, and takes such a job in as one that may have run.

Evidence: four tests in test_takeover_doubts.py that failed before.

--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -65,7 +65,8 @@
         known = call.here and host.jobs.knows(call.job.id)
         owned = not call.here and call.share in host.ownership.claims
         if not known and not owned:
-            return JobReply(AnswerKind.HANDED_ON, "not an owner")
+            reply = await host.jobs.follow(call)
+            return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
         return await host.see_through(call)
 
     async def _catch_up(self, version: int) -> None:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -79,6 +79,7 @@
     _answered: deque[tuple[float, JobRecord]] = field(default_factory=deque)
     _begun: deque[tuple[float, int]] = field(default_factory=deque)
     _doubts: dict[str, float] = field(default_factory=dict)
+    _handed_on: dict[str, tuple[float, JobRecord]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.steps = Steps(self.pool, self._end)
@@ -174,6 +175,17 @@
         self.steps.begin(new)
         return await asyncio.shield(new.answer)
 
+    async def follow(self, call: SubmitCall) -> JobReply | None:
+        """Return the answer of a job that was handed on from here, None if it wasn't.
+
+        A host that asks again, as no reply came yet, learns what the next owner tells.
+        """
+        _, rec = self._handed_on.get(call.job.id, (NEVER, None))
+        if rec is None or call.is_hand_over:
+            return None
+        reply = await asyncio.shield(rec.answer)
+        return None if reply.kind is AnswerKind.REFUSED else reply
+
     def _take_in(
         self, call: SubmitCall, rule: QueueRule, former: JobRecord | None
     ) -> JobRecord:
@@ -186,6 +198,8 @@
             rec.runs = former.runs
             rec.doubt_since = former.doubt_since
             rec.again = former.again or former.offered
+        if job.id in self._handed_on:
+            rec.again = rec.again or self._handed_on[job.id][1].again
         self._learn(rec, call)
         rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
         self.records[job.id] = self._open[job.id] = rec
@@ -213,6 +227,8 @@
             del self.records[rec.job.id], self._open[rec.job.id]
             rec.ending = True
             call = rec.handed_on()
+            rec.again = call.again
+            self._handed_on[rec.job.id] = (self.timers.now(), rec)
             for work in list(rec.works.values()):
                 if work.waiting:
                     self.pool.withdraw(work)
@@ -247,6 +263,9 @@
                 del self.records[rec.job.id]
         for job in [j for j, at in self._doubts.items() if now - at > KEEP_ANSWER_S]:
             del self._doubts[job]
+        old = now - KEEP_ANSWER_S
+        for job in [j for j, (at, _) in self._handed_on.items() if at < old]:
+            del self._handed_on[job]
 
     async def _settle_past(self, rec: JobRecord) -> bool:
         """Make sure that no unknown run of the job is left anywhere."""
--- a/tests/coordination/test_takeover_doubts.py
+++ b/tests/coordination/test_takeover_doubts.py
@@ -4,15 +4,17 @@
 from collections.abc import Callable
 from itertools import combinations, product
 
+import msgspec
 import pytest
 
 from monsoongap.coordination.coverage import Coverage, digest_of
 from monsoongap.errors import AnswerKind
-from monsoongap.protocol.messages import Claim, ShareId
+from monsoongap.protocol.messages import Claim, Job, Room, ShareId, Step
+from monsoongap.standin.runner_model import TaskPlan
 from tests.coordination.test_host import run_virtual
 from tests.coordination.test_members import Clock
 from tests.coordination.test_runner_lists import BOTH_RUNNERS, next_owner
-from tests.host_world import World
+from tests.host_world import QUEUE, World
 
 LEASE_S = 1.0
 SHARE = ShareId("a", 0)
@@ -353,3 +355,53 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against "not run" said of a job under way: its owner, which hands it on and
+# finds no successor, answered a repeated call as one that has nothing.
+@pytest.mark.parametrize("yields_after_s", [0.2, 0.3, 0.6])
+def test_a_job_that_finds_no_next_owner_is_not_called_not_run(
+    yields_after_s: float,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner, forwarder = world.owner("a"), next_owner(world, "a")
+        (share,) = world.hosts[owner].ownership.claims
+        payload = msgspec.json.encode(TaskPlan(3000.0)).decode()
+        job = Job(f"{1:016x}", QUEUE, payload, (Step(2, Room(1000, 64), 0.05),))
+        call = asyncio.create_task(world.submit_job(forwarder, job))
+        await until(lambda: busy(world, "a-r0") or busy(world, "a-r1"))
+        # The past cannot be settled, and no other host may own the share.
+        world.cut_off("a", "b")
+        world.hosts[forwarder].ownership.leaving = True
+        await asyncio.sleep(yields_after_s)
+        world.hosts[owner].ownership.yield_to_fence(share)
+        assert (await call).kind is not AnswerKind.REFUSED
+        world.check()
+
+    run_virtual(main())
+
+
+# Guards against an owner that forgets a job with its share, and calls it not run when
+# its caller sends it again to the share's owner of then: this host itself.
+def test_a_job_handed_on_and_sent_again_is_not_called_not_run() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner, other = world.owner("a"), next_owner(world, "a")
+        (share,) = world.hosts[owner].ownership.claims
+        first = asyncio.create_task(world.submit(owner, f"{1:016x}", 2, 5000.0))
+        await until(lambda: busy(world, "a-r0") or busy(world, "a-r1"))
+        world.cut_off("a", "b")
+        world.hosts[other].ownership.leaving = True
+        world.hosts[owner].ownership.yield_to_fence(share)
+        assert (await first).kind is AnswerKind.BROKEN
+        await until(lambda: world.hosts[owner].owns("a"))
+        second = await world.submit(owner, f"{1:016x}", 2, 5000.0)
+        assert second.kind is not AnswerKind.REFUSED
+        world.check()
+
+    run_virtual(main())
