--- a/bench/demo.py
+++ b/bench/demo.py
@@ -44,7 +44,7 @@
         measuring = asyncio.create_task(measure(profile))
         await asyncio.sleep(KILL_AT_S)
         console.print("killing one entry host")
-        await Troubles(site).kill_node()
+        await Troubles(site, SEED).kill_node(site.rng)
         summary = await measuring
         print_summary(console, summary)
         await asyncio.to_thread(status, nodes[0].operators, False)
--- a/monsoongap/standin/main.py
+++ b/monsoongap/standin/main.py
@@ -2,7 +2,9 @@
 
 The control address answers `GET /ledger` with every run and takes faults:
 `POST /runner` with `id` and fields of `RunnerFaults`, or `life` to crash and restart;
-`POST /store` with fields of `StoreFaults`, or `expire` to drop its history.
+`POST /store` with fields of `StoreFaults`, or `expire` to drop its history;
+`POST /join` with `id` and `dc` to add a runner, which tells its address without the
+offset; `POST /entry` with `id` and fields of `EntryChange`.
 """
 
 import asyncio
@@ -38,6 +40,15 @@
     runners_per_dc: int
 
 
+@dataclass(frozen=True, slots=True)
+class EntryChange:
+    """What becomes of a runner's entry in the store; `gone` ends the runner too."""
+
+    listed: bool = True
+    draining: bool = False
+    gone: bool = False
+
+
 def default_config(host: str) -> bytes:
     """Return a configuration with one short and one long queue."""
     queues = [("scan", 0, 400), ("load", 2, 2000)]
@@ -64,6 +75,7 @@
 
     def __init__(self, shape: SiteShape) -> None:
         self._shape = shape
+        self._next_port = shape.runner_port
         self.ledger: list[LedgerEntry] = []
         self.store = StoreServer()
         self.runners: dict[str, RunnerServer] = {}
@@ -74,18 +86,20 @@
         shape = self._shape
         self.store.listen(f"{shape.ip}:{shape.store_port}")
         self.store.topic("keyed.op").append("config", default_config("site"))
-        port = shape.runner_port
         for dc in shape.dcs:
             for i in range(shape.runners_per_dc):
-                told = f"{shape.ip}:{port + shape.told_offset}"
-                room = Room(4000, 4096)
-                info = RunnerInfo(f"{dc}-r{i}", UPSTREAM, told, dc, False, room)
-                server = RunnerServer(info, self.ledger, self.store)
-                server.listen(f"{shape.ip}:{port}")
-                self.runners[info.id] = server
-                port += 1
+                self._add_runner(f"{dc}-r{i}", dc, shape.told_offset)
         self._control.listen(f"{shape.ip}:{shape.control_port}")
 
+    def _add_runner(self, id_: str, dc: str, told_offset: int = 0) -> None:
+        ip, port = self._shape.ip, self._next_port
+        self._next_port += 1
+        told = f"{ip}:{port + told_offset}"
+        info = RunnerInfo(id_, UPSTREAM, told, dc, False, Room(4000, 4096))
+        server = RunnerServer(info, self.ledger, self.store)
+        server.listen(f"{ip}:{port}")
+        self.runners[id_] = server
+
     async def _answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
         match req.path:
             case "/ledger":
@@ -96,6 +110,11 @@
                 self._set_runner(msgspec.json.decode(req.body))
             case "/store":
                 self._set_store(msgspec.json.decode(req.body))
+            case "/join":
+                told = msgspec.json.decode(req.body)
+                self._add_runner(told["id"], told["dc"])
+            case "/entry":
+                self._set_entry(msgspec.json.decode(req.body))
             case _:
                 return HTTPStatus.NOT_FOUND, b"{}"
         return HTTPStatus.OK, b"{}"
@@ -108,6 +127,15 @@
             model.begin_life()
         model.faults = msgspec.convert(told, RunnerFaults)
 
+    def _set_entry(self, told: dict[str, Any]) -> None:
+        server = self.runners[told.pop("id")]
+        change = msgspec.convert(told, EntryChange)
+        server.draining = change.draining
+        server.set_listed(change.listed and not change.gone)
+        if change.gone:
+            server.model.crash()
+            server.close()
+
     def _set_store(self, told: dict[str, Any]) -> None:
         if told.pop("expire", False):
             for topic in self.store.topics.values():
--- a/monsoongap/standin/runner_server.py
+++ b/monsoongap/standin/runner_server.py
@@ -21,6 +21,7 @@
 from monsoongap.util.background import Background
 
 HEARTBEAT_S = 0.5
+RUNNERS_TOPIC = "keyed.servers"
 ORDERS = ("/monsoongap/run-start", "/monsoongap/run-stop")
 _REASONS = {
     Refusal.OLD_RUN: "old",
@@ -37,6 +38,7 @@
     ) -> None:
         self.model = RunnerModel(info, asyncio.get_running_loop().time, ledger)
         self.draining = False
+        self._listed = True
         self._store = store
         self._serial = 0
         self._serve = Serving(self._answer)
@@ -55,8 +57,17 @@
             self._beating.cancel()
         self._background.cancel_all()
 
+    def set_listed(self, listed: bool) -> None:
+        """Have the store drop this runner's entry, or list it with the next beat."""
+        if self._listed and not listed:
+            self._store.topic(RUNNERS_TOPIC).append(self.model.info.id, b"")
+        self._listed = listed
+
     async def _beat(self) -> None:
         while True:
+            if not self._listed:
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
             self._serial += 1
             info = self.model.info
             entry = {
@@ -69,9 +80,7 @@
                 "seq": self._serial,
                 "born": info.born_ms,
             }
-            self._store.topic("keyed.servers").append(
-                info.id, msgspec.json.encode(entry)
-            )
+            self._store.topic(RUNNERS_TOPIC).append(info.id, msgspec.json.encode(entry))
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,8 @@
 RESEND_S = 1.3
 TRIES = 3
 DEADLINE_S = 6.0
+# Long jobs are the ones that go on while owners change.
+LONG_SHARE = 0.2
 
 
 # How the platform's status codes tell an end; any other one is no answer.
@@ -40,8 +42,8 @@
         """Send one job, again while its answer is lost."""
         rng = self.rng
         tasks = rng.choice((1, 2, 4, 8))
-        long = rng.random() < 0.1
-        work_ms = rng.uniform(300, 900) if long else rng.uniform(20, 120)
+        long = rng.random() < LONG_SHARE
+        work_ms = rng.uniform(300, 1400) if long else rng.uniform(20, 120)
         loop = asyncio.get_running_loop()
         kind = "load" if long else "scan"
         call = CallRecord(
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,8 @@
 
 ROOT = Path(__file__).parent.parent
 GRACE_S = 4
+# All lines are kept: a broken promise is traced from them.
+LOG_LINES_PER_S = 5000
 SETTINGS = """[host]
 name = {name}
 dc = {dc}
@@ -21,6 +23,8 @@
 address = {store}
 [bounds]
 grace_s = {grace}
+[log]
+lines_per_s = {log_lines}
 """
 
 
@@ -38,6 +42,11 @@
         """Where callers reach the daemon."""
         return f"{self.ip}:{self.port}"
 
+    @property
+    def ready(self) -> str:
+        """Where the daemon tells whether it wants callers."""
+        return f"{self.ip}:{self.port + 1}"
+
     @property
     def operators(self) -> str:
         """Where operators reach the daemon."""
@@ -49,7 +58,6 @@
     """Starts, signals and ends what a soak needs."""
 
     out: Path
-    store: str
     base_port: int
     nodes: dict[str, NodeAddress] = field(default_factory=dict)
     _running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
@@ -61,7 +69,7 @@
                 [sys.executable, "-m", *args], cwd=ROOT, stdout=log, stderr=log
             )
 
-    def add_node(self, name: str, dc: str, ip: str) -> None:
+    def add_node(self, name: str, dc: str, ip: str, store: str) -> None:
         """Write the settings of a daemon and start it."""
         port = self.base_port
         self.nodes[name] = NodeAddress(name, dc, ip, port)
@@ -73,8 +81,9 @@
             ready=port + 1,
             operators=port + 2,
             peers=port + 3,
-            store=self.store,
+            store=store,
             grace=GRACE_S,
+            log_lines=LOG_LINES_PER_S,
         )
         (self.out / f"{name}.ini").write_text(text)
         self.start_node(name)
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,9 @@
 import asyncio
 import random
 import shutil
+import time
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
@@ -15,7 +17,7 @@
 from monsoongap.load.checker import broken_promises
 from monsoongap.transport.http_conn import NotConnected
 from soak.callers import Callers
-from soak.deployment import Deployment, open_deployment
+from soak.deployment import Deployment, Size, open_deployment
 from soak.troubles import Troubles
 
 JOBS_PER_S = 20.0
@@ -25,23 +27,50 @@
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
-async def soak(seed: int, seconds: float, out: Path, calm: bool) -> list[str]:
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to play: for how long, at what load, on what."""
+
+    seconds: float
+    jobs_per_s: float
+    calm: bool
+    size: Size
+
+
+async def soak(seed: int, plan: Plan, out: Path) -> list[str]:
     """Run one soak; returns what was broken."""
-    async with open_deployment(seed, out) as site:
-        return await _under_load(site, seconds, calm)
+    async with open_deployment(seed, out, plan.size) as site:
+        found = await _under_load(site, seed, plan)
+        if found:
+            await _write_runs(site, out / "runs.txt")
+        return found
+
+
+async def _write_runs(site: Deployment, path: Path) -> None:
+    """Write what the runners ran, in seconds as the logs of the daemons have them."""
+    offset = time.time() - time.monotonic()
+    with path.open("w") as file:
+        for run in sorted(await site.ledger(), key=lambda run: run.began_at):
+            ended = "..." if run.ended_at is None else f"{run.ended_at + offset:.3f}"
+            task = f"{run.task.job} {run.task.step}.{run.task.index} run {run.run}"
+            span = f"{run.began_at + offset:.3f} to {ended}"
+            print(f"{span} {task} on {run.runner} {run.how}", file=file)
 
 
-async def _under_load(site: Deployment, seconds: float, calm: bool) -> list[str]:
+async def _under_load(site: Deployment, seed: int, plan: Plan) -> list[str]:
     callers = Callers(list(site.procs.nodes.values()), site.rng)
     sent: set[asyncio.Task[object]] = set()
 
     async def load() -> None:
         while True:
             sent.add(asyncio.create_task(callers.send()))
-            await asyncio.sleep(1 / JOBS_PER_S)
+            await asyncio.sleep(1 / plan.jobs_per_s)
 
     loading = asyncio.create_task(load())
-    await (asyncio.sleep(seconds) if calm else Troubles(site).make_trouble(seconds))
+    if plan.calm:
+        await asyncio.sleep(plan.seconds)
+    else:
+        await Troubles(site, seed).make_trouble(plan.seconds)
     await asyncio.sleep(HEAL_S)
     loading.cancel()
     late = await asyncio.wait(sent, timeout=DRAIN_S)
@@ -63,8 +92,13 @@
     rounds: Annotated[int, typer.Option(help="Number of fresh seeds.")] = 1,
     out: Annotated[Path, typer.Option(help="Where logs go.")] = Path("out/soak"),
     calm: Annotated[bool, typer.Option(help="Load without any trouble.")] = False,
+    jobs_per_s: Annotated[float, typer.Option(help="Load.")] = JOBS_PER_S,
+    dcs: Annotated[int, typer.Option(help="Number of data centres.")] = 2,
+    nodes: Annotated[int, typer.Option(help="Daemons a data centre.")] = 2,
+    runners: Annotated[int, typer.Option(help="Runners a data centre.")] = 3,
 ) -> None:
     """Play soaks and fail at the first broken promise."""
+    plan = Plan(seconds, jobs_per_s, calm, Size(dcs, nodes, runners))
     fresh = random.SystemRandom()
     seeds = (
         [seed] if seed is not None else [fresh.randrange(10**6) for _ in range(rounds)]
@@ -75,7 +109,7 @@
         try:
             shutil.rmtree(out / str(number), ignore_errors=True)
             (out / str(number)).mkdir(parents=True)
-            found = asyncio.run(soak(number, seconds, out / str(number), calm))
+            found = asyncio.run(soak(number, plan, out / str(number)))
         except NotConnected as exc:
             found = [f"the stand-in is gone: {exc}"]
         failed += bool(found)
