--- a/soak/run.py
+++ b/soak/run.py
@@ -93,19 +93,21 @@
     out: Annotated[Path, typer.Option(help="Where logs go.")] = Path("out/soak"),
     calm: Annotated[bool, typer.Option(help="Load without any trouble.")] = False,
     jobs_per_s: Annotated[float, typer.Option(help="Load.")] = JOBS_PER_S,
-    dcs: Annotated[int, typer.Option(help="Number of data centres.")] = 2,
-    nodes: Annotated[int, typer.Option(help="Daemons a data centre.")] = 2,
-    runners: Annotated[int, typer.Option(help="Runners a data centre.")] = 3,
+    dcs: Annotated[int | None, typer.Option(help="Number of data centres.")] = None,
+    nodes: Annotated[int | None, typer.Option(help="Daemons in each.")] = None,
+    runners: Annotated[int, typer.Option(help="Runners in each.")] = 3,
 ) -> None:
     """Play soaks and fail at the first broken promise."""
-    plan = Plan(seconds, jobs_per_s, calm, Size(dcs, nodes, runners))
     fresh = random.SystemRandom()
     seeds = (
         [seed] if seed is not None else [fresh.randrange(10**6) for _ in range(rounds)]
     )
     failed = 0
     for number in seeds:
-        print(f"seed {number}")
+        # Two or three of each, by the seed.
+        size = Size(dcs or 2 + number % 2, nodes or 2 + number // 2 % 2, runners)
+        plan = Plan(seconds, jobs_per_s, calm, size)
+        print(f"seed {number}, {size}")
         try:
             shutil.rmtree(out / str(number), ignore_errors=True)
             (out / str(number)).mkdir(parents=True)
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -16,6 +16,8 @@
 # Longer than a start and a takeover, within which a daemon answers again.
 READY_TRIES = 100
 STEP_S = 0.05
+# A host that owns nothing learns of a new runner within this time.
+KNOWN_S = 5.0
 # The bound on draining, after which a runner may leave.
 DRAIN_S = 2.0
 
@@ -35,7 +37,9 @@
 
     async def kill_node(self, rng: Random) -> None:
         """Kill a daemon and start it again."""
-        name = rng.choice(list(self.site.procs.nodes))
+        await self._kill(rng, rng.choice(list(self.site.procs.nodes)))
+
+    async def _kill(self, rng: Random, name: str) -> None:
         self._note(f"kill {name}")
         self.site.procs.signal(name, signal.SIGKILL)
         self.site.procs.wait(name, 5)
@@ -72,6 +76,15 @@
             procs.wait(name, 5)
         procs.start_node(name)
 
+    async def _lose_node(self, rng: Random, dc: str, within_s: float) -> None:
+        """Kill or restart a daemon of a data centre after a while."""
+        await asyncio.sleep(rng.uniform(0.0, within_s))
+        name = rng.choice(self.site.nodes_of(dc))
+        if rng.random() < 0.5:
+            await self._kill(rng, name)
+        else:
+            await self._restart(name)
+
     async def restart_all(self, rng: Random) -> None:
         """Have all daemons leave in turn, before the former one is back."""
         names = list(self.site.procs.nodes)
@@ -163,6 +176,7 @@
         """Have the entries of a data centre's runners lapse while they work on."""
         dc = rng.choice(self.site.size.dc_names)
         await self._lapse(rng, dc, _length(rng))
+        await self._lose_node(rng, dc, 1.0)
 
     async def _lapse(self, rng: Random, dc: str, length_s: float) -> None:
         """Drop the entries; they come back within two seconds of the end."""
@@ -194,7 +208,7 @@
             group.create_task(self._restart_in_turn(names))
 
     async def join_runners(self, rng: Random) -> None:
-        """Have new runners join a data centre; some leave again."""
+        """Have new runners join, and an owner end that alone knows them; some leave."""
         dc = rng.choice(self.site.size.dc_names)
         ids = []
         for _ in range(rng.choice((1, 2))):
@@ -202,7 +216,8 @@
             ids.append(f"{dc}-j{self._joined}")
             await self.site.tell("/join", id=ids[-1], dc=dc)
         self._note(f"{ids} join")
-        await asyncio.sleep(rng.uniform(1.0, 8.0))
+        await self._lose_node(rng, dc, KNOWN_S)
+        await asyncio.sleep(rng.uniform(0.0, 4.0))
         for id_ in ids:
             if rng.random() < 0.5:
                 self._note(f"{id_} leaves")
