--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -20,7 +21,9 @@
 from soak.proxy import Proxy
 
 IP = "127.0.0.1"
-WARM_UP_S = 6.0
+# Python starts slowly on a busy machine.
+START_S = 40.0
+STEP_S = 0.1
 TOLD_OFFSET = 100
 CONTROL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 0.5
@@ -76,11 +79,32 @@
             return False
         return reply.status == HTTPStatus.OK
 
+    async def is_served(self) -> bool:
+        """Tell whether the stand-in answers."""
+        try:
+            await self.ledger()
+        except (NotConnected, ExchangeLost):
+            # It is not up yet.
+            return False
+        return True
+
     async def ledger(self) -> list[LedgerEntry]:
         """Fetch every run that the runners saw."""
         return await fetch_ledger(self.control)
 
 
+class NotStarted(Exception):
+    """The deployment does not serve in time."""
+
+
+async def _wait_for(served: Callable[[], Awaitable[bool]]) -> None:
+    for _ in range(int(START_S / STEP_S)):
+        if await served():
+            return
+        await asyncio.sleep(STEP_S)
+    raise NotStarted(f"not served within {START_S:.0f} s")
+
+
 @contextlib.asynccontextmanager
 async def open_deployment(
     seed: int, out: Path, size: Size | None = None
@@ -112,14 +136,17 @@
             f"--dcs={','.join(size.dc_names)}",
             f"--runners={size.runners}",
         )
+        site = Deployment(
+            size, rng, procs, proxies, store_proxies, http, f"{IP}:{port + 1}"
+        )
+        await _wait_for(site.is_served)
         for d, dc in enumerate(size.dc_names):
             store = f"{IP}:{store_proxies[dc].port}"
             for i in range(size.nodes):
                 procs.add_node(f"{dc}{i}", dc, f"127.0.{1 + d}.{1 + i}", store)
-        await asyncio.sleep(WARM_UP_S)
-        yield Deployment(
-            size, rng, procs, proxies, store_proxies, http, f"{IP}:{port + 1}"
-        )
+        for name in procs.nodes:
+            await _wait_for(functools.partial(site.is_ready, name))
+        yield site
     finally:
         procs.end_all()
         http.close()
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from monsoongap.load.checker import broken_promises
 from monsoongap.transport.http_conn import NotConnected
 from soak.callers import Callers
-from soak.deployment import Deployment, Size, open_deployment
+from soak.deployment import Deployment, NotStarted, Size, open_deployment
 from soak.troubles import Troubles
 
 JOBS_PER_S = 20.0
@@ -114,6 +114,8 @@
             found = asyncio.run(soak(number, plan, out / str(number)))
         except NotConnected as exc:
             found = [f"the stand-in is gone: {exc}"]
+        except NotStarted as exc:
+            found = [str(exc)]
         failed += bool(found)
         for line in found:
             print(f"  BROKEN {line}")
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -54,9 +54,11 @@
         self._note(f"freeze {names} for {length_s:.2f} s")
         for name in names:
             self.site.procs.signal(name, signal.SIGSTOP)
-        await asyncio.sleep(length_s)
-        for name in names:
-            self.site.procs.signal(name, signal.SIGCONT)
+        try:
+            await asyncio.sleep(length_s)
+        finally:
+            for name in names:
+                self.site.procs.signal(name, signal.SIGCONT)
 
     async def restart_node(self, rng: Random) -> None:
         """Have a daemon leave in order, and start it again."""
--- a/tests/coordination/test_unlisted_runners.py
+++ b/tests/coordination/test_unlisted_runners.py
@@ -149,3 +149,27 @@
 
     for cut_s in (0.1, 0.5, 1.0, 2.0):
         run_virtual(main(cut_s))
+
+
+@pytest.mark.parametrize("end", ["killed", "leaving"])
+def test_a_job_sent_again_where_its_data_centre_is_not_listed(end: str) -> None:
+    async def main(wait_s: float) -> None:
+        world = await open_world()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        call = await submit_beside(world, owner)
+        for name, host in world.hosts.items():
+            if not name.startswith("ibk"):
+                world.tell_runners(host, *BOTH)
+        if end == "killed":
+            world.kill(owner)
+        else:
+            world.hosts[owner].leave()
+        await asyncio.sleep(wait_s)
+        again = asyncio.create_task(world.submit("lnz-h0", JOB, 8, work_ms=LONG_MS))
+        await asyncio.gather(call, again)
+        await asyncio.sleep(2)
+        world.check()
+
+    for wait_s in (0.02, 0.1, 0.2, 0.4, 0.6):
+        run_virtual(main(wait_s))
