--- a/monsoongap/standin/main.py
+++ b/monsoongap/standin/main.py
@@ -112,7 +112,8 @@
                 self._set_store(msgspec.json.decode(req.body))
             case "/join":
                 told = msgspec.json.decode(req.body)
-                self._add_runner(told["id"], told["dc"])
+                if told["id"] not in self.runners:
+                    self._add_runner(told["id"], told["dc"])
             case "/entry":
                 self._set_entry(msgspec.json.decode(req.body))
             case _:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -26,6 +26,7 @@
 STEP_S = 0.1
 TOLD_OFFSET = 100
 CONTROL_TIMEOUT_S = 5.0
+CONTROL_TRIES = 10
 READY_TIMEOUT_S = 0.5
 
 
@@ -61,6 +62,14 @@
     async def tell(self, path: str, **faults: object) -> None:
         """Set a fault on the stand-in."""
         req = HttpRequest("POST", path, msgspec.json.encode(faults))
+        for _ in range(CONTROL_TRIES - 1):
+            try:
+                await self.http.exchange(self.control, req, CONTROL_TIMEOUT_S)
+            except (NotConnected, ExchangeLost):
+                # The machine may be too busy to connect in time.
+                await asyncio.sleep(STEP_S)
+            else:
+                return
         await self.http.exchange(self.control, req, CONTROL_TIMEOUT_S)
 
     def nodes_of(self, *dcs: str) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,7 @@
 import typer
 
 from monsoongap.load.checker import broken_promises
-from monsoongap.transport.http_conn import NotConnected
+from monsoongap.transport.http_conn import ExchangeLost, NotConnected
 from soak.callers import Callers
 from soak.deployment import Deployment, NotStarted, Size, open_deployment
 from soak.troubles import Troubles
@@ -112,10 +112,8 @@
             shutil.rmtree(out / str(number), ignore_errors=True)
             (out / str(number)).mkdir(parents=True)
             found = asyncio.run(soak(number, plan, out / str(number)))
-        except NotConnected as exc:
-            found = [f"the stand-in is gone: {exc}"]
-        except NotStarted as exc:
-            found = [str(exc)]
+        except* (NotConnected, ExchangeLost, NotStarted) as group:
+            found = [f"the stand-in is gone: {group.exceptions}"]
         failed += bool(found)
         for line in found:
             print(f"  BROKEN {line}")
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
 
@@ -227,7 +227,7 @@
                 await asyncio.sleep(DRAIN_S)
                 await self.site.tell("/entry", id=id_, gone=True)
 
-    def troubles(self) -> tuple[Callable[[Random], Awaitable[None]], ...]:
+    def troubles(self) -> tuple[Callable[[Random], Coroutine[None, None, None]], ...]:
         """Return all kinds of trouble."""
         return (
             self.kill_node,
@@ -249,14 +249,13 @@
         """Begin troubles at random times, so that they overlap."""
         rng = Random(self.seed)
         self._began_at = time.monotonic()
-        under_way: set[asyncio.Task[None]] = set()
-        while time.monotonic() - self._began_at < seconds:
-            await asyncio.sleep(rng.expovariate(0.8))
-            trouble = rng.choice(self.troubles())
-            self._note(trouble.__name__)
-            own = Random(rng.getrandbits(64))
-            under_way.add(asyncio.ensure_future(trouble(own)))
-        await asyncio.gather(*under_way)
+        # One that fails ends the others, so that none starts a daemon later.
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() - self._began_at < seconds:
+                await asyncio.sleep(rng.expovariate(0.8))
+                trouble = rng.choice(self.troubles())
+                self._note(trouble.__name__)
+                group.create_task(trouble(Random(rng.getrandbits(64))))
 
     def _note(self, what: str) -> None:
         """Print what is done, with the time of day as the logs have it."""
