--- a/tests/coordination/test_unlisted_runners.py
+++ b/tests/coordination/test_unlisted_runners.py
@@ -16,6 +16,8 @@
 # Longer than a lease, so that a run is there still when an owner thinks it over.
 LONG_MS = 1200
 BOTH = ("ibk-r0", "ibk-r1")
+# A caller that lost its host sends the job again after this.
+RESEND_S = 1.3
 
 
 def others(world: World, owner: str) -> list[str]:
@@ -154,10 +156,13 @@
 @pytest.mark.parametrize("end", ["killed", "leaving"])
 def test_a_job_sent_again_where_its_data_centre_is_not_listed(end: str) -> None:
     async def main(wait_s: float) -> None:
-        world = await open_world()
+        world = World({"ibk": 3, "kuf": 2, "lnz": 2})
+        await world.start()
         await asyncio.sleep(5)
         owner = world.owner("ibk")
-        call = await submit_beside(world, owner)
+        call = await submit_beside(world, owner, work_ms=2500)
+        world.kill(others(world, owner)[-1])
+        await asyncio.sleep(RESEND_S - wait_s)
         for name, host in world.hosts.items():
             if not name.startswith("ibk"):
                 world.tell_runners(host, *BOTH)
@@ -166,10 +171,10 @@
         else:
             world.hosts[owner].leave()
         await asyncio.sleep(wait_s)
-        again = asyncio.create_task(world.submit("lnz-h0", JOB, 8, work_ms=LONG_MS))
+        again = asyncio.create_task(world.submit("lnz-h0", JOB, 8, work_ms=2500))
         await asyncio.gather(call, again)
         await asyncio.sleep(2)
         world.check()
 
-    for wait_s in (0.02, 0.1, 0.2, 0.4, 0.6):
+    for wait_s in (0.02, 0.05, 0.1, 0.2, 0.4, 0.6):
         run_virtual(main(wait_s))
