--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -680,3 +680,24 @@
         assert other.kind is AnswerKind.COMPLETED
 
     run_virtual(main())
+
+
+def test_a_job_open_for_long_is_sent_again_to_an_owner_that_is_newer() -> None:
+    async def main(wait_s: float) -> None:
+        world = World({"ibk": 2, "lnz": 2})
+        await world.start()
+        await asyncio.sleep(5 + wait_s)
+        job = world.submit(world.owner("ibk"), "5" * 16, 8, work_ms=7000)
+        call = asyncio.create_task(job)
+        await asyncio.sleep(0.1)
+        world.kill(world.owner("lnz"))
+        # Longer than an owner that is new to its share asks the others for jobs.
+        await asyncio.sleep(5.5)
+        job = world.submit(world.owner("lnz"), "5" * 16, 8, work_ms=7000)
+        again = asyncio.create_task(job)
+        await asyncio.gather(call, again)
+        await asyncio.sleep(2)
+        world.check()
+
+    for wait_s in (0.0, 0.5, 1.0, 1.5):
+        run_virtual(main(wait_s))
