An owner passes its doubt on with what it holds, a repeated hand-over renews none

Two hosts of a data centre claimed it at the start; the one that lost told that it knows nothing, which cost the other a new wait, and its hand-overs' calls, repeated 1.3 s later, one more. All data centres ask each owner, so all waited. Now an owner tells how long it may still lack runners, and the next one inherits that.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -11,17 +11,15 @@
 import zlib
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from itertools import combinations, zip_longest
+from itertools import combinations
 
 from monsoongap.coordination.lease import longest_lease_s
-from monsoongap.protocol.messages import Claim, ShareId
+from monsoongap.protocol.messages import Claim, Held, ShareId
 from monsoongap.timers import MS_PER_S, TimerService
 
 log = logging.getLogger(__name__)
 
-# The digest of an owner that may itself lack runners of an earlier one.
-INCOMPLETE = 0
-DIGEST_BITS = 32
+DIGESTS = 1 << 32
 # A digest tells of the last owner only if it was heard until that one was lost.
 DIGEST_FRESH_S = 1.2
 # So many runners may have been added since the digest that they still are told apart.
@@ -34,8 +32,8 @@
 
 
 def digest_of(runners: Iterable[str]) -> int:
-    """Return a digest of a set of runners by their ids, never `INCOMPLETE`."""
-    return _digest(sum(map(_number_of, runners)))
+    """Return a digest of a set of runners by their ids."""
+    return sum(map(_number_of, runners)) % DIGESTS
 
 
 def told_by(digest: int, runners: Collection[str]) -> frozenset[str] | None:
@@ -47,7 +45,7 @@
     total = sum(numbers.values())
     for count in range(MOST_ADDED + 1):
         for added in combinations(numbers, count):
-            if _digest(total - sum(numbers[id_] for id_ in added)) == digest:
+            if (total - sum(numbers[id_] for id_ in added)) % DIGESTS == digest:
                 return frozenset(numbers.keys() - added)
     return None
 
@@ -56,31 +54,37 @@
     return zlib.crc32(runner.encode())
 
 
-def _digest(total: int) -> int:
-    return total % (1 << DIGEST_BITS) or 1
-
-
 @dataclass(frozen=True, slots=True)
 class _Former:
-    """The newest claim on a share from before the one held now, and what it held."""
+    """The newest claim on a share from before the one held now, and what it held.
+
+    `held` is None if that is not known. Until `complete_at` its owner may itself lack
+    runners of an earlier one.
+    """
 
     claim: Claim
-    digest: int
+    held: Held | None
     heard_at: float
 
+    @property
+    def complete_at(self) -> float:
+        """When its owner was to be sure of its runners."""
+        return self.heard_at + (self.held.doubt_ms / MS_PER_S if self.held else 0.0)
+
 
 @dataclass(slots=True)
 class _Own:
     """A share owned here.
 
     Earlier owners may have given leases until `doubt_since`. `known` holds the runners
-    of the last one, once they are certain.
+    of the last one, once they are certain, who was to be sure of them at `known_at`.
     """
 
     claim: Claim
     since: float
     doubt_since: float
     known: frozenset[str] | None = None
+    known_at: float = 0.0
     told_complete: bool = False
 
 
@@ -100,15 +104,17 @@
     def __post_init__(self) -> None:
         self._started_at = self.timers.now()
 
-    def hear(self, claims: tuple[Claim, ...], digests: tuple[int, ...]) -> None:
-        """Take in another host's claims and the digests of what it holds."""
+    def hear(self, claims: tuple[Claim, ...], told: tuple[Held, ...]) -> None:
+        """Take in another host's claims and what it holds by each.
+
+        A host of an earlier version tells of claims only.
+        """
         now = self.timers.now()
-        for claim, digest in zip_longest(claims, digests, fillvalue=INCOMPLETE):
-            if not isinstance(claim, Claim):
-                return
+        for i, claim in enumerate(claims):
             former = self._former.get(claim.share)
             if former is None or claim.fence >= former.claim.fence:
-                self._former[claim.share] = _Former(claim, digest, now)
+                held = told[i] if i < len(told) else None
+                self._former[claim.share] = _Former(claim, held, now)
             own = self._own.get(claim.share)
             if own is not None and claim.fence < own.claim.fence:
                 # A replaced owner that has not heard of it still gives leases.
@@ -139,44 +145,55 @@
         former = self._former.get(claim.share)
         if former is None or former.claim.fence < claim.fence:
             now = self.timers.now()
-            self._former[claim.share] = _Former(claim, INCOMPLETE, now)
+            self._former[claim.share] = _Former(claim, None, now)
 
     def is_complete(self, claim: Claim, runners: Collection[str]) -> bool:
         """Tell whether no earlier owner can have a run on a runner not among these."""
         own = self._own.get(claim.share)
         if own is None:
             return False
-        if own.known is None:
-            digest = self._digest_before(own)
-            own.known = told_by(digest, runners) if digest != INCOMPLETE else None
-        known = own.known is not None and own.known.issubset(runners)
-        doubt_s = self.timers.now() - own.doubt_since
-        lapsed = doubt_s > longest_lease_s(self.lease_s) + RELEASE_S
-        self._tell(own, known or lapsed, known, len(runners))
-        return known or lapsed
-
-    def digest(self, claim: Claim, runners: Collection[str]) -> int:
+        complete = self._doubt_s(own, runners) <= 0
+        self._tell(own, complete, len(runners))
+        return complete
+
+    def held(self, claim: Claim, runners: Collection[str]) -> Held:
         """Return what this owner tells of the runners that it holds."""
-        return digest_of(runners) if self.is_complete(claim, runners) else INCOMPLETE
+        own = self._own.get(claim.share)
+        doubt_s = max(self._doubt_s(own, runners), 0.0) if own else self.lease_s
+        return Held(digest_of(runners), round(doubt_s * MS_PER_S))
 
-    def _digest_before(self, own: _Own) -> int:
-        """Return the last owner's digest, if it surely is of the last one."""
+    def _doubt_s(self, own: _Own, runners: Collection[str]) -> float:
+        """Return for how long an earlier owner may have runs on other runners."""
+        if own.known is None:
+            self._find_known(own, runners)
+        longest_s = longest_lease_s(self.lease_s) + RELEASE_S
+        complete_at = own.doubt_since + longest_s
+        if own.known is not None and own.known.issubset(runners):
+            complete_at = min(complete_at, own.known_at)
+        return complete_at - self.timers.now()
+
+    def _find_known(self, own: _Own, runners: Collection[str]) -> None:
+        """Take over what the last owner told, if it is told apart and of the last."""
         former = self._former.get(own.claim.share)
-        if former is None or former.claim.of != own.claim.of:
-            return INCOMPLETE
+        if former is None or former.held is None or not self._is_last(former, own):
+            return
+        own.known = told_by(former.held.digest, runners)
+        own.known_at = former.complete_at
+
+    def _is_last(self, former: _Former, own: _Own) -> bool:
+        """Tell whether a claim surely is the last one before this host's own."""
+        if former.claim.of != own.claim.of:
+            return False
         if own.doubt_since - former.heard_at > DIGEST_FRESH_S:
-            return INCOMPLETE
-        for other in self._former.values():
-            newer = other.claim.fence > former.claim.fence
-            if (
-                newer
-                and other.claim.share.dc == own.claim.share.dc
-                and other.claim.of != own.claim.of
-            ):
-                return INCOMPLETE
-        return former.digest
-
-    def _tell(self, own: _Own, complete: bool, known: bool, count: int) -> None:
+            return False
+        return not any(
+            other.claim.fence > former.claim.fence
+            and other.claim.share.dc == own.claim.share.dc
+            and other.claim.of != own.claim.of
+            for other in self._former.values()
+        )
+
+    def _tell(self, own: _Own, complete: bool, count: int) -> None:
         """Log a change of what is known of a share's runners."""
         if complete == own.told_complete:
             return
@@ -189,6 +206,7 @@
             "waited_ms": round((self.timers.now() - own.since) * MS_PER_S),
         }
         if complete:
+            known = own.known is not None
             extra["reason"] = "as the former owner" if known else "leases lapsed"
             log.info("share's runners known", extra=extra)
         else:
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -325,7 +325,7 @@
             self.pool.waiting,
             self.jobs.begun_lately(),
             known,
-            self.pool.digests(claims),
+            self.pool.tell_held(claims),
         )
 
     def _heard(self, peer: Peer, new: bool) -> None:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -209,8 +209,9 @@
 
     def _learn(self, rec: JobRecord, call: SubmitCall) -> None:
         """Take in what a call tells of a job and of earlier owners."""
+        repeated = (call.origin, call.number) in rec.requests
         rec.learn(call)
-        if call.is_hand_over:
+        if call.is_hand_over and not repeated:
             self.note_former(call.share)
 
     def cancel(self, job: str) -> None:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -18,7 +18,14 @@
 from monsoongap.coordination.ports import RunnerPort
 from monsoongap.coordination.waiting import Backlog, Waiting
 from monsoongap.coordination.work import Over, Run, Work
-from monsoongap.protocol.messages import Claim, FreeRoom, Room, RunnerInfo, ShareId
+from monsoongap.protocol.messages import (
+    Claim,
+    FreeRoom,
+    Held,
+    Room,
+    RunnerInfo,
+    ShareId,
+)
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import Directory
 from monsoongap.timers import TimerService
@@ -141,9 +148,9 @@
             self.coverage.is_complete(c, self._held(c.share)) for c in claims
         )
 
-    def digests(self, claims: Iterable[Claim]) -> tuple[int, ...]:
-        """Return a digest of the runners held by each claim, for the next owner."""
-        return tuple(self.coverage.digest(c, self._held(c.share)) for c in claims)
+    def tell_held(self, claims: Iterable[Claim]) -> tuple[Held, ...]:
+        """Return what is held by each claim, for the next owner."""
+        return tuple(self.coverage.held(c, self._held(c.share)) for c in claims)
 
     def _held(self, share: ShareId) -> list[str]:
         return [id_ for id_, link in self.links.items() if link.share == share]
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -274,6 +274,16 @@
     return zlib.crc32(name.encode()) % of if of > 1 else 0
 
 
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """The runners that an owner holds by a claim, see `coordination.coverage`.
+
+    For `doubt_ms` more it may lack runners that an earlier owner used.
+    """
+
+    digest: int
+    doubt_ms: int
+
+
 class FreeRoom(msgspec.Struct, frozen=True, array_like=True):
     """Room on one runner, as its owner counts it."""
 
@@ -286,8 +296,8 @@
     """A host's heartbeat. `hears` names the hosts it heard lately.
 
     `begun` holds the numbers of the jobs that it began to see through lately: sent
-    again to another data centre, they are answered from where they are. `held` has a
-    digest of the runners held by each claim, see `coordination.coverage`.
+    again to another data centre, they are answered from where they are. `held` tells
+    of the runners held by each claim.
     """
 
     card: HostCard
@@ -300,7 +310,7 @@
     queued: int = 0
     begun: tuple[int, ...] = ()
     known: tuple[HostCard, ...] = ()
-    held: tuple[int, ...] = ()
+    held: tuple[Held, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_runner_lists.py
+++ b/tests/coordination/test_runner_lists.py
@@ -177,3 +177,27 @@
         assert (await host.see_through(again)).kind is not AnswerKind.REFUSED
 
     run_virtual(main())
+
+
+# Guards against a share that stays in doubt, since a hand-over's call is repeated while
+# its job is under way.
+def test_a_repeated_hand_over_does_not_renew_the_doubt() -> None:
+    async def main() -> None:
+        world = World({"a": 2})
+        await world.start()
+        await asyncio.sleep(5)
+        host = world.hosts[world.owner("a")]
+        (share,) = host.ownership.claims
+        payload = msgspec.json.encode(TaskPlan(2000.0)).decode()
+        job = Job(f"{8:016x}", QUEUE, payload, (Step(1, Room(1000, 64), 0.1),))
+        call = SubmitCall(job, "", 0, share, again=True)
+        first = asyncio.create_task(host.see_through(call))
+        await asyncio.sleep(0.01)
+        handed_on_at = host.jobs.in_doubt_since[share]
+        assert host.timers.now() - handed_on_at < 0.02
+        await asyncio.sleep(0.9)
+        assert (await host.see_through(call)).kind is AnswerKind.COMPLETED
+        assert host.jobs.in_doubt_since[share] == handed_on_at
+        assert (await first).kind is AnswerKind.COMPLETED
+
+    run_virtual(main())
