A run is not called over before its order is sent

Change: the lease is counted from when a run is placed, not from when its order is sent. Evidence: test_a_run_placed_as_an_old_look_fails_is_not_over failed before.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -134,8 +134,10 @@
     def start(self, run: Run, payload: str) -> None:
         """Order a run; `run.on_over` tells its end."""
         self.starts += 1
+        # Before the order is sent: an old look that fails now must not end the run.
+        until_ms = self._lease.extend(self.timers.now())
         self.table.begin(run)
-        self._background.spawn(self._order_start(run, payload), "start")
+        self._background.spawn(self._order_start(run, payload, until_ms), "start")
 
     def stop(self, run: Run) -> None:
         """Stop a run; its end is told when it is certain."""
@@ -148,8 +150,7 @@
                 return
         self._background.spawn(self._order_stop(run), "stop")
 
-    async def _order_start(self, run: Run, payload: str) -> None:
-        until_ms = self._lease.extend(self.timers.now())
+    async def _order_start(self, run: Run, payload: str, until_ms: int) -> None:
         order = StartOrder(run.task, run.number, payload, until_ms, self.fence)
         try:
             result = await self.runners.start(self.info, order)
