--- a/bench/start_cost.py
+++ b/bench/start_cost.py
@@ -17,6 +17,7 @@
     MixSection,
     TargetSection,
 )
+from monsoongap.settings import LogSection
 from soak.processes import Processes
 
 IP = "127.0.0.1"
@@ -38,7 +39,7 @@
 def main() -> int:
     """Measure, print and compare with the bound."""
     with tempfile.TemporaryDirectory(prefix="monsoongap-bench-") as folder:
-        procs = Processes(Path(folder), f"{IP}:{PORT}", PORT + 10)
+        procs = Processes(Path(folder), PORT + 10, LogSection().lines_per_s)
         try:
             procs.start(
                 "standin",
@@ -48,7 +49,7 @@
                 "--dcs=a",
                 f"--runners={RUNNERS}",
             )
-            procs.add_node("a0", "a", IP)
+            procs.add_node("a0", "a", IP, f"{IP}:{PORT}")
             time.sleep(WARM_UP_S)
             return measure(procs)
         finally:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -59,6 +59,7 @@
 
     out: Path
     base_port: int
+    log_lines_per_s: int = LOG_LINES_PER_S
     nodes: dict[str, NodeAddress] = field(default_factory=dict)
     _running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
@@ -83,7 +84,7 @@
             peers=port + 3,
             store=store,
             grace=GRACE_S,
-            log_lines=LOG_LINES_PER_S,
+            log_lines=self.log_lines_per_s,
         )
         (self.out / f"{name}.ini").write_text(text)
         self.start_node(name)
