--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -22,12 +22,11 @@
 DIGESTS = 1 << 32
 # A digest tells of the last owner only if it was heard until that one was lost.
 DIGEST_FRESH_S = 1.2
-# So many runners may have been added since the digest that they still are told apart.
-MOST_ADDED = 2
-# An owner that was replaced may give leases until it hears so: a lost beat or two.
+# More added runners would take too many combinations to tell apart.
+MAX_ADDED = 2
+# A replaced owner renews leases until it hears of its successor: two lost heartbeats.
 RELEASE_S = 0.2
-# Of a share that is acquired so soon after the start, with no owner heard, the last
-# owner was lost before the start.
+# If no owner is heard within this time, the last one was lost before the start.
 FRESH_S = 1.0
 
 
@@ -36,14 +35,14 @@
     return sum(map(_number_of, runners)) % DIGESTS
 
 
-def told_by(digest: int, runners: Collection[str]) -> frozenset[str] | None:
-    """Return those of the runners that a digest stands for, None if it can't be told.
+def match_digest(digest: int, runners: Collection[str]) -> frozenset[str] | None:
+    """Return the subset of the runners that has a digest, None if there is none.
 
-    Up to `MOST_ADDED` of them may be left out.
+    Up to `MAX_ADDED` of them may have been added since the digest was made.
     """
     numbers = {id_: _number_of(id_) for id_ in runners}
     total = sum(numbers.values())
-    for count in range(MOST_ADDED + 1):
+    for count in range(MAX_ADDED + 1):
         for added in combinations(numbers, count):
             if (total - sum(numbers[id_] for id_ in added)) % DIGESTS == digest:
                 return frozenset(numbers.keys() - added)
@@ -177,7 +176,7 @@
         former = self._former.get(own.claim.share)
         if former is None or former.held is None or not self._is_last(former, own):
             return
-        own.known = told_by(former.held.digest, runners)
+        own.known = match_digest(former.held.digest, runners)
         own.known_at = former.complete_at
 
     def _is_last(self, former: _Former, own: _Own) -> bool:
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -347,7 +347,11 @@
             self.members.greet(peer)
 
     def _note_owner(self, peer: Peer, new: bool) -> None:
-        """Tell an owner that could not hear this one of every job; note rivals."""
+        """Take in a beat of another owner.
+
+        One that could not hear this host is told of every job under way. One that still
+        claims a share of this host may have given leases until now.
+        """
         assert peer.beat is not None
         boot = peer.card.boot_ms
         if new or self._owners_told.get(peer.card.name) != boot:
