A borrower that takes over its lender's share adopts what it lent

Suspected cause, from its record (both runs in one data centre, 0.15 s after a SIGTERM of the first owner): the lender leaves, its borrower takes its share over, and asks the owner of that share, itself, whether all is settled. It is: the run is known, on a runner that it holds now. So nobody stops the run, and the task was called lost and placed again. Change: such a task adopts its run, or its end. Evidence: the test failed before (14 tasks, 28 runs).

--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -66,7 +66,9 @@
             if work.home and await self._settle(work.task.job, work.home, now, work):
                 break
             await self.timers.sleep(STEP_S)
-        work.on_over(work, Over.LOST, "")
+        # This host may own the lender's share by now, and hold the run itself.
+        if not self.pool.adopt(work):
+            work.on_over(work, Over.LOST, "")
 
     async def _settle(
         self,
--- a/tests/coordination/test_settling_races.py
+++ b/tests/coordination/test_settling_races.py
@@ -714,3 +714,24 @@
 )
 def test_a_day_of_faults_runs_nothing_twice(name: str, seed: int) -> None:
     play_day(name, seed)
+
+
+# Guards against a lent task that runs twice, since its borrower takes over the share of
+# the lender: the run goes on here, and nobody is asked to stop it.
+def test_a_borrower_that_takes_over_its_lender_s_share_adopts_what_it_lent() -> None:
+    async def main() -> None:
+        world = World({"a": 2}, runners_per_dc=4, cores=0.08)
+        await world.start()
+        await asyncio.sleep(5)
+        assert all(len(h.ownership.claims) == 1 for h in world.hosts.values())
+        first, second = world.hosts
+        job = asyncio.create_task(world.submit(first, f"{1:016x}", 14, 1200.0))
+        await asyncio.sleep(0.3)
+        assert len(world.ledger) == 14
+        home = next(n for n, h in world.hosts.items() if h.jobs.in_flight)
+        world.hosts[second if home == first else first].leave()
+        assert (await job).kind is AnswerKind.COMPLETED
+        world.check()
+        assert len(world.ledger) == 14
+
+    run_virtual(main())
