Read once more: one rule for rivals, no digest search once leases have lapsed

Behaviour is the same but for the reason in one log line, below. - Whether another host still claims a share of this one was found out twice in each heartbeat, by the host and by Coverage.hear. The latter tells it now. - An owner whose runners never matched the former one's digest searched the combinations again with every heartbeat and read of the list, for as long as it owned the share. After the last lease the answer does not depend on them. So "share's runners known" gives "leases lapsed" as its reason where it is first asked for after that. - RunnerLease.extend calls longest_lease_s, Jobs._take_in calls tell_of, where they wrote the same again.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -103,12 +103,14 @@
     def __post_init__(self) -> None:
         self._started_at = self.timers.now()
 
-    def hear(self, claims: tuple[Claim, ...], told: tuple[Held, ...]) -> None:
+    def hear(self, claims: tuple[Claim, ...], told: tuple[Held, ...]) -> list[ShareId]:
         """Take in another host's claims and what it holds by each.
 
-        A host of an earlier version tells of claims only.
+        A host of an earlier version tells of claims only. Returns the shares of this
+        host that the other one still claims, which are in doubt from now on.
         """
         now = self.timers.now()
+        rivalled: list[ShareId] = []
         for i, claim in enumerate(claims):
             former = self._former.get(claim.share)
             if former is None or claim.fence >= former.claim.fence:
@@ -118,6 +120,8 @@
             if own is not None and claim.fence < own.claim.fence:
                 # A replaced owner that has not heard of it still gives leases.
                 self.doubt(claim.share)
+                rivalled.append(claim.share)
+        return rivalled
 
     def doubt(self, share: ShareId) -> None:
         """Take note that an earlier owner may have given leases until now."""
@@ -163,13 +167,16 @@
 
     def _doubt_s(self, own: _Own, runners: Collection[str]) -> float:
         """Return for how long an earlier owner may have runs on other runners."""
+        now = self.timers.now()
+        longest_s = longest_lease_s(self.lease_s) + RELEASE_S
+        doubt_s = own.doubt_since + longest_s - now
+        if doubt_s <= 0:
+            return doubt_s
         if own.known is None:
             self._find_known(own, runners)
-        longest_s = longest_lease_s(self.lease_s) + RELEASE_S
-        complete_at = own.doubt_since + longest_s
         if own.known is not None and own.known.issubset(runners):
-            complete_at = min(complete_at, own.known_at)
-        return complete_at - self.timers.now()
+            doubt_s = min(doubt_s, own.known_at - now)
+        return doubt_s
 
     def _find_known(self, own: _Own, runners: Collection[str]) -> None:
         """Take over what the last owner told, if it is told apart and of the last."""
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -332,9 +332,10 @@
         beat = peer.beat
         assert beat is not None
         if beat.claims:
-            self._note_owner(peer, new)
+            self._tell_new_owner(peer, new)
             self.lending.note_claims(beat.claims)
-            self.coverage.hear(beat.claims, beat.held)
+            for share in self.coverage.hear(beat.claims, beat.held):
+                self.jobs.note_former(share)
             self.borrowing.hear_room(peer)
             self.elsewhere.hear(peer.card.name, beat.begun)
             if beat.free and self.pool.waiting:
@@ -346,21 +347,12 @@
         if new:
             self.members.greet(peer)
 
-    def _note_owner(self, peer: Peer, new: bool) -> None:
-        """Take in a beat of another owner.
-
-        One that could not hear this host is told of every job under way. One that still
-        claims a share of this host may have given leases until now.
-        """
-        assert peer.beat is not None
+    def _tell_new_owner(self, peer: Peer, new: bool) -> None:
+        """Tell an owner that could not hear this host of every job under way."""
         boot = peer.card.boot_ms
         if new or self._owners_told.get(peer.card.name) != boot:
             self._owners_told[peer.card.name] = boot
             self.jobs.tell_of_all()
-        for claim in peer.beat.claims:
-            own = self.ownership.claims.get(claim.share)
-            if own is not None and claim.fence < own.fence:
-                self.jobs.note_former(claim.share)
 
     # What changes inside.
 
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -203,7 +203,7 @@
         self._learn(rec, call)
         rec.doubt_since = max(rec.doubt_since, self._doubts.pop(job.id, NEVER))
         self.records[job.id] = self._open[job.id] = rec
-        self._begun.append((now, number_of(job.id)))
+        self.tell_of(job.id)
         self.counts.submitted += 1
         return rec
 
--- a/monsoongap/coordination/lease.py
+++ b/monsoongap/coordination/lease.py
@@ -54,6 +54,6 @@
         """Return the end of a full lease on the runner's clock, as given from now."""
         past_s = now - self._told_at
         left_s = past_s + self.lease_s
-        lapsed_at = self._told_at + left_s / CLOCK_DRIFT + LAPSE_MARGIN_S
+        lapsed_at = self._told_at + longest_lease_s(left_s)
         self.lapsed_at = max(self.lapsed_at, lapsed_at)
         return self._told_ms + int(left_s * MS_PER_S)
