Log and count calls and fetches between hosts whose configurations differ

The counters tell whether versions come from the store or from other hosts.

No change of behaviour.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -40,7 +40,7 @@
     SubmitCall,
 )
 from monsoongap.settings import EntrySettings
-from monsoongap.state.directory import Directory
+from monsoongap.state.directory import SOURCE_STORE, Directory
 from monsoongap.state.job_locations import JobLocations
 from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import BackgroundTasks
@@ -323,7 +323,10 @@
     # Input from the store and from other hosts.
 
     def set_runners(
-        self, runners: tuple[RunnerInfo, ...], read_at: float, source: str = "store"
+        self,
+        runners: tuple[RunnerInfo, ...],
+        read_at: float,
+        source: str = SOURCE_STORE,
     ) -> None:
         """Apply a list of runners read at `read_at`, a time of the timer service."""
         self.directory.update_runners(runners, read_at, self.timers.now(), source)
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -17,6 +17,7 @@
     RunnersReply,
     SubmitCall,
 )
+from monsoongap.timers import MS_PER_S
 
 if TYPE_CHECKING:
     from monsoongap.coordination.host import Host
@@ -42,7 +43,7 @@
             case SubmitCall():
                 return await self._answer_submit(request)
             case LendCall():
-                await self._wait_for_config(request.version)
+                await self._wait_for_config(request.version, request.home)
                 return await host.lending.lend(request)
             case CancelCall(job):
                 host.jobs.cancel(job)
@@ -61,7 +62,7 @@
 
     async def _answer_submit(self, call: SubmitCall) -> JobReply:
         host = self._host
-        await self._wait_for_config(call.version)
+        await self._wait_for_config(call.version, call.origin)
         has_job = call.here and host.jobs.knows(call.job.id)
         owns_share = not call.here and call.share in host.ownership.claims
         if not has_job and not owns_share:
@@ -69,12 +70,24 @@
             return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
         return await host.execute(call)
 
-    async def _wait_for_config(self, version: int) -> None:
-        """Wait a limited time until this host has the configuration `version`."""
+    async def _wait_for_config(self, version: int, caller: str) -> None:
+        """Wait a limited time until this host has the caller's configuration."""
         timers, directory = self._host.timers, self._host.directory
-        deadline = timers.now() + CONFIG_WAIT_S
-        while directory.version < version and timers.now() < deadline:
+        if directory.version >= version:
+            return
+        directory.config_counts.behind_caller += 1
+        started_at = timers.now()
+        while directory.version < version and timers.now() - started_at < CONFIG_WAIT_S:
             await timers.sleep(CONFIG_POLL_S)
+        log.info(
+            "caller has a newer configuration; waited for it",
+            extra={
+                "caller": caller,
+                "needed": version,
+                "version": directory.version,
+                "waited_ms": round((timers.now() - started_at) * MS_PER_S),
+            },
+        )
 
     async def fetch_config(self, peer: Peer) -> None:
         """Fetch a newer configuration from a host that has it."""
@@ -82,10 +95,11 @@
             reply: ConfigReply = await self._host.peers.call(
                 peer.address, ConfigCall(), ConfigReply, FETCH_TIMEOUT_S
             )
-        except PeerCallFailed:
+        except PeerCallFailed as exc:
+            self._host.directory.config_counts.fetches_failed += 1
             log.info(
                 "configuration fetch failed; waiting for the next heartbeat",
-                extra={"peer": peer.card.name},
+                extra={"peer": peer.card.name, "reason": str(exc)},
             )
             return
         self._host.directory.accept_text(reply.text, f"host {peer.card.name}")
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -144,6 +144,7 @@
         # Ownership and placement come first because the users' record keeps only the
         # beginning; see `Metrics.render`.
         metrics.add_counters("ownership", lambda: host.ownership.counts)
+        metrics.add_counters("configuration", lambda: host.directory.config_counts)
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
         metrics.add_counters("jobs", lambda: host.jobs.counts)
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -18,6 +18,7 @@
 from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
 from monsoongap.protocol.messages import HostCard, RunnerInfo
 from monsoongap.settings import BoundsSection
+from monsoongap.state.directory import SOURCE_STORE
 from monsoongap.timers import TimerService
 from monsoongap.util.background import BackgroundTasks
 
@@ -85,7 +86,7 @@
             failures = 0
             config_text = topic.values.get(CONFIG_KEY)
             if changed and config_text is not None:
-                self._host.directory.accept_text(config_text, "store")
+                self._host.directory.accept_text(config_text, SOURCE_STORE)
 
     async def _follow_runners(self) -> None:
         topic = Topic(RUNNERS_TOPIC)
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -16,6 +16,7 @@
 
 # A fetch from a peer is not repeated before the first one has had time to finish.
 FETCH_RETRY_S = 0.3
+SOURCE_STORE = "store"
 # At most so many removed runners are named in one log line.
 MAX_REMOVED_LOGGED = 6
 
@@ -29,6 +30,20 @@
     lists_from_peers: int = 0
 
 
+@dataclass(slots=True)
+class ConfigCounts:
+    """How configurations arrive, for the metrics.
+
+    `behind_caller` counts calls of hosts that had a newer configuration.
+    """
+
+    from_store: int = 0
+    from_peers: int = 0
+    invalid: int = 0
+    fetches_failed: int = 0
+    behind_caller: int = 0
+
+
 @dataclass(slots=True)
 class Directory:
     """The configuration in use and the latest list of runners."""
@@ -40,6 +55,7 @@
     runners: tuple[RunnerInfo, ...] = ()
     runners_read_at: float = -1e9
     runners_counts: RunnersCounts = field(default_factory=RunnersCounts)
+    config_counts: ConfigCounts = field(default_factory=ConfigCounts)
     _rules: dict[str, QueueRule] = field(default_factory=dict)
     _guards: dict[str, bool] = field(default_factory=dict)
     _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
@@ -55,6 +71,7 @@
         try:
             config = self.decode(text)
         except ValueError as exc:
+            self.config_counts.invalid += 1
             log.error(
                 "configuration invalid; keeping the last valid one",
                 extra={"source": source, "error": str(exc), "version": self.version},
@@ -71,6 +88,10 @@
                 "queues": len(config.queues),
             },
         )
+        if source == SOURCE_STORE:
+            self.config_counts.from_store += 1
+        else:
+            self.config_counts.from_peers += 1
         self.config = config
         self.text = text
         self._rules = {rule.name: rule for rule in config.queues}
@@ -93,7 +114,7 @@
         added, gone = listed - previous, sorted(previous - listed)
         self.runners = runners
         self.runners_read_at = read_at
-        self.runners_counts.lists_from_peers += source != "store"
+        self.runners_counts.lists_from_peers += source != SOURCE_STORE
         if not added and not gone:
             return
         self.runners_counts.added += len(added)
