--- a/monsoongap/standin/store.py
+++ b/monsoongap/standin/store.py
@@ -78,19 +78,26 @@
         return self.topics.setdefault(name, TopicModel())
 
     async def _handle(self, req: HTTPServerRequest) -> tuple[int, bytes]:
-        self.calls += 1
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
+        query = {key: vals[0].decode() for key, vals in req.query_arguments.items()}
+        return await self.answer(req.path, query, req.body)
+
+    async def answer(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of the reply to a call."""
+        self.calls += 1
         if self.faults.down:
             return HTTPStatus.SERVICE_UNAVAILABLE, b"{}"
-        topic = self.topic(req.query_arguments["topic"][0].decode())
-        match req.path:
+        topic = self.topic(query["topic"])
+        match path:
             case "/monsoongap/log-append":
-                return HTTPStatus.OK, self._append(topic, req.body)
+                return HTTPStatus.OK, self._append(topic, body)
             case "/monsoongap/log-read":
-                return await self._read(topic, req)
+                return await self._read(topic, query)
             case "/monsoongap/log-newest":
-                return HTTPStatus.OK, self._newest(topic, req)
+                return HTTPStatus.OK, self._newest(topic, query)
         return HTTPStatus.NOT_FOUND, b"{}"
 
     def _append(self, topic: TopicModel, body: bytes) -> bytes:
@@ -105,10 +112,10 @@
         return msgspec.json.encode({"offset": first, "end": topic.end})
 
     async def _read(
-        self, topic: TopicModel, req: HTTPServerRequest
+        self, topic: TopicModel, query: dict[str, str]
     ) -> tuple[int, bytes]:
-        start = int(req.query_arguments["from"][0])
-        wait_ms = int(req.query_arguments.get("waitMs", [b"0"])[0])
+        start = int(query["from"])
+        wait_ms = int(query.get("waitMs", "0"))
         if start >= topic.end and wait_ms:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
@@ -125,8 +132,8 @@
             parts += [LENGTH.pack(len(content)), content]
         return HTTPStatus.OK, b"".join(parts)
 
-    def _newest(self, topic: TopicModel, req: HTTPServerRequest) -> bytes:
-        after = req.query_arguments.get("dependsOn", [b""])[0].decode()
+    def _newest(self, topic: TopicModel, query: dict[str, str]) -> bytes:
+        after = query.get("dependsOn", "")
         keys = sorted(name for name in topic.newest if name > after)
         items = [
             {
