Fetch announced configurations on new connections, packed, from several hosts

What callers saw: jobs handled by an older configuration. Cause: a host that heard of a newer version fetched it over an idle connection, which may have gone silent, and waited 1 s for the reply; the next heartbeat began another such fetch. When the store serves one host only, 36 others fetched 250 KB from it at once, 5.8 s of a link of 12.5 Mbit/s, within calls of 1 s: none completed.

Fetches now use new connections, ask the next holder after 0.3 s, spread over holders by rendezvous order, and carry zlib-packed text. They begin 0.1 s after the announcement, as the store delivers to most hosts sooner. A host of an earlier version gets, and sends, plain text.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -8,6 +8,7 @@
 
 from monsoongap.coordination.admission_control import RETRY_AFTER_S
 from monsoongap.coordination.borrowing import Borrowing
+from monsoongap.coordination.config_fetch import ConfigFetcher
 from monsoongap.coordination.coverage import Coverage
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
@@ -123,6 +124,9 @@
         self.borrowing.on_dispatch = self.jobs.record_dispatch
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
+        self.config_fetcher = ConfigFetcher(
+            self.members, ports.peers, self.directory, timers
+        )
         self.calls = HostCalls(self)
 
     def start(self) -> None:
@@ -154,6 +158,7 @@
         """Stop at once without notifying other hosts, like a killed process."""
         self.timers.close()
         self.pool.abandon()
+        self.config_fetcher.close()
         self._background.cancel_all()
 
     # Jobs from callers.
@@ -366,10 +371,7 @@
             self.job_locations.record_jobs(peer.card.name, heartbeat.recent_jobs)
             if heartbeat.free and self.pool.waiting:
                 self.pool.schedule_placement()
-        version, now = heartbeat.config_version, self.timers.now()
-        is_newer = version > self.directory.version
-        if is_newer and self.directory.start_fetch(version, now):
-            self._background.spawn(self.calls.fetch_config(peer), "config")
+        self.config_fetcher.version_announced(heartbeat.config_version)
         if became_live:
             self.members.send_heartbeat_to(peer)
 
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -3,7 +3,6 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from monsoongap.coordination.members import Peer
 from monsoongap.coordination.ports import PeerCallFailed
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -52,8 +51,11 @@
             case FindCall(job):
                 host.jobs.cancel(job)
                 return await host.lending.stop_runs_of(request)
-            case ConfigCall():
-                return ConfigReply(host.directory.version, host.directory.text)
+            case ConfigCall(accepts_packed):
+                directory = host.directory
+                if accepts_packed:
+                    return ConfigReply(directory.version, b"", directory.packed_text())
+                return ConfigReply(directory.version, directory.text)
             case RunnersCall():
                 age_s = host.timers.now() - host.directory.runners_read_at
                 return RunnersReply(age_s, host.directory.runners)
@@ -89,21 +91,6 @@
             },
         )
 
-    async def fetch_config(self, peer: Peer) -> None:
-        """Fetch a newer configuration from a host that has it."""
-        try:
-            reply: ConfigReply = await self._host.peers.call(
-                peer.address, ConfigCall(), ConfigReply, FETCH_TIMEOUT_S
-            )
-        except PeerCallFailed as exc:
-            self._host.directory.config_counts.fetches_failed += 1
-            log.info(
-                "configuration fetch failed; waiting for the next heartbeat",
-                extra={"peer": peer.card.name, "reason": str(exc)},
-            )
-            return
-        self._host.directory.accept_text(reply.text, f"host {peer.card.name}")
-
     async def fetch_runners(self) -> bool:
         """Fetch a newer list of runners; return whether any other host had one."""
         host = self._host
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -450,15 +450,39 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigCall:
-    """Asks for the configuration."""
+    """Asks for the configuration; `accepts_packed` allows a compressed text."""
+
+    accepts_packed: bool = False
+
+
+# A record of the store has up to 256 KiB.
+MAX_CONFIG_BYTES = 1_048_576
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigReply:
-    """The callee's configuration, as the text that the operator wrote."""
+    """The callee's configuration, as the text that the operator wrote.
+
+    `packed` is the text compressed by zlib; `text` is empty then. A host of an earlier
+    version sends the text only.
+    """
 
     version: int
     text: bytes
+    packed: bytes = b""
+
+    def unpack(self) -> bytes:
+        """Return the text; raises `ValueError` if it is malformed or too long."""
+        if not self.packed:
+            return self.text
+        unpacker = zlib.decompressobj()
+        try:
+            text = unpacker.decompress(self.packed, MAX_CONFIG_BYTES)
+        except zlib.error as exc:
+            raise ValueError(f"packed configuration: {exc}") from exc
+        if not unpacker.eof:
+            raise ValueError("packed configuration: truncated or too long")
+        return text
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,8 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-# A fetch from a peer is not repeated before the first one has had time to finish.
-FETCH_RETRY_S = 0.3
 SOURCE_STORE = "store"
 # At most so many removed runners are named in one log line.
 MAX_REMOVED_LOGGED = 6
@@ -59,7 +58,7 @@
     _rules: dict[str, QueueRule] = field(default_factory=dict)
     _guards: dict[str, bool] = field(default_factory=dict)
     _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
-    _fetching: tuple[int, float] = (0, -1e9)
+    _packed: tuple[int, bytes] = (0, b"")
 
     @property
     def version(self) -> int:
@@ -152,10 +151,10 @@
                 return rule
         return None
 
-    def start_fetch(self, version: int, now: float) -> bool:
-        """Return whether to fetch a version from a peer now, and record the fetch."""
-        asked, at = self._fetching
-        if asked >= version and now - at < FETCH_RETRY_S:
-            return False
-        self._fetching = (version, now)
-        return True
+    def packed_text(self) -> bytes:
+        """Return the text of the configuration in use, compressed by zlib."""
+        version, packed = self._packed
+        if version != self.version:
+            packed = zlib.compress(self.text)
+            self._packed = (self.version, packed)
+        return packed
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -106,6 +106,13 @@
     calls_lost: set[frozenset[str]] = field(default_factory=set)
     replies_lost: set[frozenset[str]] = field(default_factory=set)
     call_delay_s: dict[frozenset[str], float] = field(default_factory=dict)
+    # Number of idle connections from one host to another that have gone silent.
+    silent_connections: dict[tuple[str, str], int] = field(default_factory=dict)
+    call_types_lost: set[type[Any]] = field(default_factory=set)
+    # Pairs of sender and receiver.
+    heartbeats_lost: set[tuple[str, str]] = field(default_factory=set)
+    # Of the link of each host, on which replies queue; None for no limit.
+    link_bytes_per_s: float | None = None
     unlisted: set[str] = field(default_factory=set)
     replies: dict[str, list[JobReply]] = field(default_factory=dict)
     config: Configuration = field(
@@ -121,6 +128,7 @@
     _cards: dict[str, HostCard] = field(default_factory=dict)
     _boots: int = 0
     _thawed: dict[str, asyncio.Event] = field(default_factory=dict)
+    _link_free_at: dict[str, float] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Start every host and runner, and wait for owners."""
@@ -249,6 +257,15 @@
         """Carry a call between hosts; old connections may lose calls or replies."""
         if not fresh and frozenset((source, target)) in self.calls_lost:
             await asyncio.Event().wait()
+        if type(request) in self.call_types_lost:
+            await asyncio.Event().wait()
+        if not fresh and self.silent_connections.get((source, target), 0):
+            self.silent_connections[source, target] -= 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                # A lost exchange closes the other idle connections.
+                self.silent_connections[source, target] = 0
         if not fresh and (
             call_delay_s := self.call_delay_s.get(frozenset((source, target)))
         ):
@@ -270,13 +287,23 @@
             if target in self.hosts and self.hosts[target] is host:
                 raise
             raise PeerCallFailed("died") from None
-        await asyncio.sleep(LINK_S)
+        await asyncio.sleep(LINK_S + self._queue_reply(target, reply))
         if not self.reachable(source, target):
             raise PeerCallFailed("cut")
         if not fresh and frozenset((source, target)) in self.replies_lost:
             await asyncio.Event().wait()
         return reply
 
+    def _queue_reply(self, target: str, reply: Any) -> float:
+        """Return the delay until a host's link has carried a reply, in seconds."""
+        if self.link_bytes_per_s is None:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        took_s = len(msgspec.msgpack.encode(reply)) / self.link_bytes_per_s
+        free_at = max(self._link_free_at.get(target, now), now) + took_s
+        self._link_free_at[target] = free_at
+        return free_at - now
+
     async def _deliver_late(self, target: str, request: Any, delay_s: float) -> None:
         """Carry a call whose caller may have given it up long before."""
         await asyncio.sleep(delay_s)
@@ -286,8 +313,10 @@
             self._tasks.setdefault(target, {})[task] = None
 
     def deliver_beat(self, source: str, target: str, payload: bytes) -> None:
-        """Carry a heartbeat, unless the network is cut."""
-        if self.reachable(source, target):
+        """Carry a heartbeat, unless the network is cut or loses it."""
+        if (source, target) not in self.heartbeats_lost and self.reachable(
+            source, target
+        ):
             loop = asyncio.get_running_loop()
             loop.call_later(LINK_S, self._receive, target, payload)
 
