Never handle a call by an older configuration than its caller's

What callers saw: 404 for a queue that the operator had added, and tasks on the upstream that a queue had been moved away from, seconds after the change was acknowledged. Cause: an owner or lender that was behind the calling host waited 0.5 s for the caller's version and then went on by its own. Handovers named no version at all.

The callee now asks the caller itself for its configuration, on a new connection, and without it runs nothing: a job is declined and its host asks again for at most 2 s, a lent task gets NO_ROOM, which also holds for a repeated or late copy of the call. A declined job is answered without a promise, as an earlier copy may yet arrive. A handover names the version of the host that hands over.

--- a/monsoongap/coordination/config_fetch.py
+++ b/monsoongap/coordination/config_fetch.py
@@ -14,7 +14,7 @@
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
 from monsoongap.protocol.messages import ConfigCall, ConfigReply
 from monsoongap.state.directory import Directory
-from monsoongap.timers import TimerService
+from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util import rendezvous
 from monsoongap.util.background import BackgroundTasks
 
@@ -26,6 +26,9 @@
 # A holder that has not replied by then may be unreachable: the next one is asked too.
 NEXT_HOLDER_S = 0.3
 MAX_FETCHES = 3
+# A caller's deadline is 1.5 s; a new connection and a reply take a few milliseconds.
+CALLER_WAIT_S = 0.5
+POLL_S = 0.01
 # Pause after all holders were asked in vain.
 ROUND_PAUSE_S = 0.5
 
@@ -39,6 +42,7 @@
     directory: Directory
     timers: TimerService
     _catching_up: bool = False
+    _from_callers: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def version_announced(self, version: int) -> None:
@@ -51,6 +55,41 @@
         """Cancel all fetches."""
         self._background.cancel_all()
 
+    async def wait_for(self, version: int, caller: str) -> bool:
+        """Wait a limited time for a caller's configuration; return if it is in use.
+
+        The caller has it, and can be reached: it is asked at once.
+        """
+        if self.directory.version >= version:
+            return True
+        self.directory.config_counts.behind_caller += 1
+        started_at = self.timers.now()
+        self._fetch_from_caller(caller)
+        while (
+            self.directory.version < version
+            and self.timers.now() - started_at < CALLER_WAIT_S
+        ):
+            await self.timers.sleep(POLL_S)
+        log.info(
+            "caller has a newer configuration; waited for it",
+            extra={
+                "caller": caller or None,
+                "needed": version,
+                "version": self.directory.version,
+                "waited_ms": round((self.timers.now() - started_at) * MS_PER_S),
+            },
+        )
+        return self.directory.version >= version
+
+    def _fetch_from_caller(self, caller: str) -> None:
+        """Start to fetch from a caller, unless a fetch from it is in progress."""
+        peer = self.members.peer(caller)
+        if peer is None or caller in self._from_callers:
+            return
+        fetch = self._background.spawn(self.fetch_from(peer), "configuration")
+        self._from_callers[caller] = fetch
+        fetch.add_done_callback(lambda _: self._from_callers.pop(caller))
+
     async def _catch_up(self) -> None:
         """Ask holders of newer versions until no live host is ahead."""
         fetches: set[asyncio.Task[None]] = set()
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -51,6 +51,8 @@
 # A takeover takes about 0.5 s; after this the caller is answered and should retry.
 OWNER_WAIT_S = 0.7
 OWNER_POLL_S = 0.05
+# Owners that decline a job are asked again for this long; callers give up after 1.5 s.
+DECLINED_WAIT_S = 2.0
 # A forwarded job is answered within its deadline; this only bounds leaked calls.
 FORWARD_TIMEOUT_S = 30.0
 # Changed capacity is advertised to other owners at once, but at most this often. Short
@@ -187,6 +189,7 @@
 
     async def _submit(self, call: SubmitCall) -> JobReply:
         waited_s = 0.0
+        started_at = self.timers.now()
         while True:
             share = self.ownership.share_of_job(call.job.id)
             call = replace(call, share=share)
@@ -203,6 +206,8 @@
                 else:
                     if reply.kind is not AnswerKind.HANDED_ON:
                         return reply
+                    if self.timers.now() - started_at > DECLINED_WAIT_S:
+                        return self._no_answer(call, owner, reply)
             waited_s += OWNER_POLL_S
             await self.timers.sleep(OWNER_POLL_S)
 
@@ -219,6 +224,18 @@
         )
         return JobReply(kind, "no owner", RETRY_AFTER_S)
 
+    def _no_answer(self, call: SubmitCall, owner: Owner, reply: JobReply) -> JobReply:
+        """Return an answer without a promise: an earlier call may yet arrive."""
+        log.warning(
+            "owner declines the job; answering the caller without a result",
+            extra={
+                "job": call.job.id,
+                "owner": owner.peer.card.name if owner.peer else self.card.name,
+                "reason": reply.detail,
+            },
+        )
+        return JobReply(AnswerKind.BROKEN, reply.detail)
+
     def _handle_failed_call(
         self, owner: Owner, call: SubmitCall, exc: PeerCallFailed
     ) -> None:
@@ -400,7 +417,8 @@
             self._background.spawn(self._forward_handed_over(rec, call), "hand-over")
 
     async def _forward_handed_over(self, rec: JobRecord, call: SubmitCall) -> None:
-        reply = await self._submit(call)
+        # The next owner must not handle the job by an older configuration.
+        reply = await self._submit(replace(call, version=self.directory.version))
         if not rec.answer.done():
             rec.answer.set_result(reply)
 
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -16,7 +16,6 @@
     RunnersReply,
     SubmitCall,
 )
-from monsoongap.timers import MS_PER_S
 
 if TYPE_CHECKING:
     from monsoongap.coordination.host import Host
@@ -24,9 +23,6 @@
 log = logging.getLogger(__name__)
 
 FETCH_TIMEOUT_S = 1.0
-# A connected host receives a new configuration within about 100 ms.
-CONFIG_WAIT_S = 0.5
-CONFIG_POLL_S = 0.01
 
 
 class HostCalls:
@@ -42,8 +38,9 @@
             case SubmitCall():
                 return await self._answer_submit(request)
             case LendCall():
-                await self._wait_for_config(request.version, request.home)
-                return await host.lending.lend(request)
+                if await host.config_fetcher.wait_for(request.version, request.home):
+                    return await host.lending.lend(request)
+                return await host.lending.refuse(request)
             case CancelCall(job):
                 host.jobs.cancel(job)
                 host.lending.cancel_runs_of(job)
@@ -64,7 +61,8 @@
 
     async def _answer_submit(self, call: SubmitCall) -> JobReply:
         host = self._host
-        await self._wait_for_config(call.version, call.origin)
+        if not await host.config_fetcher.wait_for(call.version, call.origin):
+            return JobReply(AnswerKind.HANDED_ON, "owner has an older configuration")
         has_job = call.here and host.jobs.knows(call.job.id)
         owns_share = not call.here and call.share in host.ownership.claims
         if not has_job and not owns_share:
@@ -72,25 +70,6 @@
             return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
         return await host.execute(call)
 
-    async def _wait_for_config(self, version: int, caller: str) -> None:
-        """Wait a limited time until this host has the caller's configuration."""
-        timers, directory = self._host.timers, self._host.directory
-        if directory.version >= version:
-            return
-        directory.config_counts.behind_caller += 1
-        started_at = timers.now()
-        while directory.version < version and timers.now() - started_at < CONFIG_WAIT_S:
-            await timers.sleep(CONFIG_POLL_S)
-        log.info(
-            "caller has a newer configuration; waited for it",
-            extra={
-                "caller": caller,
-                "needed": version,
-                "version": directory.version,
-                "waited_ms": round((timers.now() - started_at) * MS_PER_S),
-            },
-        )
-
     async def fetch_runners(self) -> bool:
         """Fetch a newer list of runners; return whether any other host had one."""
         host = self._host
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -122,6 +122,17 @@
             self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
         return await asyncio.shield(fut)
 
+    async def refuse(self, call: LendCall) -> LendReply:
+        """Refuse a task, also if its call is repeated or late.
+
+        Returns the reply of an earlier call for the same run, if there was one.
+        """
+        fut = asyncio.get_running_loop().create_future()
+        fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
+        known = _Known(self.timers.now(), fut)
+        known = self._replies.setdefault((call.task, call.run), known)
+        return await asyncio.shield(known.reply)
+
     def leave_running(self, works: Iterable[Work]) -> None:
         """Tell borrowers that their tasks go on under another owner."""
         for work in works:
