Decode everything from outside in one place, into checked ranges

What operators saw: one odd entry among those of the runners, nested deeply, with a number too large or a port out of range, ended the reading of the list or of the configuration for good; the task that read it died with an error of another type.

With real processes, test_odd_runner_entries_cost_only_themselves failed (a restarted host never became ready), and so did three of the six odd configurations: a nested one ended the task that follows the configuration, and version 10^30 made every later one older.

protocol.decoding turns every error into Malformed, and message types carry their ranges, so that each decoder checks them: ports, addresses without name lookup, amounts, names that go into headers, durations. A call whose reply cannot be encoded gets a status. A malformed item of a page of the store is left out. An entry that is repaired and broken again is logged again. A deadline header that is malformed counts as absent.

Tests: model hosts have IP addresses now, as host names are rejected.

--- a/monsoongap/coordination/config_fetch.py
+++ b/monsoongap/coordination/config_fetch.py
@@ -12,6 +12,7 @@
 
 from monsoongap.coordination.members import Members, Peer
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
+from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import ConfigCall, ConfigReply
 from monsoongap.state.directory import Directory
 from monsoongap.timers import MS_PER_S, TimerService
@@ -136,7 +137,7 @@
                 fresh=True,
             )
             text = reply.unpack()
-        except (PeerCallFailed, ValueError) as exc:
+        except (PeerCallFailed, Malformed) as exc:
             self.directory.config_counts.fetches_failed += 1
             log.info(
                 "configuration fetch failed; asking the next host",
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from monsoongap.coordination.ports import DatagramPort
+from monsoongap.protocol.decoding import Malformed, decode_msgpack
 from monsoongap.protocol.messages import Heartbeat, HostCard
 from monsoongap.timers import TimerService
 
@@ -149,8 +150,8 @@
     def receive(self, payload: bytes) -> None:
         """Process a datagram; one that cannot be decoded is counted and ignored."""
         try:
-            heartbeat = msgspec.msgpack.decode(payload, type=Heartbeat)
-        except msgspec.MsgspecError as exc:
+            heartbeat = decode_msgpack(payload, Heartbeat)
+        except Malformed as exc:
             self.counts.malformed += 1
             log.debug(
                 "datagram is not a valid heartbeat; ignoring it",
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -16,6 +16,7 @@
 from monsoongap.errors import ANSWER_RULES, AnswerKind
 from monsoongap.metrics import Metrics
 from monsoongap.platform import wire
+from monsoongap.protocol.decoding import DurationMs, Malformed, decode_json
 from monsoongap.protocol.messages import JobReply, QueueRule
 from monsoongap.transport.http_server import listen, send_reply
 from monsoongap.util.background import BackgroundTasks
@@ -109,7 +110,7 @@
             if rule.needs_advice:
                 raise wire.Unsupported("queues with advice")
             job = wire.decode_job(req.body, id_, rule.name)
-        except wire.Malformed as exc:
+        except Malformed as exc:
             self.counts.malformed += 1
             self._answer(req, JobReply(AnswerKind.MALFORMED, str(exc)))
             return
@@ -135,8 +136,9 @@
         conn = req.connection
         if isinstance(conn, HTTP1Connection):
             conn.set_close_callback(on_disconnect)
+        wait_s = caller_wait_s(req.headers.get(WAIT_HEADER, "0"))
         started_at = self._host.timers.now()
-        reply = await self._host.submit(job, _caller_wait_s(req))
+        reply = await self._host.submit(job, wait_s)
         answered = True
         took_s = self._host.timers.now() - started_at
         self._metrics.observe_response(reply.kind.value, took_s)
@@ -165,10 +167,16 @@
         send_reply(req, status, msgspec.json.encode(body), headers)
 
 
-def _caller_wait_s(req: HTTPServerRequest) -> float:
-    """Return how long the caller waits, in seconds; 0 if absent or not a number."""
-    text = req.headers.get(WAIT_HEADER, "")
-    return int(text) / wire.MS_PER_S if text.isdecimal() else 0.0
+def caller_wait_s(text: str) -> float:
+    """Return how long the caller waits by its header, in seconds; 0 if malformed."""
+    try:
+        return decode_json(text.encode(), DurationMs) / wire.MS_PER_S
+    except Malformed as exc:
+        log.info(
+            "caller's deadline is malformed; using that of the queue",
+            extra={"error": str(exc)},
+        )
+        return 0.0
 
 
 class TrackingServer(HTTPServer):
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from typing import Any
+from collections.abc import Iterator
 
 import msgspec
 
@@ -22,6 +22,7 @@
     Topic,
     pause,
 )
+from monsoongap.protocol.decoding import Malformed, decode_json
 from monsoongap.protocol.messages import HostCard, RunnerInfo
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import SOURCE_STORE
@@ -153,16 +154,18 @@
     def _decode_runners(self, topic: Topic) -> tuple[RunnerInfo, ...]:
         """Return the listed runners; skip malformed entries of other writers."""
         runners = []
+        malformed: dict[str, Malformed] = {}
         for id_, text in topic.values.items():
             try:
                 runners.append(wire.decode_runner(id_, text))
-            except wire.Malformed as exc:
-                if id_ not in self._malformed_entries:
-                    self._malformed_entries.add(id_)
-                    log.warning(
-                        "malformed runner entry skipped",
-                        extra={"entry": id_, "error": str(exc)},
-                    )
+            except Malformed as exc:
+                malformed[id_] = exc
+        for id_ in malformed.keys() - self._malformed_entries:
+            log.warning(
+                "malformed runner entry skipped",
+                extra={"entry": id_, "error": str(malformed[id_])},
+            )
+        self._malformed_entries = set(malformed)
         return tuple(runners)
 
     def _log_failure(self, topic_name: str, failures: int, exc: Exception) -> None:
@@ -180,11 +183,16 @@
             )
 
 
-def _decode_host_cards(topic: Topic) -> Any:
+def _decode_host_cards(topic: Topic) -> Iterator[HostCard]:
+    """Yield the cards of the hosts; skip malformed ones, and those of other hosts."""
     for name, text in topic.values.items():
         try:
-            yield msgspec.json.decode(text, type=HostCard)
-        except msgspec.MsgspecError as exc:
+            card = decode_json(text, HostCard)
+            if card.name != name:
+                raise Malformed(f"the card is of {card.name}")
+        except Malformed as exc:
             log.warning(
                 "malformed host card skipped", extra={"entry": name, "error": str(exc)}
             )
+            continue
+        yield card
--- a/monsoongap/platform/runners.py
+++ b/monsoongap/platform/runners.py
@@ -7,6 +7,7 @@
     WrongInstance,
 )
 from monsoongap.platform import wire
+from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import (
     NotStarted,
     Refusal,
@@ -98,7 +99,7 @@
             raise NoAnswer(f"status {reply.status}")
         try:
             return wire.decode_poll_reply(reply.body)
-        except wire.Malformed as exc:
+        except Malformed as exc:
             raise NoAnswer(str(exc)) from exc
 
     def disconnect(self, runner: RunnerInfo) -> None:
@@ -124,5 +125,5 @@
 def _decoded(reply: HttpReply) -> wire.RunnerReply:
     try:
         return wire.decode_reply(reply.body)
-    except wire.Malformed as exc:
+    except Malformed as exc:
         raise NoAnswer(str(exc)) from exc
--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 from monsoongap.platform import wire
+from monsoongap.protocol.decoding import Malformed
 from monsoongap.settings import StoreSection
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
@@ -74,13 +75,13 @@
             raise StoreUnavailable(f"status {status}")
         try:
             _, contents = wire.decode_records(body)
-        except wire.Malformed as exc:
+        except Malformed as exc:
             raise StoreUnavailable(str(exc)) from exc
         topic.position += len(contents)
         for content in contents:
             try:
                 key, value = wire.split_key(content)
-            except wire.Malformed as exc:
+            except Malformed as exc:
                 # Another writer's record; it is permanent, so a retry does not help.
                 log.warning(
                     "malformed record skipped",
@@ -113,7 +114,7 @@
                 raise StoreUnavailable(f"status {status}")
             try:
                 pairs, end, has_more = wire.decode_newest(body)
-            except wire.Malformed as exc:
+            except Malformed as exc:
                 raise StoreUnavailable(str(exc)) from exc
             # Pages are not a snapshot: changes since the first page are read again.
             first_end = end if first_end is None else first_end
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -4,12 +4,29 @@
 """
 
 import base64
+import logging
 import struct
 from collections.abc import Iterator
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-
+from msgspec import Meta
+
+from monsoongap.protocol.decoding import (
+    MAX_AMOUNT,
+    MAX_TEXT_CHARS,
+    Address,
+    Amount,
+    DurationMs,
+    Labels,
+    Malformed,
+    Name,
+    Natural,
+    RunnerId,
+    Text,
+    convert,
+    decode_json,
+)
 from monsoongap.protocol.messages import (
     MAX_TASKS,
     Configuration,
@@ -29,6 +46,8 @@
 )
 from monsoongap.timers import MS_PER_S
 
+log = logging.getLogger(__name__)
+
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 # The occurrence in the task ids of a job that is not repeated.
@@ -45,8 +64,9 @@
 }
 
 
-class Malformed(ValueError):
-    """Received bytes do not have the expected format."""
+TaskCount = Annotated[int, Meta(ge=0, le=MAX_TASKS)]
+# Up to 4,000 bytes by the platform's pages; not interpreted here.
+Payload = Annotated[str, Meta(max_length=65_536)]
 
 
 class Unsupported(ValueError):
@@ -57,16 +77,16 @@
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0.0
-    depends_on: tuple[int, ...] = ()
-    required_labels: str | tuple[str, ...] = ""
-    affinity: str = ""
+    count: TaskCount
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    est_runtime_ms: DurationMs = 0.0
+    depends_on: tuple[TaskCount, ...] = ()
+    required_labels: Text | Labels = ""
+    affinity: Text = ""
     # Not a flag: the maximum number of tasks of the step on one runner.
-    anti_affinity: int = 0
+    anti_affinity: Amount = 0
     gang: bool = False
     speculative: bool = False
     long_running: bool = False
@@ -74,21 +94,18 @@
 
 
 class _Job(msgspec.Struct, rename="camel"):
-    spec: str
-    steps: tuple[_Step, ...]
+    spec: Payload
+    steps: Annotated[tuple[_Step, ...], Meta(max_length=MAX_TASKS)]
     # Not a service level: the reply carries the result, and nothing is stored.
     best_effort: bool = False
-    repeat_count: int = 0
+    repeat_count: Natural = 0
 
 
 def decode_job(body: bytes, id_: str, queue: str) -> Job:
     """Decode a submitted job; raises `Malformed` or `Unsupported`."""
     if not is_job_id(id_):
         raise Malformed("the job's id is not 16 hexadecimal digits")
-    try:
-        raw = msgspec.json.decode(body, type=_Job, strict=False)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise Malformed(str(exc)) from exc
+    raw = decode_json(body, _Job, strict=False)
     if not raw.best_effort:
         raise Unsupported("jobs that are to be stored")
     if raw.repeat_count:
@@ -99,20 +116,23 @@
     if not raw.steps or not 0 < sum(s.count for s in raw.steps) <= MAX_TASKS:
         raise Malformed(f"a job has 1 to {MAX_TASKS} tasks")
     for number, step in enumerate(raw.steps):
-        if step.count < 0 or any(not 0 <= b < number for b in step.depends_on):
-            raise Malformed(f"step {number} has a bad count or depends on a later one")
+        if any(before >= number for before in step.depends_on):
+            raise Malformed(f"step {number} depends on a later one")
     return Job(id_, queue, raw.spec, tuple(_step(s) for s in raw.steps))
 
 
 def _step(raw: _Step) -> Step:
     label = raw.required_labels
+    label = label if isinstance(label, str) else ",".join(label)
+    if len(label) > MAX_TEXT_CHARS:
+        raise Malformed("the labels are too long")
     return Step(
         raw.count,
         Resources(raw.cpu, raw.mem_mb, raw.gpu),
         raw.est_runtime_ms / MS_PER_S,
         raw.depends_on,
         raw.affinity,
-        label if isinstance(label, str) else ",".join(label),
+        label,
         raw.anti_affinity,
     )
 
@@ -121,30 +141,30 @@
 
 
 class _Route(msgspec.Struct, rename="camel"):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    timeout_ms: float = 1500
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    name: Text
+    host: Text
+    path_prefix: Text
+    service: Text
+    timeout_ms: DurationMs = 1500
+    target_latency_ms: DurationMs = 0
+    priority: Amount = 0
+    max_attempts: Amount = 1
+    stretch: Annotated[float, Meta(ge=0, le=1_000_000)] = 1.0
     advice: Any = None
 
 
 class _Service(msgspec.Struct, rename="camel"):
-    name: str
+    name: Text
     admission_check: bool = False
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: Natural = 16_384
+    max_body_bytes: Natural = 262_144
 
 
 class _Config(msgspec.Struct, rename="camel"):
-    version: int
+    version: Natural
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -152,10 +172,7 @@
 
 def decode_config(text: bytes) -> Configuration:
     """Decode a configuration; raises `Malformed`."""
-    try:
-        raw = msgspec.json.decode(text, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise Malformed(str(exc)) from exc
+    raw = decode_json(text, _Config)
     return Configuration(
         raw.version,
         tuple(
@@ -183,19 +200,19 @@
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class _RunnerEntry(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
+    service: Text
+    address: Address
+    zone: Name
     state: str
     capacity: _Capacity
-    labels: tuple[str, ...] = ()
-    born: int = 0
+    labels: Labels = ()
+    born: Natural = 0
 
 
 # Whether a runner in this state is draining; in any other state it is not used.
@@ -204,14 +221,11 @@
 
 def decode_runner(id_: str, text: bytes) -> RunnerInfo:
     """Decode a runner's entry in the store; raises `Malformed`."""
-    try:
-        raw = msgspec.json.decode(text, type=_RunnerEntry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise Malformed(str(exc)) from exc
+    raw = decode_json(text, _RunnerEntry)
     if raw.state not in _DRAINING:
-        raise Malformed(f"state {raw.state!r}")
+        raise Malformed(f"state {raw.state[:MAX_TEXT_CHARS]!r}")
     return RunnerInfo(
-        id_,
+        convert(id_, RunnerId),
         raw.service,
         raw.address,
         raw.zone,
@@ -228,7 +242,7 @@
 
 def _task_id(text: str) -> TaskId:
     job, _, step, index = text.split(".")
-    return TaskId(job, int(step), int(index))
+    return convert({"job": job, "step": int(step), "index": int(index)}, TaskId)
 
 
 def encode_start(request: StartRequest) -> bytes:
@@ -267,51 +281,60 @@
 class RunnerReply(msgspec.Struct, rename="camel"):
     """A runner's reply to a start or stop request."""
 
-    clock_ms: int | None = None
+    clock_ms: Natural | None = None
     reason: str = ""
-    born: int = 0
+    born: Natural = 0
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: Text
+    run: Natural
+    checkpoint: Any
+    percent: Annotated[float, Meta(ge=0, le=100)]
+    cpu: Annotated[float, Meta(ge=0, le=MAX_AMOUNT)] | None = None
+
+
+class _FinishedRow(msgspec.Struct, array_like=True):
+    number: Natural
+    task: Text
+    run: Natural
+    how: str
+    checkpoint: Any = None
 
 
 class _PollReply(msgspec.Struct, rename="camel"):
-    clock_ms: int
-    born: int = 0
-    running: tuple[tuple[Any, ...], ...] = ()
-    finished: tuple[tuple[Any, ...], ...] = ()
+    clock_ms: Natural
+    born: Natural = 0
+    running: tuple[_RunningRow, ...] = ()
+    finished: tuple[_FinishedRow, ...] = ()
 
 
 def decode_reply(body: bytes) -> RunnerReply:
     """Decode a runner's reply to a start or stop request; raises `Malformed`."""
-    try:
-        return msgspec.json.decode(body or b"{}", type=RunnerReply)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise Malformed(str(exc)) from exc
+    return decode_json(body or b"{}", RunnerReply)
 
 
 def decode_poll_reply(body: bytes) -> RunnerView:
     """Decode a runner's reply to a poll; raises `Malformed`."""
+    raw = decode_json(body, _PollReply)
     try:
-        raw = msgspec.json.decode(body, type=_PollReply)
         running = tuple(
-            # Task, run number, checkpoint, progress in percent, processors in use.
-            RunRow(_task_id(row[0]), row[1], row[3], row[4] if len(row) > 4 else None)
-            for row in raw.running
+            RunRow(_task_id(r.task), r.run, int(r.percent), _whole(r.cpu))
+            for r in raw.running
         )
         ends = tuple(
-            # Sequence number of the end, task, run number, how it ended, checkpoint.
-            RunEnd(row[0], _task_id(row[1]), row[2], _END_KINDS[row[3]])
-            for row in raw.finished
+            RunEnd(r.number, _task_id(r.task), r.run, _END_KINDS[r.how])
+            for r in raw.finished
         )
-    except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
-        KeyError,
-        IndexError,
-        ValueError,
-    ) as exc:
+    except (KeyError, ValueError) as exc:
         raise Malformed(f"poll: {exc}") from exc
     return RunnerView(raw.clock_ms, raw.born, running, ends)
 
 
+def _whole(value: float | None) -> int | None:
+    return None if value is None else int(value)
+
+
 # The store.
 
 
@@ -321,8 +344,9 @@
 
 
 class _NewestPage(msgspec.Struct, rename="camel"):
-    items: tuple[_Item, ...]
-    end: int
+    # Decoded one by one: a malformed item must not hide the others.
+    items: tuple[msgspec.Raw, ...]
+    end: Natural
     # Whether another page follows.
     has_more: bool = False
 
@@ -331,13 +355,21 @@
     """Decode a page of a topic's newest values; raises `Malformed`.
 
     Returns pairs of key and value, the end offset, and whether another page follows.
+    Malformed items are left out.
     """
-    try:
-        raw = msgspec.json.decode(body, type=_NewestPage)
-        pairs = [(item.key, base64.b64decode(item.value)) for item in raw.items]
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
-        raise Malformed(f"newest: {exc}") from exc
-    return pairs, raw.end, raw.has_more
+    raw = decode_json(body, _NewestPage)
+    return list(_newest_pairs(raw.items)), raw.end, raw.has_more
+
+
+def _newest_pairs(items: tuple[msgspec.Raw, ...]) -> Iterator[tuple[str, bytes]]:
+    for raw_item in items:
+        try:
+            item = decode_json(bytes(raw_item), _Item)
+            value = base64.b64decode(item.value)
+        except ValueError as exc:
+            log.warning("malformed item skipped", extra={"error": str(exc)})
+            continue
+        yield item.key, value
 
 
 def decode_records(body: bytes) -> tuple[int, list[bytes]]:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -11,18 +11,44 @@
 import zlib
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from monsoongap.errors import AnswerKind
+from monsoongap.protocol.decoding import (
+    Address,
+    Balance,
+    DurationS,
+    Ip,
+    JobId,
+    Labels,
+    Malformed,
+    Name,
+    Natural,
+    Port,
+    RunnerId,
+    Text,
+)
+
+# Limits the cost of one job; a job of the design size has up to 280 tasks.
+MAX_TASKS = 4096
+# Many times the number that the design size needs.
+MAX_SHARES = 100_000
+
+TaskCount = Annotated[int, Meta(ge=0, le=MAX_TASKS)]
+ShareIndex = Annotated[int, Meta(ge=0, le=MAX_SHARES)]
+# An entry host or a seed, whose name is not known yet; empty for none.
+Sender = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._:-]{0,63}\Z")]
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Processors in thousandths of a core, memory in MiB, accelerators."""
 
-    cpu_milli: int
-    mem_mb: int
-    accelerators: int = 0
+    cpu_milli: Balance
+    mem_mb: Balance
+    accelerators: Balance = 0
 
     def can_fit(self, other: "Resources") -> bool:
         """Return whether `other` fits into these resources."""
@@ -60,14 +86,14 @@
     its process started, which distinguishes two incarnations under one id.
     """
 
-    id: str
-    upstream: str
-    address: str
-    dc: str
+    id: RunnerId
+    upstream: Text
+    address: Address
+    dc: Name
     draining: bool
     room: Resources
-    labels: tuple[str, ...] = ()
-    born_ms: int = 0
+    labels: Labels = ()
+    born_ms: Natural = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,17 +148,15 @@
     limit.
     """
 
-    count: int
+    count: TaskCount
     size: Resources
-    estimate_s: float
-    after: tuple[int, ...] = ()
-    near_rack: str = ""
-    label: str = ""
-    most_per_runner: int = 0
+    estimate_s: DurationS
+    after: tuple[TaskCount, ...] = ()
+    near_rack: Text = ""
+    label: Text = ""
+    most_per_runner: Natural = 0
 
 
-# Limits the cost of one job; a job of the design size has up to 280 tasks.
-MAX_TASKS = 4096
 JOB_ID_DIGITS = 16
 
 
@@ -145,8 +169,8 @@
 class Job:
     """A submitted job. `queue` is the name of its `QueueRule`."""
 
-    id: str
-    queue: str
+    id: JobId
+    queue: Text
     payload: str
     steps: tuple[Step, ...]
 
@@ -155,9 +179,9 @@
 class TaskId:
     """Identifies a task by its job's id, its step's index and its index in the step."""
 
-    job: str
-    step: int
-    index: int
+    job: JobId
+    step: TaskCount
+    index: TaskCount
 
 
 class EndKind(StrEnum):
@@ -250,19 +274,19 @@
     in cores of usual speed.
     """
 
-    name: str
-    dc: str
-    ip: str
-    port: int
-    boot_ms: int
-    cores: float = 1.0
+    name: Name
+    dc: Name
+    ip: Ip
+    port: Port
+    boot_ms: Natural
+    cores: Annotated[float, Meta(ge=0, le=1_048_576)] = 1.0
 
 
 class ShareId(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Identifies a share of a data centre's runners, and of the jobs that it gets."""
 
-    dc: str
-    index: int = 0
+    dc: Name
+    index: ShareIndex = 0
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
@@ -272,8 +296,8 @@
     """
 
     share: ShareId
-    share_count: int
-    fence: int
+    share_count: Annotated[int, Meta(ge=1, le=MAX_SHARES)]
+    fence: Natural
 
     def covers(self, dc: str, name: str) -> bool:
         """Return whether a runner or a job of a data centre belongs to the share."""
@@ -295,16 +319,16 @@
     `monsoongap.coordination.coverage`.
     """
 
-    digest: int
-    in_doubt_ms: int
+    digest: Natural
+    in_doubt_ms: Natural
 
 
 class FreeCapacity(msgspec.Struct, frozen=True, array_like=True):
     """Free resources of one runner, as its owner counts them."""
 
-    upstream: str
+    upstream: Text
     resources: Resources
-    labels: tuple[str, ...] = ()
+    labels: Labels = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -319,14 +343,14 @@
     """
 
     card: HostCard
-    serial: int
+    serial: Natural
     leaving: bool
-    config_version: int
+    config_version: Natural
     claims: tuple[Claim, ...] = ()
-    live_hosts: tuple[str, ...] = ()
+    live_hosts: tuple[Text, ...] = ()
     free: tuple[FreeCapacity, ...] = ()
-    queued: int = 0
-    recent_jobs: tuple[int, ...] = ()
+    queued: Natural = 0
+    recent_jobs: tuple[Annotated[int, Meta(ge=0)], ...] = ()
     known_hosts: tuple[HostCard, ...] = ()
     runner_digests: tuple[RunnerDigest, ...] = ()
 
@@ -358,15 +382,15 @@
     """
 
     job: Job
-    origin: str
-    version: int
+    origin: Sender
+    version: Natural
     share: ShareId
     done: tuple[TaskId, ...] = ()
-    runs: tuple[tuple[TaskId, int], ...] = ()
+    runs: tuple[tuple[TaskId, Natural], ...] = ()
     again: bool = False
     here: bool = False
-    wait_s: float = 0.0
-    number: int = 0
+    wait_s: DurationS = 0.0
+    number: Natural = 0
 
     @property
     def is_handover(self) -> bool:
@@ -378,7 +402,7 @@
 class CancelCall:
     """Cancels a job whose caller has left."""
 
-    job: str
+    job: JobId
 
 
 @dataclass(frozen=True, slots=True)
@@ -390,17 +414,17 @@
     """
 
     task: TaskId
-    run: int
+    run: Natural
     payload: str
     size: Resources
-    queue: str
-    version: int
-    home: str
+    queue: Text
+    version: Natural
+    home: Sender
     claim: Claim
-    estimate_s: float = 0.0
-    label: str = ""
-    rack: str = ""
-    most_per_runner: int = 0
+    estimate_s: DurationS = 0.0
+    label: Text = ""
+    rack: Text = ""
+    most_per_runner: Natural = 0
 
 
 class LendResult(StrEnum):
@@ -422,7 +446,7 @@
     """Outcome of a lent task; `run` is the number of the run that ended."""
 
     result: LendResult
-    run: int
+    run: Natural
 
 
 @dataclass(frozen=True, slots=True)
@@ -434,11 +458,11 @@
     task, whose `LendCall` may still be on its way.
     """
 
-    job: str
+    job: JobId
     share: ShareId
     claim: Claim
     task: TaskId | None = None
-    run: int = 0
+    run: Natural = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -467,21 +491,21 @@
     version sends the text only.
     """
 
-    version: int
+    version: Natural
     text: bytes
     packed: bytes = b""
 
     def unpack(self) -> bytes:
-        """Return the text; raises `ValueError` if it is malformed or too long."""
+        """Return the text; raises `Malformed` if it is malformed or too long."""
         if not self.packed:
             return self.text
         unpacker = zlib.decompressobj()
         try:
             text = unpacker.decompress(self.packed, MAX_CONFIG_BYTES)
         except zlib.error as exc:
-            raise ValueError(f"packed configuration: {exc}") from exc
+            raise Malformed(f"packed configuration: {exc}") from exc
         if not unpacker.eof:
-            raise ValueError("packed configuration: truncated or too long")
+            raise Malformed("packed configuration: truncated or too long")
         return text
 
 
@@ -494,5 +518,5 @@
 class RunnersReply:
     """The callee's list of runners and how long ago it was read from the store."""
 
-    age_s: float
+    age_s: Annotated[float, Meta(ge=0)]
     runners: tuple[RunnerInfo, ...] = field(default=())
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import Configuration, QueueRule, RunnerInfo
 from monsoongap.timers import MS_PER_S
 
@@ -69,7 +70,7 @@
         """Apply a configuration if it is valid and newer; return whether it was."""
         try:
             config = self.decode(text)
-        except ValueError as exc:
+        except Malformed as exc:
             self.config_counts.invalid += 1
             log.error(
                 "configuration invalid; keeping the last valid one",
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -17,6 +17,7 @@
 
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol import messages
+from monsoongap.protocol.decoding import Malformed, decode_msgpack
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import (
     ExchangeLost,
@@ -38,7 +39,7 @@
     messages.ConfigCall,
     messages.RunnersCall,
 )
-_DECODERS = {f"/{kind.__name__}": msgspec.msgpack.Decoder(kind) for kind in CALL_TYPES}
+_CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
 MAX_BODY_BYTES = 16_000_000
 
 
@@ -70,23 +71,23 @@
         self._background.spawn(self._reply(conn, path, body), "call")
 
     async def _reply(self, conn: "_CallConnection", path: str, body: bytes) -> None:
-        decoder = _DECODERS.get(path)
-        if decoder is None:
+        kind = _CALL_TYPES_BY_PATH.get(path)
+        if kind is None:
             conn.reply(HTTPStatus.NOT_FOUND, b"no such call")
             return
         try:
-            call = decoder.decode(body)
-        except msgspec.MsgspecError as exc:
+            call = decode_msgpack(body, kind)
+        except Malformed as exc:
             log.warning("malformed call; replying 400", extra={"error": str(exc)})
             conn.reply(HTTPStatus.BAD_REQUEST, str(exc).encode())
             return
         try:
-            reply = await self._answer(call)
+            reply = msgspec.msgpack.encode(await self._answer(call))
         except Exception:
             log.exception("call failed; replying 500", extra={"call": path})
             conn.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b"")
             return
-        conn.reply(HTTPStatus.OK, msgspec.msgpack.encode(reply))
+        conn.reply(HTTPStatus.OK, reply)
 
 
 class _CallConnection(asyncio.Protocol):
@@ -167,8 +168,8 @@
         if reply.status != HTTPStatus.OK:
             raise PeerCallFailed(f"{address}: status {reply.status}")
         try:
-            return msgspec.msgpack.decode(reply.body, type=reply_type)
-        except msgspec.MsgspecError as exc:
+            return decode_msgpack(reply.body, reply_type)
+        except Malformed as exc:
             raise PeerCallFailed(f"{address}: {exc}") from exc
 
 
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -18,12 +18,20 @@
 from monsoongap.coordination.host import Host
 from monsoongap.errors import ANSWER_RULES, AnswerKind
 from monsoongap.metrics import Metrics
+from monsoongap.protocol.decoding import (
+    Amount,
+    DurationMs,
+    Malformed,
+    Text,
+    decode_json,
+)
 from monsoongap.protocol.messages import (
     MAX_TASKS,
     Job,
     JobReply,
     Resources,
     Step,
+    TaskCount,
     is_job_id,
 )
 from monsoongap.transport.http_server import listen, send_reply
@@ -34,8 +42,7 @@
 JOBS_PATH = "/v1/jobs/"
 STATUS_PATH = "/v1/status"
 METRICS_PATH = "/metrics"
-
-Amount = Annotated[int, Meta(ge=0)]
+NO_JOB_ID = "the job's id is not 16 hexadecimal digits"
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +53,10 @@
     cpu_milli: Amount = 0
     mem_mb: Amount = 0
     accelerators: Amount = 0
-    estimate_ms: Annotated[float, Meta(ge=0)] = 0.0
-    after: tuple[int, ...] = ()
-    near_rack: str = ""
-    label: str = ""
+    estimate_ms: DurationMs = 0.0
+    after: tuple[TaskCount, ...] = ()
+    near_rack: Text = ""
+    label: Text = ""
     most_per_runner: Amount = 0
 
 
@@ -57,7 +64,7 @@
 class JobBody:
     """A job to submit: its queue, the payload of its tasks, and its steps."""
 
-    queue: str
+    queue: Text
     payload: str
     steps: tuple[StepBody, ...]
 
@@ -108,31 +115,36 @@
             case ("PUT", path) if path.startswith(JOBS_PATH):
                 self._background.spawn(self._submit(req), "operator's job")
             case ("DELETE", path) if path.startswith(JOBS_PATH):
-                job_id = path.removeprefix(JOBS_PATH)
-                self._host.cancel(job_id)
-                _send_json(req, HTTPStatus.OK, CancelAnswer(job_id))
+                self._cancel(req, path.removeprefix(JOBS_PATH))
             case _:
                 _send_answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
 
+    def _cancel(self, req: HTTPServerRequest, job_id: str) -> None:
+        if not is_job_id(job_id):
+            _send_answer(req, JobReply(AnswerKind.MALFORMED, NO_JOB_ID))
+            return
+        self._host.cancel(job_id)
+        _send_json(req, HTTPStatus.OK, CancelAnswer(job_id))
+
     async def _submit(self, req: HTTPServerRequest) -> None:
         try:
             job = decode_job(req.body, req.path.removeprefix(JOBS_PATH))
-        except ValueError as exc:
+        except Malformed as exc:
             _send_answer(req, JobReply(AnswerKind.MALFORMED, str(exc)))
             return
         _send_answer(req, await self._host.submit(job))
 
 
 def decode_job(body: bytes, job_id: str) -> Job:
-    """Decode a job in the product's own format; raises `ValueError`."""
+    """Decode a job in the product's own format; raises `Malformed`."""
     if not is_job_id(job_id):
-        raise ValueError("the job's id is not 16 hexadecimal digits")
-    job_body = msgspec.json.decode(body, type=JobBody)
+        raise Malformed(NO_JOB_ID)
+    job_body = decode_json(body, JobBody)
     if not 0 < sum(step.count for step in job_body.steps) <= MAX_TASKS:
-        raise ValueError(f"a job has 1 to {MAX_TASKS} tasks")
+        raise Malformed(f"a job has 1 to {MAX_TASKS} tasks")
     for number, step in enumerate(job_body.steps):
         if any(not 0 <= dependency < number for dependency in step.after):
-            raise ValueError(
+            raise Malformed(
                 f"step {number} depends on a step that is not an earlier one"
             )
     return Job(
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -15,6 +15,12 @@
 from monsoongap.protocol.messages import Claim, Heartbeat, HostCard, ShareId
 from monsoongap.timers import TimerService
 
+
+def ip_of(name: str) -> str:
+    """Return the IP address of a host whose name is like `a-h1`."""
+    return f"10.{ord(name[0])}.0.{int(name[3:]) + 1}"
+
+
 OWN = HostCard("a-h0", "a", "10.0.0.1", 1, 5)
 
 
@@ -62,7 +68,7 @@
     ) -> None:
         dc = name[0]
         claims = (Claim(ShareId(dc), 1, 7),) if owns else ()
-        card = HostCard(name, dc, f"ip-{name}", 1, boot_ms)
+        card = HostCard(name, dc, ip_of(name), 1, boot_ms)
         heartbeat = Heartbeat(card, serial, False, 3, claims)
         self.members.receive(msgspec.msgpack.encode(heartbeat))
 
@@ -100,7 +106,7 @@
         harness.receive_heartbeat(name, 1)
     harness.datagrams.sent.clear()
     harness.members.send_heartbeat_to(harness.peer("b-h0"))
-    assert harness.datagrams.sent == ["ip-b-h0"]
+    assert harness.datagrams.sent == [ip_of("b-h0")]
 
 
 def test_outdated_and_malformed_heartbeats_are_ignored() -> None:
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -126,6 +126,7 @@
     _tasks: dict[str, dict[asyncio.Task[Any], None]] = field(default_factory=dict)
     _rng: random.Random = field(default_factory=random.Random)
     _cards: dict[str, HostCard] = field(default_factory=dict)
+    _names_by_ip: dict[str, str] = field(default_factory=dict)
     _boots: int = 0
     _thawed: dict[str, asyncio.Event] = field(default_factory=dict)
     _link_free_at: dict[str, float] = field(default_factory=dict)
@@ -136,10 +137,11 @@
         for dc in self.dcs:
             for i in range(self.runners_per_dc):
                 self.join_runner(dc, f"{dc}-r{i}")
-        for dc, count in self.dcs.items():
+        for dc_index, (dc, count) in enumerate(self.dcs.items()):
             for i in range(count):
-                name = f"{dc}-h{i}"
-                self._cards[name] = HostCard(name, dc, name, 1, 0, self.cores)
+                name, ip = f"{dc}-h{i}", f"10.{dc_index}.0.{i + 1}"
+                self._names_by_ip[ip] = name
+                self._cards[name] = HostCard(name, dc, ip, 1, 0, self.cores)
         for name in self._cards:
             self.start_host(name)
         await asyncio.sleep(1.5)
@@ -200,6 +202,10 @@
         for task in self._tasks.pop(name, {}):
             task.cancel()
 
+    def name_at(self, ip: str) -> str:
+        """Return the name of the host with an address; the address if it has none."""
+        return self._names_by_ip.get(ip, ip)
+
     def owner(self, dc: str) -> str:
         """Return the name of the host that owns a data centre."""
         return next(n for n, h in self.hosts.items() if h.owns(dc))
@@ -422,7 +428,7 @@
         timeout_s: float,
         fresh: bool = False,
     ) -> Any:
-        target = address.rpartition(":")[0]
+        target = self.world.name_at(address.rpartition(":")[0])
         try:
             async with asyncio.timeout(timeout_s):
                 reply = await self.world.deliver_call(self.name, target, request, fresh)
@@ -438,7 +444,7 @@
     name: str
 
     def send(self, address: tuple[str, int], payload: bytes) -> None:
-        self.world.deliver_beat(self.name, address[0], payload)
+        self.world.deliver_beat(self.name, self.world.name_at(address[0]), payload)
 
 
 def _names(place: str) -> tuple[str, str]:
