A host's own heartbeat outranks a card from elsewhere

What operators saw: one entry of another writer among the host cards, under the name of a living host and with a later start, cut that host off: its heartbeats counted as those of an earlier incarnation for as long as the entry stood.

A card no longer replaces a live host, and the order of starts is judged among heartbeats only.

--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -88,12 +88,17 @@
         self.timers.every(HEARTBEAT_S, self._tick, "beat")
 
     def add_hosts(self, cards: tuple[HostCard, ...]) -> None:
-        """Add hosts listed by the settings, the store or a peer."""
+        """Add hosts listed by the settings, the store or a peer.
+
+        A host's own heartbeat outranks a card from elsewhere, which may be wrong.
+        """
+        now = self.timers.now()
         for card in cards:
             peer = self._peers.get(card.name)
             if card.name == self.card.name:
                 continue
-            if peer is None or peer.card.boot_ms < card.boot_ms:
+            is_newer = peer is not None and peer.card.boot_ms < card.boot_ms
+            if peer is None or (is_newer and not self._is_live(peer, now)):
                 self._peers[card.name] = Peer(card)
 
     def all(self) -> Iterator[Peer]:
@@ -163,13 +168,15 @@
             return
         now = self.timers.now()
         peer = self._peers.get(heartbeat.card.name)
-        is_new = peer is None or peer.card.boot_ms < heartbeat.card.boot_ms
-        if peer is not None and peer.card.boot_ms > heartbeat.card.boot_ms:
-            return
-        if peer is None or is_new:
+        if peer is not None and peer.heartbeat is not None:
+            known, received = peer.heartbeat, heartbeat
+            if (received.card.boot_ms, received.serial) <= (
+                known.card.boot_ms,
+                known.serial,
+            ):
+                return
+        if peer is None or peer.card != heartbeat.card:
             peer = self._peers[heartbeat.card.name] = Peer(heartbeat.card)
-        elif peer.heartbeat is not None and heartbeat.serial <= peer.heartbeat.serial:
-            return
         was_live = self._is_live(peer, now)
         if not was_live:
             log.info(
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -136,3 +136,26 @@
     harness.members.mark_down("a-h1")
     logged = [extra_fields(rec) for rec in caplog.records]
     assert logged == [{"peer": "a-h1", "dc": "a"}, {"owner": "a-h1"}]
+
+
+# Issue 22: a card of another writer under a host's name, with a later start, replaced
+# the host: its heartbeats were taken for those of an earlier incarnation.
+def test_a_card_from_elsewhere_does_not_replace_a_host_that_sends_heartbeats() -> None:
+    harness = Harness()
+    wrong = HostCard("a-h1", "a", "10.9.9.9", 1, 9_000_000_000_000_000)
+    harness.receive_heartbeat("a-h1", 1)
+    harness.members.add_hosts((wrong,))
+    assert harness.peer("a-h1").card.ip == ip_of("a-h1")
+    other = Harness()
+    other.members.add_hosts((wrong,))
+    other.receive_heartbeat("a-h1", 1)
+    assert other.members.is_live("a-h1")
+    assert other.peer("a-h1").card.ip == ip_of("a-h1")
+
+
+def test_a_card_replaces_a_host_that_is_no_longer_live() -> None:
+    harness = Harness()
+    harness.receive_heartbeat("a-h1", 1)
+    harness.clock.at += 10.0
+    harness.members.add_hosts((HostCard("a-h1", "a", "10.9.9.9", 1, 2),))
+    assert harness.peer("a-h1").card.ip == "10.9.9.9"
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -61,6 +61,16 @@
     # Well-formed, but nobody listens there.
     "i-nobody": runner(capacity={"cpu": 900_000_000, "memMb": 900_000_000}),
 }
+ODD_CARDS = {
+    "nested": b'["nested","a","127.0.0.1",1,1,' + NESTED,
+    "large": b'["large","a","127.0.0.1",1,1%s,1.0]' % (b"0" * 30),
+    "port": b'["port","a","127.0.0.1",99999,1,1.0]',
+    "cores": b'["cores","a","127.0.0.1",1,1,-1e300]',
+    "ip": b'["ip","a","no-such-host.invalid",1,1,1.0]',
+    # Another writer's card under the name of a living host, of a later incarnation.
+    "a1": b'["a1","a","127.0.0.9",1,9000000000000000,1.0]',
+    "other": b'["a0","a","127.0.0.9",1,9000000000000000,1.0]',
+}
 ODD_CONFIGS = (
     b'{"version":5,"routes":' + NESTED,
     b'{"version":5,"odd":' + NESTED,
@@ -158,6 +168,26 @@
     run_on_processes(41, tmp_path, test)
 
 
+# Issue 22: a host card with a port out of range ended each round of heartbeats, and one
+# under another host's name replaced that host.
+def test_odd_host_cards_cost_only_themselves(tmp_path: Path) -> None:
+    async def test(http: HttpClient, deployment: Deployment) -> None:
+        for key, value in ODD_CARDS.items():
+            await append(http, deployment, "keyed.hosts", key, value)
+        # Cards are read at the start of a host.
+        await restart(deployment, "a0")
+        await asyncio.sleep(2.0)
+        assert await statuses(http, deployment, 1) == {200}
+        # One host is known to the other: a single one owns the runners.
+        for name in deployment.procs.nodes:
+            address = deployment.procs.nodes[name].operators
+            status = await http.exchange(address, HttpRequest("GET", "/v1/status"), 5.0)
+            rows = msgspec.json.decode(status.body)["hosts"]
+            assert {row["host"] for row in rows if row["live"]} >= {"a0", "a1"}
+
+    run_on_processes(42, tmp_path, test)
+
+
 # Issue 22: a configuration that was nested deeply ended the task that follows it.
 @pytest.mark.parametrize("number", range(len(ODD_CONFIGS)))
 def test_an_odd_configuration_does_not_end_the_reading_of_later_ones(
