An error that nothing expects ends no reader of the store and no poll of a runner

What operators saw: a host that followed neither the configuration nor the list of runners any more, though its process lived. Cause: the task that read it ended with an error of a type that it does not handle, and nothing starts it again. The pause between attempts raised such an error itself, OverflowError, after 1,024 failures in a row, which is 14 minutes of an outage.

Evidence: the three tests of test_feeds that are new failed before.

Readers begin anew, polls go on, both with a line that names the error; the pause has a largest exponent.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -224,7 +224,13 @@
                     if self.table.all_acknowledged and not self.table.runs:
                         await self._wake.wait()
                         continue
-            await self._poll()
+            try:
+                await self._poll()
+            except Exception:
+                log.exception(
+                    "poll raised; polling again", extra={"runner": self.info.id}
+                )
+                await self.timers.sleep(RETRY_S)
 
     def _may_idle(self) -> bool:
         held = self.state is LinkState.HELD
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgspec
 
@@ -47,6 +47,7 @@
 # the list again finds a runner that was added recently.
 MISSING_RUNNERS_INTERVAL_S = 0.2
 INTERVAL_CHECK_S = 0.1
+RESTART_PAUSE_S = 1.0
 # Consecutive failures after which the list of runners is fetched from another host.
 FAILURES_BEFORE_PEER_FETCH = 2
 
@@ -73,14 +74,32 @@
 
     def start(self) -> None:
         """Start the tasks that read the store."""
-        self._background.spawn(self._follow_config(), "feed:configuration")
-        self._background.spawn(self._follow_runners(), "feed:runners")
-        self._background.spawn(self._exchange_host_cards(), "feed:hosts")
+        for topic, read in (
+            (OPERATOR_TOPIC, self._follow_config),
+            (RUNNERS_TOPIC, self._follow_runners),
+            (HOSTS_TOPIC, self._exchange_host_cards),
+        ):
+            self._background.spawn(self._keep_reading(topic, read), f"feed:{topic}")
 
     def close(self) -> None:
         """Cancel the tasks that read the store."""
         self._background.cancel_all()
 
+    async def _keep_reading(
+        self, topic: str, read: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Read a topic; begin anew after an error that no part expects."""
+        while True:
+            try:
+                await read()
+            except Exception:
+                log.exception(
+                    "reading the store raised; reading it anew", extra={"topic": topic}
+                )
+                await asyncio.sleep(RESTART_PAUSE_S)
+            else:
+                return
+
     async def _follow_config(self) -> None:
         topic = Topic(OPERATOR_TOPIC)
         failures = 0
--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -15,6 +15,8 @@
 
 # The store answers in a few milliseconds, under faults up to 100 times as slowly.
 REPLY_TIMEOUT_S = 1.0
+FIRST_PAUSE_S = 0.1
+MAX_DOUBLINGS = 3
 OK = 200
 GONE = 410
 
@@ -149,5 +151,5 @@
 
 
 async def pause(failures: int) -> None:
-    """Wait before the next attempt, longer after each failure."""
-    await asyncio.sleep(min(0.1 * 2**failures, 0.8))
+    """Wait before the next attempt, longer after each of the first failures."""
+    await asyncio.sleep(FIRST_PAUSE_S * 2 ** min(failures, MAX_DOUBLINGS))
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -1,11 +1,14 @@
-"""Tests of the intervals at which the store is read."""
+"""Tests of the tasks that read the store: intervals, outages and errors."""
 
 import asyncio
 from typing import Any, cast
 
-from monsoongap.platform.feeds import RUNNERS_TOPIC, Feeds
-from monsoongap.platform.store import StoreClient, Topic
+import pytest
+
+from monsoongap.platform.feeds import OPERATOR_TOPIC, RUNNERS_TOPIC, Feeds
+from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
 from monsoongap.settings import BoundsSection
+from tests import clock
 from tests.coordination.test_host import run_virtual
 from tests.host_world import World
 
@@ -54,3 +57,54 @@
         feeds.close()
 
     run_virtual(main())
+
+
+class FailingStore(RecordingStore):
+    """A store whose configuration is read with errors of one type, `count` times."""
+
+    def __init__(self, error: Exception, count: int) -> None:
+        super().__init__()
+        self._error = error
+        self._count = count
+        self.config_reads = 0
+
+    async def advance(self, topic: Topic, wait_s: float) -> bool:
+        """Fail, or wait without a change."""
+        if topic.name == OPERATOR_TOPIC:
+            self.config_reads += 1
+            if self.config_reads <= self._count:
+                raise self._error
+        return await super().advance(topic, max(wait_s, 0.01))
+
+
+# Issue 22: an error that nothing expects ended the task that follows the configuration.
+# The pause between attempts overflowed after 1,024 failures, 14 minutes of an outage.
+@pytest.mark.parametrize(
+    ("error", "count"),
+    [(RecursionError("odd"), 3), (StoreUnavailable("down"), 1100)],
+)
+def test_the_configuration_is_followed_after_any_error(
+    error: Exception, count: int
+) -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        host, store = world.hosts["a-h0"], FailingStore(error, count)
+        feeds = Feeds(
+            BoundsSection(), host, cast(StoreClient, cast(object, store)), host.timers
+        )
+        feeds.start()
+        await asyncio.sleep(count + 10.0)
+        assert store.config_reads > count + 1
+        feeds.close()
+
+    clock.run_virtual(main())
+
+
+def test_the_pause_after_failures_is_bounded() -> None:
+    async def main() -> None:
+        started_at = asyncio.get_running_loop().time()
+        await pause(5000)
+        assert asyncio.get_running_loop().time() - started_at < 1.0
+
+    run_virtual(main())
