A runner that never answered is no capacity

What callers saw: jobs accepted that could not be served in time. Cause: an entry whose address nobody answers stayed new for as long as it stood, and a new runner counts as capacity when the backlog is judged; one odd entry with a large capacity makes any backlog look small.

Evidence: test_a_runner_that_never_answered_is_no_capacity failed before.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -123,8 +123,12 @@
 
     @property
     def serves(self) -> bool:
-        """Return whether the runner counts as capacity for the backlog."""
-        return self.state in (LinkState.NEW, LinkState.HELD) and not self.info.draining
+        """Return whether the runner counts as capacity for the backlog.
+
+        A new one does until a lease has passed without an answer.
+        """
+        starting = self.state is LinkState.NEW and not self.is_reconciled
+        return (starting or self.state is LinkState.HELD) and not self.info.draining
 
     @property
     def is_reconciled(self) -> bool:
--- a/tests/coordination/test_link.py
+++ b/tests/coordination/test_link.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from monsoongap.coordination.link import Link, LinkState
-from monsoongap.coordination.ports import NoAnswer
+from monsoongap.coordination.ports import NoAnswer, RunnerPort
 from monsoongap.coordination.work import Run, RunOutcome
 from monsoongap.protocol.messages import (
     NotStarted,
@@ -54,23 +54,28 @@
         """Do nothing."""
 
 
+def open_link(runner: RunnerPort) -> Link:
+    link = Link(
+        BoundsSection(),
+        INFO,
+        ShareId("a", 0),
+        1,
+        runner,
+        TimerService(),
+        on_fenced=lambda link: None,
+        on_capacity_change=lambda: None,
+        checks_capacity=lambda upstream: True,
+    )
+    link.open()
+    return link
+
+
 # Guards against ending a run before its start request is sent: the owner resumes after
 # a pause longer than a lease, places the run, and then an earlier poll fails.
 def test_a_run_placed_while_an_earlier_poll_fails_is_not_lost() -> None:
     async def main() -> None:
-        timers, runner = TimerService(), UnresponsiveRunner()
-        link = Link(
-            BoundsSection(),
-            INFO,
-            ShareId("a", 0),
-            1,
-            runner,
-            timers,
-            on_fenced=lambda link: None,
-            on_capacity_change=lambda: None,
-            checks_capacity=lambda upstream: True,
-        )
-        link.open()
+        runner = UnresponsiveRunner()
+        link = open_link(runner)
         await asyncio.sleep(0.01)
         assert link.state is LinkState.HELD
         ends: list[tuple[int, RunOutcome]] = []
@@ -90,3 +95,48 @@
         link.close()
 
     run_virtual(main())
+
+
+class OddRunner(UnresponsiveRunner):
+    """Raises an unexpected error for the first poll, then replies."""
+
+    async def poll(self, *_: object) -> RunnerView:
+        """Raise once, then reply."""
+        self.polls += 1
+        if self.polls == 1:
+            raise OverflowError("odd")
+        return RunnerView(1000, 1, (), ())
+
+
+# Issue 22: a runner was never polled again after a reply that raised an error of a type
+# that nothing expects.
+def test_a_runner_is_polled_again_after_an_unexpected_error() -> None:
+    async def main() -> None:
+        link = open_link(OddRunner())
+        await asyncio.sleep(1.0)
+        assert link.state is LinkState.HELD
+        link.close()
+
+    run_virtual(main())
+
+
+class SilentRunner(UnresponsiveRunner):
+    """Replies to nothing."""
+
+    async def poll(self, *_: object) -> RunnerView:
+        """Fail without a reply."""
+        raise NoAnswer("never")
+
+
+# Issue 22: an entry with a large capacity, at whose address nobody answers, counted as
+# capacity for as long as it stood: jobs were accepted that could not be served.
+def test_a_runner_that_never_answered_is_no_capacity() -> None:
+    async def main() -> None:
+        link = open_link(SilentRunner())
+        await asyncio.sleep(0.1)
+        assert link.serves
+        await asyncio.sleep(3.0)
+        assert not link.serves
+        link.close()
+
+    run_virtual(main())
