Read only the newest configuration when behind, with time for its transfer

A reply that took longer than a second was dropped and read again from its beginning.

The reader of the configuration now leaves out what it has missed, and a reply from the store that has begun may take 2 s more. A limit on packed texts holds 8 MB, as 2,500 queues take 0.5 MB. The stand-in's store bounds a reply as the platform does.

--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -101,7 +101,7 @@
                 return
 
     async def _follow_config(self) -> None:
-        topic = Topic(OPERATOR_TOPIC)
+        topic = Topic(OPERATOR_TOPIC, skips_backlog=True)
         failures = 0
         while True:
             # A store that failed may still be silent: a reply without changes is quick.
--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -15,6 +15,8 @@
 
 # The store answers in a few milliseconds, under faults up to 100 times as slowly.
 REPLY_TIMEOUT_S = 1.0
+# A reply that has begun may wait for the host's link and for the store's read capacity.
+TRANSFER_S = 2.0
 FIRST_PAUSE_S = 0.1
 MAX_DOUBLINGS = 3
 OK = 200
@@ -27,9 +29,14 @@
 
 @dataclass(slots=True)
 class Topic:
-    """A keyed topic as read so far: the newest value by key."""
+    """A keyed topic as read so far: the newest value by key.
+
+    With `skips_backlog`, a reader that is behind reads the newest values instead of
+    every record since its position.
+    """
 
     name: str
+    skips_backlog: bool = False
     values: dict[str, bytes] = field(default_factory=dict)
     position: int | None = None
 
@@ -76,7 +83,7 @@
         if status != OK:
             raise StoreUnavailable(f"status {status}")
         try:
-            _, contents = wire.decode_records(body)
+            end, contents = wire.decode_records(body)
         except Malformed as exc:
             raise StoreUnavailable(str(exc)) from exc
         topic.position += len(contents)
@@ -91,6 +98,8 @@
                 )
                 continue
             _apply(topic.values, key, value)
+        if topic.skips_backlog and topic.position < end:
+            await self._read_newest(topic)
         return bool(contents)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
@@ -133,7 +142,11 @@
         req = HttpRequest(method, path, body)
         try:
             reply = await self._http.exchange(
-                self._address, req, timeout_s, fresh=self._fresh
+                self._address,
+                req,
+                timeout_s,
+                fresh=self._fresh,
+                transfer_s=TRANSFER_S,
             )
         except (NotConnected, ExchangeLost) as exc:
             self.counts.failures += 1
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -479,8 +479,8 @@
     accepts_packed: bool = False
 
 
-# A record of the store has up to 256 KiB.
-MAX_CONFIG_BYTES = 1_048_576
+# 2,500 queues take 0.5 MB.
+MAX_CONFIG_BYTES = 8_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/standin/store.py
+++ b/monsoongap/standin/store.py
@@ -126,7 +126,11 @@
         if start < topic.first:
             return HTTPStatus.GONE, msgspec.json.encode({"first": topic.first})
         parts = [READ_HEAD.pack(topic.end, topic.first)]
+        room = 1024 * int(query.get("maxKb", "1024"))
         for key, value in topic.records[start - topic.first :]:
+            room -= len(value)
+            if room < 0 and len(parts) > 1:
+                break
             name = key.encode()
             content = bytes([len(name)]) + name + value
             parts += [LENGTH.pack(len(content)), content]
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -43,13 +43,19 @@
         self._idle: dict[str, list[tuple[float, KeepAliveConnection]]] = {}
 
     async def exchange(
-        self, address: str, req: HttpRequest, timeout_s: float, fresh: bool = False
+        self,
+        address: str,
+        req: HttpRequest,
+        timeout_s: float,
+        fresh: bool = False,
+        transfer_s: float = 0.0,
     ) -> HttpReply:
         """Send a request and return the reply.
 
         Raises `NotConnected` if no connection could be opened, and `ExchangeLost` if
         the request may have been sent and no complete reply came. `timeout_s` starts
-        when the connection is open. `fresh` requires a new connection, for use after
+        when the connection is open; a reply that has begun may take `transfer_s` more.
+        `fresh` requires a new connection, for use after
         an exchange on a reused one got no reply.
         """
         conn = None if fresh else self._take_idle(address)
@@ -57,7 +63,7 @@
             conn = await self._open(address)
         self.counts.exchanges += 1
         try:
-            reply = await conn.exchange(req, timeout_s)
+            reply = await conn.exchange(req, timeout_s, transfer_s)
         except ExchangeLost:
             self.counts.exchanges_lost += 1
             # The other idle connections have probably failed too; do not let
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -82,6 +82,8 @@
         self._body_chunks: list[bytes] = []
         self._received_bytes = 0
         self._pending_reply: asyncio.Future[HttpReply] | None = None
+        self._limit: asyncio.Timeout | None = None
+        self._transfer_s = 0.0
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "KeepAliveConnection":
@@ -114,27 +116,34 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_DISCARD)
             self._transport.abort()
 
-    async def exchange(self, req: HttpRequest, timeout_s: float) -> HttpReply:
+    async def exchange(
+        self, req: HttpRequest, timeout_s: float, transfer_s: float = 0.0
+    ) -> HttpReply:
         """Send a request and return the complete reply; raises `ExchangeLost`.
 
-        An exchange that fails, times out or is cancelled closes the connection, so
-        that a late reply is never taken for the reply to a later request.
+        A reply that has begun within `timeout_s` may take `transfer_s` more. An
+        exchange that fails, times out or is cancelled closes the connection, so that a
+        late reply is never taken for the reply to a later request.
         """
         if self._transport is None or self.closed:
             raise ExchangeLost(f"{self._address}: connection closed")
         self._pending_reply = asyncio.get_running_loop().create_future()
         self._transport.write(req.encode(self._address))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                self._limit, self._transfer_s = limit, transfer_s
                 return await self._pending_reply
         except TimeoutError as exc:
             self.abort()
-            raise ExchangeLost(f"{self._address}: no reply in {timeout_s} s") from exc
+            what = "incomplete" if self._received_bytes else "no"
+            raise ExchangeLost(
+                f"{self._address}: {what} reply in {timeout_s} s"
+            ) from exc
         except BaseException:
             self.abort()
             raise
         finally:
-            self._pending_reply = None
+            self._pending_reply = self._limit = None
 
     # Callbacks of asyncio.
 
@@ -156,6 +165,8 @@
         if self._pending_reply is None:
             self.close()
             return
+        if not self._received_bytes:
+            self._extend_limit()
         self._received_bytes += len(data)
         if self._received_bytes > MAX_REPLY_BYTES:
             self._fail("reply too large")
@@ -165,6 +176,12 @@
         except httptools.HttpParserError as exc:
             self._fail(f"malformed reply: {exc}")
 
+    def _extend_limit(self) -> None:
+        """Give the rest of a reply that has begun its own time."""
+        deadline = self._limit.when() if self._limit is not None else None
+        if self._limit is not None and deadline is not None and self._transfer_s:
+            self._limit.reschedule(deadline + self._transfer_s)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that waits for a reply."""
         self._fail(str(exc) if exc else "connection closed")
--- a/tests/coordination/test_config_fetch.py
+++ b/tests/coordination/test_config_fetch.py
@@ -83,7 +83,7 @@
     run_virtual(main())
 
 
-@pytest.mark.parametrize("packed", [b"odd", b"x\x9c", zlib.compress(bytes(2**21))])
+@pytest.mark.parametrize("packed", [b"odd", b"x\x9c", zlib.compress(bytes(2**24))])
 def test_a_packed_configuration_that_is_malformed_is_rejected(packed: bytes) -> None:
     with pytest.raises(ValueError, match="packed configuration"):
         ConfigReply(2, b"", packed).unpack()
--- a/tests/platform/test_config_arrival.py
+++ b/tests/platform/test_config_arrival.py
@@ -98,3 +98,30 @@
         assert versions_behind(world) == {}
 
     run_virtual(main())
+
+
+# Issue 22: a host that was behind read every version since its own, two to a reply, and
+# dozens of hosts shared the store's read capacity for many seconds.
+def test_hosts_that_missed_large_configurations_read_only_the_newest() -> None:
+    async def main() -> None:
+        world, store = await open_site(3000.0)
+        store.read_bytes_per_s, store.link_bytes_per_s = 15e6, 25e6 / 8
+        store.turned_away.update(world.hosts)
+        for version in range(FIRST_VERSION + 1, FIRST_VERSION + 31):
+            large = replace(
+                world.config,
+                version=version,
+                queues=tuple(
+                    replace(world.config.queues[0], name=f"{version}-{i:06}")
+                    for i in range(2500)
+                ),
+            )
+            store.put_config(large)
+            await asyncio.sleep(0.25)
+        store.turned_away.clear()
+        await asyncio.sleep(3.0)
+        newest = FIRST_VERSION + 30
+        versions = {h.directory.version for h in world.hosts.values()}
+        assert versions == {newest}
+
+    run_virtual(main())
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -49,6 +49,10 @@
     silent: bool = False
     turned_away: set[str] = field(default_factory=set)
     connections: list[Connection] = field(default_factory=list)
+    # Of all reads together, and of the link of each host; None for no limit.
+    read_bytes_per_s: float | None = None
+    link_bytes_per_s: float | None = None
+    _reads_done_at: float = 0.0
 
     def silence_connections(self) -> None:
         """Make every open connection silent; new ones work."""
@@ -60,6 +64,16 @@
         topic = self.server.topic("keyed.op")
         topic.append("config", msgspec.json.encode(config))
 
+    async def transfer(self, size_bytes: int) -> None:
+        """Wait until a reply has been read and carried to its host."""
+        loop = asyncio.get_running_loop()
+        if self.read_bytes_per_s is not None:
+            begins_at = max(self._reads_done_at, loop.time())
+            self._reads_done_at = begins_at + size_bytes / self.read_bytes_per_s
+            await asyncio.sleep(self._reads_done_at - loop.time())
+        if self.link_bytes_per_s is not None:
+            await asyncio.sleep(size_bytes / self.link_bytes_per_s)
+
     def answers(self, host: str) -> bool:
         """Return whether the store answers a host."""
         return not self.silent and host not in self.turned_away
@@ -75,20 +89,31 @@
     _idle: list[Connection] = field(default_factory=list)
 
     async def exchange(
-        self, address: str, req: HttpRequest, timeout_s: float, fresh: bool = False
+        self,
+        address: str,
+        req: HttpRequest,
+        timeout_s: float,
+        fresh: bool = False,
+        transfer_s: float = 0.0,
     ) -> HttpReply:
         """Send a request; see `HttpClient.exchange`."""
         conn = self._idle.pop() if self._idle and not fresh else await self._open()
         await self.world.thawed(self.host)
-        task = asyncio.create_task(self._carry(conn, req))
+        began = asyncio.Event()
+        task = asyncio.create_task(self._carry(conn, req, began))
+        steps = round(timeout_s / CLOCK_STEP_S)
         try:
             # The steady clock of a suspended host does not advance.
-            for _ in range(round(timeout_s / CLOCK_STEP_S)):
+            while steps > 0:
+                steps -= 1
                 await asyncio.wait({task}, timeout=CLOCK_STEP_S)
                 await self.world.thawed(self.host)
                 if task.done():
                     self._idle.append(conn)
                     return task.result()
+                if began.is_set():
+                    began.clear()
+                    steps += round(transfer_s / CLOCK_STEP_S)
         finally:
             task.cancel()
         self._idle.clear()
@@ -106,12 +131,16 @@
         self.store.connections.append(conn)
         return conn
 
-    async def _carry(self, conn: Connection, req: HttpRequest) -> HttpReply:
+    async def _carry(
+        self, conn: Connection, req: HttpRequest, began: asyncio.Event
+    ) -> HttpReply:
         """Return the store's reply; never if it or the connection is silent."""
         unanswered = conn.silent or not self.store.answers(self.host)
         reply = await self._answer(req)
         if unanswered or conn.silent or not self.store.answers(self.host):
             await asyncio.Event().wait()
+        began.set()
+        await self.store.transfer(len(reply.body))
         return reply
 
     async def _answer(self, req: HttpRequest) -> HttpReply:
--- a/tests/transport/test_http_conn.py
+++ b/tests/transport/test_http_conn.py
@@ -14,6 +14,8 @@
     NotConnected,
     Refused,
 )
+from monsoongap.util.addresses import split_address
+from tests.platform.site import free_ports
 
 REQUEST = HttpRequest("POST", "/x", b"{}", (("X-One", "1"),))
 OK_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -110,6 +112,34 @@
     run_test(server, test)
 
 
+# Issue 22: a large configuration over a slow link never arrived within the time of a
+# reply, and was read again from its beginning.
+def test_a_reply_that_has_begun_gets_time_for_its_transfer() -> None:
+    async def main() -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            for part in (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", b"ab", b"cd"):
+                writer.write(part)
+                await asyncio.sleep(0.25)
+            writer.close()
+
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        ip, port = split_address(address)
+        server, http = await asyncio.start_server(answer, ip, port), HttpClient()
+        with pytest.raises(ExchangeLost, match="incomplete reply"):
+            await http.exchange(address, REQUEST, 0.3)
+        reply = await http.exchange(address, REQUEST, 0.3, transfer_s=2.0)
+        assert reply.body == b"abcd"
+        with pytest.raises(ExchangeLost, match="incomplete reply"):
+            await http.exchange(address, REQUEST, 0.3, fresh=True, transfer_s=0.1)
+        server.close()
+        http.close()
+
+    asyncio.run(main())
+
+
 def test_unsolicited_data_closes_the_connection() -> None:
     server = ScriptedServer(OK_REPLY + OK_REPLY, OK_REPLY)
 
