Fetch the list of runners from two hosts at once, on new connections

Evidence: test_a_list_of_runners_is_fetched_over_silent_connections_in_time failed before: 4.0 s with four silent hosts of five, bound 1.5 s.

--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -1,8 +1,11 @@
 """Calls between entry hosts: answers them and fetches data from other hosts."""
 
+import asyncio
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from monsoongap.coordination.members import Peer
 from monsoongap.coordination.ports import PeerCallFailed
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -12,6 +15,7 @@
     FindCall,
     JobReply,
     LendCall,
+    RunnerInfo,
     RunnersCall,
     RunnersReply,
     SubmitCall,
@@ -25,11 +29,25 @@
 FETCH_TIMEOUT_S = 1.0
 
 
+# Hosts that are asked for their list of runners at a time.
+RUNNERS_HOSTS_ASKED = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _RunnerList:
+    """A list of runners of another host, and when it was read from the store."""
+
+    peer: str
+    read_at: float
+    runners: tuple[RunnerInfo, ...]
+
+
 class HostCalls:
     """Both sides of those calls that involve several parts of a host."""
 
     def __init__(self, host: "Host") -> None:
         self._host = host
+        self._fetches_begun = 0
 
     async def answer(self, request: Any) -> Any:
         """Answer a call of another host; raises `TypeError` on an unknown type."""
@@ -71,22 +89,43 @@
         return await host.execute(call)
 
     async def fetch_runners(self) -> bool:
-        """Fetch a newer list of runners; return whether any other host had one."""
+        """Fetch a newer list of runners; return whether another host had one.
+
+        Asks a few hosts at once, on new connections, and others the next time: one
+        that does not reply delays the list by one call only.
+        """
         host = self._host
-        for peer in list(host.members.live()):
-            try:
-                reply: RunnersReply = await host.peers.call(
-                    peer.address, RunnersCall(), RunnersReply, FETCH_TIMEOUT_S
-                )
-            except PeerCallFailed as exc:
-                log.info(
-                    "runner list fetch failed; trying the next host",
-                    extra={"peer": peer.card.name, "reason": str(exc)},
-                )
-                continue
-            read_at = host.timers.now() - reply.age_s
-            if reply.runners and read_at > host.directory.runners_read_at:
-                source = f"host {peer.card.name}"
-                host.set_runners(reply.runners, read_at, source)
-                return True
-        return False
+        live = sorted(host.members.live(), key=lambda peer: peer.card.name)
+        self._fetches_begun += 1
+        first = self._fetches_begun * RUNNERS_HOSTS_ASKED
+        asked = [
+            live[(first + i) % len(live)]
+            for i in range(min(RUNNERS_HOSTS_ASKED, len(live)))
+        ]
+        lists = await asyncio.gather(*(self._runners_of(peer) for peer in asked))
+        newest = max(
+            (found for found in lists if found is not None),
+            key=lambda found: found.read_at,
+            default=None,
+        )
+        if newest is None or newest.read_at <= host.directory.runners_read_at:
+            return False
+        host.set_runners(newest.runners, newest.read_at, f"host {newest.peer}")
+        return True
+
+    async def _runners_of(self, peer: Peer) -> _RunnerList | None:
+        """Return a host's list of runners; None if it has none or does not reply."""
+        try:
+            reply: RunnersReply = await self._host.peers.call(
+                peer.address, RunnersCall(), RunnersReply, FETCH_TIMEOUT_S, fresh=True
+            )
+        except PeerCallFailed as exc:
+            log.info(
+                "runner list fetch failed; asking other hosts next",
+                extra={"peer": peer.card.name, "reason": str(exc)},
+            )
+            return None
+        if not reply.runners:
+            return None
+        read_at = self._host.timers.now() - reply.age_s
+        return _RunnerList(peer.card.name, read_at, reply.runners)
--- a/tests/coordination/test_runner_lists.py
+++ b/tests/coordination/test_runner_lists.py
@@ -201,3 +201,25 @@
         assert (await first).kind is AnswerKind.COMPLETED
 
     run_virtual(main())
+
+
+# Issue 22: a host without the store asked one host after the other for its list, and
+# waited 1 s for each whose connection had gone silent.
+def test_a_list_of_runners_is_fetched_over_silent_connections_in_time() -> None:
+    async def main() -> None:
+        world = World({"ibk": 6})
+        await world.start()
+        await asyncio.sleep(1.0)
+        without, *others = world.hosts
+        for other in others[:-1]:
+            world.silent_connections[without, other] = 8
+        await asyncio.sleep(1.0)
+        world.send_runner_list(world.hosts[others[-1]])
+        started_at = asyncio.get_running_loop().time()
+        host = world.hosts[without]
+        for _ in range(len(others)):
+            if await host.calls.fetch_runners():
+                break
+        assert asyncio.get_running_loop().time() - started_at < 1.5
+
+    run_virtual(main())
