Reject newest values that are older than what was read, and pause

Where the store drops its history, newest values that lag behind sent a reader back to a position that had expired too, without a pause between its calls, and a list of runners back in time. Bounded on paper and on a model only.

Evidence: test_a_reader_pauses_while_the_newest_values_lag_behind failed before: 1,266 calls in 5 s, bound 100.

--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -23,6 +23,10 @@
 GONE = 410
 
 
+# Position of a topic that was not read yet.
+UNREAD = -1
+
+
 class StoreUnavailable(Exception):
     """The store did not answer, rejected the call, or sent a malformed reply."""
 
@@ -38,7 +42,7 @@
     name: str
     skips_backlog: bool = False
     values: dict[str, bytes] = field(default_factory=dict)
-    position: int | None = None
+    position: int = UNREAD
 
 
 @dataclass(slots=True)
@@ -64,8 +68,8 @@
         The first read, and one whose position expired, reads the newest value of
         each key and returns true. Raises `StoreUnavailable`.
         """
-        if topic.position is None:
-            await self._read_newest(topic)
+        if topic.position == UNREAD:
+            await self._read_newest(topic, 0)
             return True
         wait = f"&waitMs={int(wait_s * 1000)}" if wait_s > 0 else ""
         path = f"/monsoongap/log-read?topic={topic.name}&part=0&from={topic.position}"
@@ -75,10 +79,9 @@
         if status == GONE:
             log.info(
                 "topic position expired; reading the newest values",
-                extra={"topic": topic.name},
+                extra={"topic": topic.name, "position": topic.position},
             )
-            topic.position = None
-            await self._read_newest(topic)
+            await self._read_newest(topic, topic.position + 1)
             return True
         if status != OK:
             raise StoreUnavailable(f"status {status}")
@@ -99,7 +102,7 @@
                 continue
             _apply(topic.values, key, value)
         if topic.skips_backlog and topic.position < end:
-            await self._read_newest(topic)
+            await self._read_newest(topic, topic.position)
         return bool(contents)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
@@ -110,7 +113,11 @@
         if status != OK:
             raise StoreUnavailable(f"status {status}")
 
-    async def _read_newest(self, topic: Topic) -> None:
+    async def _read_newest(self, topic: Topic, from_position: int) -> None:
+        """Read the newest value of each key, and continue after them.
+
+        Raises `StoreUnavailable` if they are older than `from_position`.
+        """
         values: dict[str, bytes] = {}
         first_end: int | None = None
         after = ""
@@ -132,6 +139,8 @@
             values.update(pairs)
             has_more = has_more and bool(pairs)
             after = pairs[-1][0] if pairs else ""
+        if first_end is None or first_end < from_position:
+            raise StoreUnavailable(f"the newest values end at {first_end}")
         topic.values = values
         topic.position = first_end
 
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -7,7 +7,9 @@
 
 from monsoongap.platform.feeds import OPERATOR_TOPIC, RUNNERS_TOPIC, Feeds
 from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
-from monsoongap.settings import BoundsSection
+from monsoongap.settings import BoundsSection, StoreSection
+from monsoongap.transport.http_client import HttpClient
+from monsoongap.transport.http_conn import HttpReply, HttpRequest
 from tests import clock
 from tests.coordination.test_host import run_virtual
 from tests.host_world import World
@@ -108,3 +110,43 @@
         assert asyncio.get_running_loop().time() - started_at < 1.0
 
     run_virtual(main())
+
+
+class StaleStore(HttpClient):
+    """A store that lost its history and replies with newest values of before."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls = 0
+
+    async def exchange(
+        self,
+        address: str,
+        req: HttpRequest,
+        timeout_s: float,
+        fresh: bool = False,
+        transfer_s: float = 0.0,
+    ) -> HttpReply:
+        """Reply at once."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if "log-read" in req.path:
+            return HttpReply(410, b'{"first":90}')
+        return HttpReply(200, b'{"items":[],"end":40}')
+
+
+# Issue 22: a reader whose position had expired asked without a pause for as long as the
+# newest values lagged behind, and took the calls that all hosts together may make.
+def test_a_reader_pauses_while_the_newest_values_lag_behind() -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        http, host = StaleStore(), world.hosts["a-h0"]
+        store = StoreClient(StoreSection("127.0.0.1:1"), http)
+        feeds = Feeds(BoundsSection(), host, store, host.timers)
+        feeds.start()
+        await asyncio.sleep(5.0)
+        assert http.calls < 100
+        feeds.close()
+
+    run_virtual(main())
