Skip runners of data centres that do not exist; check the ports of settings

One odd entry in an unknown data centre gave that data centre a share without an owner. After a takeover every owner asks the owners of all shares whether runs of a job are left, so jobs in doubt were refused until a host took the share, 8 s later. The platform's settings name its zones; entries elsewhere are now skipped like other malformed ones.

Evidence: test_a_runner_in_an_unknown_data_centre_is_skipped covers both: two shares without the setting, one with it.

A port above 65535 in the settings passed the check and ended the process with an OverflowError when it listened; test_a_port_out_of_range_is_an_error_of_its_setting failed before for each of its ports but the negative one.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -83,7 +83,7 @@
         self._calls = HostCallServer(self.host.calls.answer)
         self._ready = ReadyServer(lambda: self.host.ready)
         store = StoreClient(cfg.store, self._http)
-        self._feeds = Feeds(cfg.bounds, self.host, store, self._timers)
+        self._feeds = Feeds(cfg.bounds, self.host, store, self._timers, cfg.peers.dcs)
         self._stop_requested = asyncio.Event()
         self._publish(metrics, store)
 
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -61,6 +61,7 @@
         host: Host,
         store: StoreClient,
         timers: TimerService,
+        dcs: tuple[str, ...] = (),
     ) -> None:
         self._config_wait_s = max(
             cfg.config_s - REPLY_TIMEOUT_S - CONFIG_RETRY_RESERVE_S, CONFIG_MIN_WAIT_S
@@ -69,6 +70,7 @@
         self._host = host
         self._store = store
         self._timers = timers
+        self._dcs = frozenset(dcs)
         self._background = BackgroundTasks()
         self._malformed_entries: set[str] = set()
 
@@ -176,7 +178,10 @@
         malformed: dict[str, Malformed] = {}
         for id_, text in topic.values.items():
             try:
-                runners.append(wire.decode_runner(id_, text))
+                runner = wire.decode_runner(id_, text)
+                if self._dcs and runner.dc not in self._dcs:
+                    raise Malformed(f"no data centre {runner.dc}")
+                runners.append(runner)
             except Malformed as exc:
                 malformed[id_] = exc
         for id_ in malformed.keys() - self._malformed_entries:
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -15,8 +15,14 @@
 from monsoongap.timers import MS_PER_S
 from monsoongap.util.ini import load_ini
 
-Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
-HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
+_PORT = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    r"|[1-9][0-9]{0,3})"
+)
+_IP = r"[0-9a-fA-F.:\[\]]+"
+Address = Annotated[str, Meta(pattern=rf"^{_IP}:{_PORT}\Z")]
+OptionalAddress = Annotated[str, Meta(pattern=rf"^({_IP}:{_PORT})?\Z")]
+HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}\Z")]
 Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Factor = Annotated[float, Meta(gt=0, le=1024)]
@@ -53,7 +59,7 @@
     callers: Address
     ready: Address
     peers: Address
-    operators: Annotated[str, Meta(pattern=r"^([0-9a-fA-F.:\[\]]+:\d{1,5})?$")] = ""
+    operators: OptionalAddress = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +74,12 @@
     """Addresses (IP:port) of entry hosts to contact before the store lists them.
 
     Their ports are ignored: all peers listen on the port of this host's `peers`.
+    `dcs` names the data centres of the deployment; runners elsewhere are not used. If
+    it is empty, any data centre is accepted.
     """
 
     seeds: tuple[Address, ...] = ()
+    dcs: tuple[HostName, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -150,3 +150,39 @@
         feeds.close()
 
     run_virtual(main())
+
+
+class OneEntryStore(RecordingStore):
+    """A store with the entry of one runner."""
+
+    async def advance(self, topic: Topic, wait_s: float) -> bool:
+        """Read the entry."""
+        await super().advance(topic, max(wait_s, 0.01))
+        topic.values["i-odd"] = (
+            b'{"service":"inspect","address":"127.0.0.1:1","zone":"elsewhere",'
+            b'"state":"ready","capacity":{"cpu":1,"memMb":1}}'
+        )
+        return topic.name == RUNNERS_TOPIC
+
+
+# Issue 22: an entry in a data centre that does not exist gave it a share without an
+# owner, of which every owner asked in vain after a takeover: jobs were refused.
+def test_a_runner_in_an_unknown_data_centre_is_skipped() -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        host, store = world.hosts["a-h0"], OneEntryStore()
+        for dcs, shares in (((), 2), (("a", "b"), 1)):
+            feeds = Feeds(
+                BoundsSection(),
+                host,
+                cast(StoreClient, cast(object, store)),
+                host.timers,
+                dcs,
+            )
+            feeds.start()
+            await asyncio.sleep(1.0)
+            assert len(host.ownership.all_shares()) == shares
+            feeds.close()
+
+    run_virtual(main())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -28,6 +28,9 @@
     "bounds.graceS": "6",
 }
 
+# Rendered by the platform as its zones, joined by commas.
+ZONES_SECTION = "{{#zones}}{{@}}{{,}}{{/zones}}"
+
 VALID_SETTINGS = """
 [host]
 name = mvd-1
@@ -102,11 +105,24 @@
 
 def test_filled_in_template_of_the_platform_is_valid() -> None:
     template = (Path(__file__).parent.parent / "deploy" / "entry.ini").read_text()
+    assert ZONES_SECTION in template
+    template = template.replace(ZONES_SECTION, "a,b")
     text = re.sub(r"\{\{(\S+?)\}\}", lambda m: TEMPLATE_FIELDS[m[1]], template)
     cfg = parse_ini(text, "entry.ini", EntrySettings)
     assert cfg.host.cores == 1.5
     assert cfg.listen.peers == "10.1.0.13:7720"
     assert cfg.bounds.lease_s == 1.0
+    assert cfg.peers.dcs == ("a", "b")
+
+
+@pytest.mark.parametrize("port", ["0", "65536", "99999", "-1", "\u0663"])
+def test_a_port_out_of_range_is_an_error_of_its_setting(port: str) -> None:
+    text = VALID_SETTINGS.replace("10.0.0.9:8000", f"10.0.0.9:{port}")
+    with pytest.raises(SettingsErrorGroup) as caught:
+        parse_ini(text, "entry.ini", EntrySettings)
+    assert [(e.section, e.key) for e in caught.value.exceptions] == [
+        ("store", "address")
+    ]
 
 
 @pytest.mark.parametrize("text", ["no section = 1", "[host\n", "[host]\nname\n"])
