Bound the retry delay in a reply, and the age of a list of runners

A reply of another host with a delay that is not finite passed the check, and the caller whose answer it was got none: the delay is rounded for its header.

--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -365,7 +365,7 @@
 
     kind: AnswerKind
     detail: str = ""
-    retry_after_s: float = 0.0
+    retry_after_s: DurationS = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -518,5 +518,6 @@
 class RunnersReply:
     """The callee's list of runners and how long ago it was read from the store."""
 
-    age_s: Annotated[float, Meta(ge=0)]
+    # Finite, also if the list was never read.
+    age_s: Annotated[float, Meta(ge=0, le=1e10)]
     runners: tuple[RunnerInfo, ...] = field(default=())
