Fetch a caller's configuration from a few callers at a time

An owner that was behind fetched from every host that called it, 11 at once in the test that failed before (bound 3); with 36 callers that would be its link for half a second.

--- a/monsoongap/coordination/config_fetch.py
+++ b/monsoongap/coordination/config_fetch.py
@@ -65,11 +65,12 @@
             return True
         self.directory.config_counts.behind_caller += 1
         started_at = self.timers.now()
-        self._fetch_from_caller(caller)
+        asked = False
         while (
             self.directory.version < version
             and self.timers.now() - started_at < CALLER_WAIT_S
         ):
+            asked = asked or self._fetch_from_caller(caller)
             await self.timers.sleep(POLL_S)
         log.info(
             "caller has a newer configuration; waited for it",
@@ -82,14 +83,20 @@
         )
         return self.directory.version >= version
 
-    def _fetch_from_caller(self, caller: str) -> None:
-        """Start to fetch from a caller, unless a fetch from it is in progress."""
+    def _fetch_from_caller(self, caller: str) -> bool:
+        """Fetch from a caller; return False if other callers have to be awaited first.
+
+        Many callers are ahead at the same time, and have the same version.
+        """
         peer = self.members.peer(caller)
         if peer is None or caller in self._from_callers:
-            return
+            return True
+        if len(self._from_callers) >= MAX_FETCHES:
+            return False
         fetch = self._background.spawn(self.fetch_from(peer), "configuration")
         self._from_callers[caller] = fetch
         fetch.add_done_callback(lambda _: self._from_callers.pop(caller))
+        return True
 
     async def _catch_up(self) -> None:
         """Ask holders of newer versions until no live host is ahead."""
--- a/tests/coordination/test_config_versions.py
+++ b/tests/coordination/test_config_versions.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from monsoongap.coordination.config_fetch import MAX_FETCHES
 from monsoongap.coordination.host import Host
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -149,3 +150,28 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against an owner whose link is filled by fetches from all hosts that call it
+# while it is behind.
+def test_an_owner_behind_many_callers_fetches_from_a_few() -> None:
+    async def main() -> None:
+        world = World({"ibk": 12})
+        await world.start()
+        await asyncio.sleep(1.0)
+        owner = world.owner("ibk")
+        callers = [name for name in world.hosts if name != owner]
+        for caller in callers:
+            mute_announcements(world, owner, caller)
+            apply(world.hosts[caller], config_with_added_queue(world))
+        replies = await asyncio.gather(
+            *(
+                world.submit_job(caller, job(ADDED_QUEUE, f"{i:016x}"))
+                for i, caller in enumerate(callers)
+            )
+        )
+        assert {reply.kind for reply in replies} == {AnswerKind.COMPLETED}
+        assert world.calls_delivered[ConfigCall] <= MAX_FETCHES
+        world.check()
+
+    run_virtual(main())
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -109,6 +110,7 @@
     # Number of idle connections from one host to another that have gone silent.
     silent_connections: dict[tuple[str, str], int] = field(default_factory=dict)
     call_types_lost: set[type[Any]] = field(default_factory=set)
+    calls_delivered: Counter[type[Any]] = field(default_factory=Counter)
     # Pairs of sender and receiver.
     heartbeats_lost: set[tuple[str, str]] = field(default_factory=set)
     # Of the link of each host, on which replies queue; None for no limit.
@@ -285,6 +287,7 @@
         if host is None:
             raise PeerDown("refused")
         await self.thawed(target)
+        self.calls_delivered[type(request)] += 1
         task = asyncio.create_task(host.calls.answer(request))
         self._tasks.setdefault(target, {})[task] = None
         try:
