Ask a holder again at once when its next version is announced

A host that had fetched a version did not ask the same holder for the next one before a pause of 0.5 s: test_versions_that_follow_each_other_are_fetched_from_one_holder failed before. Packing takes 2 ms for 0.5 MB at level 1 (39 KB), 4.5 ms at level 6 (35 KB).

--- a/monsoongap/coordination/config_fetch.py
+++ b/monsoongap/coordination/config_fetch.py
@@ -104,7 +104,12 @@
         try:
             await self.timers.sleep(STORE_PRECEDENCE_S)
             asked: set[str] = set()
+            version = self.directory.version
             while holders := self._holders():
+                if self.directory.version > version:
+                    # The hosts asked so far may have the next version by now.
+                    version = self.directory.version
+                    asked.clear()
                 remaining = frozenset(holders.keys() - asked)
                 if not remaining and not fetches:
                     asked.clear()
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -27,8 +27,6 @@
 log = logging.getLogger(__name__)
 
 FETCH_TIMEOUT_S = 1.0
-
-
 # Hosts that are asked for their list of runners at a time.
 RUNNERS_HOSTS_ASKED = 2
 
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -17,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 SOURCE_STORE = "store"
+# Packs 0.5 MB to a thirteenth in 2 ms; level 6 takes twice as long to save a tenth.
+PACKING_LEVEL = 1
 # At most so many removed runners are named in one log line.
 MAX_REMOVED_LOGGED = 6
 
@@ -156,6 +158,6 @@
         """Return the text of the configuration in use, compressed by zlib."""
         version, packed = self._packed
         if version != self.version:
-            packed = zlib.compress(self.text)
+            packed = zlib.compress(self.text, PACKING_LEVEL)
             self._packed = (self.version, packed)
         return packed
--- a/tests/coordination/test_config_fetch.py
+++ b/tests/coordination/test_config_fetch.py
@@ -83,6 +83,24 @@
     run_virtual(main())
 
 
+# Issue 22: a host that had fetched a version from the only holder paused before it asked
+# that holder for the next one.
+def test_versions_that_follow_each_other_are_fetched_from_one_holder() -> None:
+    async def main() -> None:
+        world = World({"ibk": 2})
+        world.link_bytes_per_s = LINK_BYTES_PER_S
+        await world.start()
+        await asyncio.sleep(1.0)
+        holder, behind = world.hosts.values()
+        apply(holder, large_config(2, 250_000))
+        await asyncio.sleep(0.11)
+        apply(holder, large_config(3, 250_000))
+        await asyncio.sleep(0.3)
+        assert behind.directory.version == 3
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("packed", [b"odd", b"x\x9c", zlib.compress(bytes(2**24))])
 def test_a_packed_configuration_that_is_malformed_is_rejected(packed: bytes) -> None:
     with pytest.raises(ValueError, match="packed configuration"):
