One place for the patterns of addresses; settings use them too

The pattern of a port stood in the settings and in the decoding of messages. Settings now reject IP addresses that are none.

--- a/monsoongap/protocol/decoding.py
+++ b/monsoongap/protocol/decoding.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import Meta
 
+from monsoongap.util.addresses import ADDRESS_PATTERN, IP_PATTERN
+
 T = TypeVar("T")
 
 # Exact as a floating-point number, so that every JSON library can read it.
@@ -21,18 +23,6 @@
 MAX_TEXT_CHARS = 1024
 MAX_DURATION_MS = 86_400_000
 
-# `\Z` and not `$`, which allows a line break at the end.
-_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
-_IPV4 = rf"({_OCTET}\.){{3}}{_OCTET}"
-# A host name would be looked up, which blocks the process.
-_IPV6 = r"[0-9a-fA-F:.]*:[0-9a-fA-F:.]*"
-_PORT = (
-    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
-    r"|[1-9][0-9]{0,3})"
-)
-IP_PATTERN = rf"^({_IPV4}|{_IPV6})\Z"
-ADDRESS_PATTERN = rf"^({_IPV4}|\[{_IPV6}\]):{_PORT}\Z"
-
 Natural = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 # A difference of amounts.
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -13,15 +13,11 @@
 from msgspec import Meta
 
 from monsoongap.timers import MS_PER_S
+from monsoongap.util.addresses import ADDRESS_PATTERN
 from monsoongap.util.ini import load_ini
 
-_PORT = (
-    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
-    r"|[1-9][0-9]{0,3})"
-)
-_IP = r"[0-9a-fA-F.:\[\]]+"
-Address = Annotated[str, Meta(pattern=rf"^{_IP}:{_PORT}\Z")]
-OptionalAddress = Annotated[str, Meta(pattern=rf"^({_IP}:{_PORT})?\Z")]
+Address = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
+OptionalAddress = Annotated[str, Meta(pattern=rf"^\Z|{ADDRESS_PATTERN}")]
 HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}\Z")]
 Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
--- a/tests/coordination/test_config_fetch.py
+++ b/tests/coordination/test_config_fetch.py
@@ -83,8 +83,8 @@
     run_virtual(main())
 
 
-# Issue 22: a host that had fetched a version from the only holder paused before it asked
-# that holder for the next one.
+# Issue 22: a host that had fetched a version from the only holder paused before it
+# asked that holder for the next one.
 def test_versions_that_follow_each_other_are_fetched_from_one_holder() -> None:
     async def main() -> None:
         world = World({"ibk": 2})
