--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import contextlib
+import re
 import signal
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
@@ -16,7 +18,7 @@
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import HttpReply, HttpRequest
 from soak.deployment import IP, Deployment, Size, open_deployment
-from tests.platform.site import job_body
+from tests.platform.site import free_ports, job_body
 
 NESTED = b"[" * 100_000
 RUNNER = {
@@ -206,3 +208,62 @@
         assert await statuses(http, deployment, 100, "added") == {200}
 
     run_on_processes(43 + number, tmp_path, test)
+
+
+ODD_BODIES = (
+    NESTED,
+    b'{"spec":"x","bestEffort":true,"steps":' + NESTED,
+    b'{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":1' + b"0" * 30 + b"}]}",
+    b'{"spec":"x","bestEffort":true,"steps":[{"count":1,"cpu":-5}]}',
+    b"\xff",
+)
+ODD_DATAGRAMS = (b"", b"\x91" * 60_000, b"\xc1", msgspec.msgpack.encode([[1] * 6] * 9))
+
+
+class OddRunner:
+    """A runner whose every reply is nested deeply."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Reply to the requests of one connection."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(NESTED)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                request = await reader.readuntil(b"\r\n\r\n")
+                size = re.search(rb"Content-Length: (\d+)", request)
+                await reader.readexactly(int(size[1]) if size else 0)
+                writer.write(head + NESTED)
+        writer.close()
+
+
+# Issue 22: a body, a message or a reply that is nested deeply raised an error that
+# nothing expects: its sender got no answer, and a runner was never polled again.
+def test_odd_callers_hosts_and_runners_cost_only_themselves(tmp_path: Path) -> None:
+    async def test(http: HttpClient, deployment: Deployment) -> None:
+        (port,) = free_ports(1)
+        server = await asyncio.start_server(OddRunner().serve, IP, port)
+        entry = runner(address=f"{IP}:{port}")
+        await append(http, deployment, "keyed.servers", "i-odd-replies", entry)
+        loop = asyncio.get_running_loop()
+        for number, host in enumerate(deployment.procs.nodes):
+            node = deployment.procs.nodes[host]
+            for body in ODD_BODIES:
+                path = f"/scan/{number:016x}"
+                req = HttpRequest("POST", path, body, (("Host", "site"),))
+                assert (await http.exchange(node.callers, req, 5.0)).status == 400
+                for name in ("SubmitCall", "LendCall", "RunnersCall"):
+                    call = HttpRequest("POST", f"/{name}", body)
+                    reply = await http.exchange(f"{node.ip}:{node.port + 3}", call, 5.0)
+                    assert reply.status == 400
+            transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, remote_addr=(node.ip, node.port + 3)
+            )
+            for payload in ODD_DATAGRAMS:
+                transport.sendto(payload)
+            transport.close()
+        await asyncio.sleep(READ_S)
+        assert await statuses(http, deployment, 100) == {200}
+        server.close()
+
+    run_on_processes(49, tmp_path, test)
--- a/tests/transport/test_http_conn.py
+++ b/tests/transport/test_http_conn.py
@@ -38,11 +38,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        try:
+            await self._answer(reader, writer)
+        finally:
+            # A writer that is left to the garbage collector raises there, after the end
+            # of its event loop.
+            writer.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         while data := await reader.read(65_536):
             self.requests.append(data)
             answer = self._script.pop(0)
             if answer is None:
-                writer.close()
                 return
             writer.write(answer)
 
