Apply a version of a backlog while the newest one cannot be read

A reader that was behind read the newest values in the same step; when the store refused them, what it had read already was left out until the next change: test_a_version_of_a_backlog_is_applied_while_the_newest_cannot_be_read failed before. It returns now, and skips the rest of the backlog in its next step. One alias less.

--- a/monsoongap/platform/store.py
+++ b/monsoongap/platform/store.py
@@ -35,12 +35,13 @@
 class Topic:
     """A keyed topic as read so far: the newest value by key.
 
-    With `skips_backlog`, a reader that is behind reads the newest values instead of
+    With `skips_backlog`, a reader that `is_behind` reads the newest values instead of
     every record since its position.
     """
 
     name: str
     skips_backlog: bool = False
+    is_behind: bool = False
     values: dict[str, bytes] = field(default_factory=dict)
     position: int = UNREAD
 
@@ -65,11 +66,11 @@
     async def advance(self, topic: Topic, wait_s: float) -> bool:
         """Read new records, waiting up to `wait_s`; return whether there were any.
 
-        The first read, and one whose position expired, reads the newest value of
-        each key and returns true. Raises `StoreUnavailable`.
+        The first read, one whose position expired, and one that skips a backlog read
+        the newest value of each key and return true. Raises `StoreUnavailable`.
         """
-        if topic.position == UNREAD:
-            await self._read_newest(topic, 0)
+        if topic.position == UNREAD or (topic.skips_backlog and topic.is_behind):
+            await self._read_newest(topic, max(topic.position, 0))
             return True
         wait = f"&waitMs={int(wait_s * 1000)}" if wait_s > 0 else ""
         path = f"/monsoongap/log-read?topic={topic.name}&part=0&from={topic.position}"
@@ -101,8 +102,7 @@
                 )
                 continue
             _apply(topic.values, key, value)
-        if topic.skips_backlog and topic.position < end:
-            await self._read_newest(topic, topic.position)
+        topic.is_behind = topic.position < end
         return bool(contents)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
@@ -143,6 +143,7 @@
             raise StoreUnavailable(f"the newest values end at {first_end}")
         topic.values = values
         topic.position = first_end
+        topic.is_behind = False
 
     async def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -40,6 +40,7 @@
     RunRow,
     StartRequest,
     Step,
+    TaskCount,
     TaskId,
     UpstreamRule,
     is_job_id,
@@ -64,7 +65,6 @@
 }
 
 
-TaskCount = Annotated[int, Meta(ge=0, le=MAX_TASKS)]
 # Up to 4,000 bytes by the platform's pages; not interpreted here.
 Payload = Annotated[str, Meta(max_length=65_536)]
 
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -3,10 +3,13 @@
 import asyncio
 from typing import Any, cast
 
+import msgspec
 import pytest
 
 from monsoongap.platform.feeds import OPERATOR_TOPIC, RUNNERS_TOPIC, Feeds
 from monsoongap.platform.store import StoreClient, StoreUnavailable, Topic, pause
+from monsoongap.platform.wire import READ_HEAD, keyed_record
+from monsoongap.protocol.messages import Configuration
 from monsoongap.settings import BoundsSection, StoreSection
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import HttpReply, HttpRequest
@@ -186,3 +189,36 @@
             feeds.close()
 
     run_virtual(main())
+
+
+class BacklogStore(StaleStore):
+    """A store that sends part of a backlog, and refuses its newest values."""
+
+    async def exchange(self, *args: Any, **kwargs: Any) -> HttpReply:
+        """Reply at once."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        req: HttpRequest = args[1]
+        if "log-read" in req.path and "topic=keyed.op" in req.path:
+            config = msgspec.json.encode(Configuration(6))
+            return HttpReply(200, READ_HEAD.pack(9, 0) + keyed_record("config", config))
+        if "log-newest" in req.path and self.calls > 3:
+            return HttpReply(503, b"")
+        return HttpReply(200, b'{"items":[],"end":4}')
+
+
+# Guards against a version that was read and left out, as the newest one after it could
+# not be read.
+def test_a_version_of_a_backlog_is_applied_while_the_newest_cannot_be_read() -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        http, host = BacklogStore(), world.hosts["a-h0"]
+        store = StoreClient(StoreSection("127.0.0.1:1"), http)
+        feeds = Feeds(BoundsSection(), host, store, host.timers)
+        feeds.start()
+        await asyncio.sleep(1.0)
+        assert host.directory.version == 6
+        feeds.close()
+
+    run_virtual(main())
