--- a/tests/coordination/test_config_fetch.py
+++ b/tests/coordination/test_config_fetch.py
@@ -101,12 +101,14 @@
     run_virtual(main())
 
 
+# Guards against a packed text that fills the memory, or raises an error of zlib.
 @pytest.mark.parametrize("packed", [b"odd", b"x\x9c", zlib.compress(bytes(2**24))])
 def test_a_packed_configuration_that_is_malformed_is_rejected(packed: bytes) -> None:
     with pytest.raises(ValueError, match="packed configuration"):
         ConfigReply(2, b"", packed).unpack()
 
 
+# Guards against a rolling upgrade in which earlier hosts cannot read the reply.
 def test_a_host_of_an_earlier_version_gets_the_plain_text() -> None:
     async def main() -> None:
         world = World({"ibk": 2})
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -116,6 +116,8 @@
     passes_between_hosts(RunnersReply(0.5, (runner,)), RunnersReply)
 
 
+# Guards against a body whose caller gets no answer, as it raises while it is decoded
+# or forwarded to the owner.
 @many
 @given(odd_json(JOB))
 def test_an_odd_job_of_a_caller_is_rejected_or_can_be_forwarded(body: bytes) -> None:
@@ -127,6 +129,8 @@
     passes_between_hosts(job, Job)
 
 
+# Guards against a configuration that ends the reading of later ones, or replaces them
+# all by a version too large.
 @many
 @given(odd_json(CONFIG))
 def test_an_odd_configuration_is_rejected_or_in_range(text: bytes) -> None:
@@ -138,6 +142,7 @@
     assert all(rule.timeout_s >= 0 and rule.stretch >= 0 for rule in config.queues)
 
 
+# Guards against a card that ends the heartbeats of the host that reads it.
 @many
 @given(odd_json(CARD))
 def test_an_odd_host_card_is_rejected_or_can_be_sent(text: bytes) -> None:
@@ -187,6 +192,7 @@
     asyncio.run(main())
 
 
+# Guards against a stop that is never repeated, as its reply raised.
 @many
 @given(st.sampled_from([200, 400, 409, 503]), odd_json(REPLY))
 def test_an_odd_reply_to_a_stop_counts_as_no_answer(status: int, body: bytes) -> None:
@@ -203,6 +209,7 @@
     asyncio.run(main())
 
 
+# Guards against a page that ends the reading of its topic.
 @many
 @given(odd_json(PAGE))
 def test_an_odd_page_of_the_store_is_rejected_or_its_items_left_out(
@@ -216,6 +223,7 @@
     assert all(isinstance(value, bytes) for _, value in pairs)
 
 
+# Guards against one item that hides a whole page.
 def test_an_odd_item_of_a_page_does_not_hide_the_others() -> None:
     odd = b'{"key":"i-odd","value":"%%"},{"key":"\xff","value":""},[1],'
     deep = b'{"key":"i-deep","value":' + b"[" * 50_000 + b"]" * 50_000 + b"},"
@@ -227,6 +235,7 @@
         wire.decode_newest(b'{"items":[%b{"key":"i","value":""}],"end":9}' % deep)
 
 
+# Guards against records with sizes beyond their reply.
 @many
 @given(st.binary(max_size=60), st.integers(0, 2**32 - 1))
 def test_odd_records_of_the_store_are_rejected(content: bytes, size: int) -> None:
@@ -239,6 +248,7 @@
         return
 
 
+# Guards against an operator's job that ends its request without an answer.
 @many
 @given(odd_json(OPERATOR_JOB))
 def test_an_odd_job_of_an_operator_is_rejected_or_can_be_forwarded(body: bytes) -> None:
@@ -249,6 +259,7 @@
     passes_between_hosts(job, Job)
 
 
+# Guards against a header of hundreds of digits, whose caller got no answer.
 @many
 @given(
     st.one_of(
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -83,6 +83,7 @@
     assert {type(call) for call in CALLS} == set(CALL_TYPES)
 
 
+# Guards against a message that is taken in and raises when it is sent on.
 @many
 @given(st.sampled_from((*CALLS, *REPLIES, HEARTBEAT)), st.data())
 def test_an_odd_message_is_rejected_or_can_be_sent_on(
@@ -155,6 +156,7 @@
         return HttpReply(200, self._body)
 
 
+# Guards against a reply that raises anything but the error that callers handle.
 @many
 @given(st.sampled_from(REPLIES), st.data())
 def test_an_odd_reply_fails_the_call(valid: Any, data: st.DataObject) -> None:
