--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -2,9 +2,9 @@
 
 The configuration is read with a long poll. The list of runners changes with every
 heartbeat of a runner, so it is read at an interval: a short one on owners, a long one
-on other hosts. If the store fails for this host, another host may have the data: a
-heartbeat announces a newer configuration, which is fetched from its sender, and the
-list of runners is fetched from the other hosts.
+on other hosts. If the store fails for this host, another host may have the data:
+heartbeats announce a newer configuration, which is fetched from a host that has it, and
+the list of runners is fetched from the other hosts.
 """
 
 import asyncio
@@ -106,7 +106,8 @@
         topic = Topic(OPERATOR_TOPIC, skips_backlog=True)
         failures = 0
         while True:
-            # A store that failed may still be silent: a reply without changes is quick.
+            # After a failure the store is asked to reply at once, so that one that is
+            # still silent is noticed without the time of a long poll.
             wait_s = 0.0 if failures else self._config_wait_s
             try:
                 changed = await self._store.advance(topic, wait_s)
