Send heartbeats along ownership, not between all hosts

Shares were sized by the median host, so weak hosts made many owners; hosts without a share kept the timers of owners and read all records of all runners each 5 s.

Change: owners send to their data centre (0.2 s) and to each other; other hosts report to their owners (0.5 s) and learn from an owner's list who is live. Only while an owner is missing or silent do they send to each other, to agree on the next one. Most heartbeats are brief. Shares are as few as the strongest hosts can carry, with one of them lost; when they leave, weaker ones divide the runners further. Timers of jobs and tasks run only where there are some; periodic calls share wake-ups; changes of claims are checked at once. A host without a share reads the newest entries each 15 s, and at once when it becomes an owner.

--- a/monsoongap/coordination/admission_control.py
+++ b/monsoongap/coordination/admission_control.py
@@ -14,7 +14,7 @@
 from monsoongap.coordination.waiting import Backlog
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import JobReply
-from monsoongap.timers import MS_PER_S, TimerService
+from monsoongap.timers import MS_PER_S, Subscription, TimerService
 
 # Short jobs have a decision deadline of some 35 ms.
 DECISION_INTERVAL_S = 0.02
@@ -43,9 +43,11 @@
     _pending: list[JobRecord] = field(default_factory=list)
     _last_decision_at: float = 0.0
 
-    def start(self) -> None:
+    def start(self) -> Subscription:
         """Start the periodic decision on the added jobs."""
-        self.timers.every(DECISION_INTERVAL_S, self._decide_pending, "decide")
+        self._last_decision_at = 0.0
+        self.lag_s = 0.0
+        return self.timers.every(DECISION_INTERVAL_S, self._decide_pending, "decide")
 
     def add(self, rec: JobRecord) -> None:
         """Add a job whose tasks are about to be queued."""
--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.members import Members, Peer
+from monsoongap.coordination.heartbeats import Peer
+from monsoongap.coordination.members import Members
 from monsoongap.coordination.ownership import Ownership
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
 from monsoongap.coordination.repeated_call import call_repeatedly
@@ -27,8 +28,9 @@
 
 log = logging.getLogger(__name__)
 
-# Room that was told longer ago than this is no longer counted on.
-ROOM_FRESH_S = 0.3
+# Room that was told longer ago than this is no longer counted on. Owners tell it each
+# 0.5 s, and at once while others queue; one heartbeat may be lost.
+ROOM_FRESH_S = 1.2
 # A lent task answers within its job's deadline; this only bounds a leak.
 LEND_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 0.5
--- a/monsoongap/coordination/config_fetch.py
+++ b/monsoongap/coordination/config_fetch.py
@@ -10,7 +10,8 @@
 import logging
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.members import Members, Peer
+from monsoongap.coordination.heartbeats import Peer
+from monsoongap.coordination.members import Members
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
 from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import ConfigCall, ConfigReply
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -10,11 +10,12 @@
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.config_fetch import ConfigFetcher
 from monsoongap.coordination.coverage import Coverage
+from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.jobs import Jobs
 from monsoongap.coordination.lending import Lending
-from monsoongap.coordination.members import Members, Peer
+from monsoongap.coordination.members import HeartbeatParts, Members
 from monsoongap.coordination.ownership import Owner, Ownership
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import (
@@ -43,7 +44,7 @@
 from monsoongap.settings import EntrySettings
 from monsoongap.state.directory import SOURCE_STORE, Directory
 from monsoongap.state.job_locations import JobLocations
-from monsoongap.timers import MS_PER_S, TimerService
+from monsoongap.timers import MS_PER_S, Subscription, TimerService
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
@@ -58,6 +59,7 @@
 # Changed capacity is advertised to other owners at once, but at most this often. Short
 # jobs tolerate twice this delay, and each heartbeat makes every owner check its queue.
 CAPACITY_INTERVAL_S = 0.04
+IDLE_CHECK_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +89,10 @@
         self._heartbeat_serial = 0
         self._request_count = 0
         self._capacity_sent_at = 0.0
+        self._told_queue = False
         self._background = BackgroundTasks()
+        self._work_timers: tuple[Subscription, ...] = ()
+        self.became_owner = asyncio.Event()
         self.directory = Directory(decode_config, self._config_changed)
         self.members = Members(
             card,
@@ -96,6 +101,8 @@
             self._make_heartbeat,
             self._heartbeat_received,
             lambda: bool(self.ownership.claims),
+            lambda: self.ownership.claims_changed(),
+            lambda: bool(self.jobs.recent_jobs()),
         )
         self.ownership = Ownership(self.members, timers, self._acquired, self._released)
         self.borrowing = Borrowing(
@@ -123,6 +130,7 @@
         self.pool.on_held = self.members.send_heartbeats
         self.pool.on_orphan_found = self.jobs.announce
         self._announced_to: dict[str, int] = {}
+        self._claims_told: dict[str, tuple[tuple[Claim, ...], bool]] = {}
         self.borrowing.on_dispatch = self.jobs.record_dispatch
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
@@ -132,12 +140,27 @@
         self.calls = HostCalls(self)
 
     def start(self) -> None:
-        """Start sending heartbeats, acquiring shares and placing tasks."""
+        """Start sending heartbeats and acquiring shares."""
         self.members.start()
         self.ownership.start()
-        self.pool.start()
-        self.jobs.start()
-        self.lending.start()
+
+    def start_work_timers(self) -> None:
+        """Start the timers of jobs and tasks; they stop when nothing is left to do."""
+        if not self._work_timers:
+            self._work_timers = (
+                self.pool.start(),
+                *self.jobs.start(),
+                self.lending.start(),
+                self.timers.every(IDLE_CHECK_S, self._stop_idle_timers, "idle"),
+            )
+
+    def _stop_idle_timers(self) -> None:
+        parts = (self.ownership.claims, self.jobs.records, self.pool.waiting)
+        if any(parts) or self.lending.has_work:
+            return
+        for subscription in self._work_timers:
+            subscription.cancel()
+        self._work_timers = ()
 
     @property
     def ready(self) -> bool:
@@ -285,6 +308,7 @@
 
     async def execute(self, call: SubmitCall) -> JobReply:
         """Execute a job here, or forward it to the owner that already executes it."""
+        self.start_work_timers()
         owner = None
         if not call.here and not self.jobs.knows(call.job.id):
             owner = self.job_locations.owner_of_job(call.job.id)
@@ -355,23 +379,23 @@
         self.pool.set_listed(runners)
         self.ownership.record_runner_counts(Counter(r.dc for r in runners), read_at)
 
-    def _make_heartbeat(
-        self, live_hosts: tuple[str, ...], known_hosts: tuple[HostCard, ...]
-    ) -> Heartbeat:
+    def _make_heartbeat(self, parts: HeartbeatParts) -> Heartbeat:
         self._heartbeat_serial += 1
         claims = tuple(self.ownership.claims.values())
+        tells_free = parts.for_owners and not parts.brief and not self.leaving
         return Heartbeat(
             self.card,
             self._heartbeat_serial,
             self.leaving,
             self.directory.version,
             claims,
-            live_hosts,
-            self.pool.free_capacity() if not self.leaving else (),
+            parts.live_hosts,
+            self.pool.free_capacity() if tells_free else (),
             self.pool.waiting,
-            self.jobs.recent_jobs(),
-            known_hosts,
+            self.jobs.recent_jobs() if parts.for_owners else (),
+            parts.known_hosts,
             self.pool.runner_digests(claims),
+            parts.brief,
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
@@ -379,19 +403,30 @@
         assert heartbeat is not None
         if heartbeat.claims:
             self._announce_jobs_to(peer, became_live)
+            if heartbeat.queued:
+                self._tell_capacity()
             self.lending.record_claims(heartbeat.claims)
             for share in self.coverage.record_claims(
                 heartbeat.claims, heartbeat.runner_digests
             ):
                 self.jobs.mark_share_in_doubt(share)
-            self.borrowing.record_capacity(peer)
+            if not heartbeat.brief:
+                self.borrowing.record_capacity(peer)
             self.job_locations.record_jobs(peer.card.name, heartbeat.recent_jobs)
             if heartbeat.free and self.pool.waiting:
                 self.pool.schedule_placement()
+        self._check_ownership_after(peer)
         self.config_fetcher.version_announced(heartbeat.config_version)
         if became_live:
             self.members.send_heartbeat_to(peer)
 
+    def _check_ownership_after(self, peer: Peer) -> None:
+        """Check shares at once if a host's claims changed, or it begins to leave."""
+        told = (peer.claims, peer.is_leaving)
+        if self._claims_told.get(peer.card.name, ((), False)) != told:
+            self._claims_told[peer.card.name] = told
+            self.ownership.claims_changed()
+
     def _announce_jobs_to(self, peer: Peer, became_live: bool) -> None:
         """Announce all active jobs to an owner that has not received them yet."""
         boot_ms = peer.card.boot_ms
@@ -402,15 +437,23 @@
     # Callbacks of this host's own parts.
 
     def _config_changed(self) -> None:
-        self.members.send_heartbeats()
+        if self.ownership.claims:
+            self.members.send_heartbeats()
+        else:
+            # Its owners announce the version to the other hosts of the data centre.
+            self.members.send_heartbeats_to_owners()
         self.pool.schedule_placement()
 
     def _acquired(self, claim: Claim) -> None:
+        self.start_work_timers()
+        self.became_owner.set()
         self.jobs.in_doubt_since[claim.share] = self.timers.now()
         self.lending.record_claims((claim,))
         self.pool.acquire(claim)
 
     def _released(self, share: ShareId) -> None:
+        if not self.ownership.claims:
+            self.became_owner.clear()
         handed_over = self.jobs.hand_over(share)
         self.lending.leave_running(self.pool.release(share))
         for rec, call in handed_over:
@@ -423,14 +466,18 @@
             rec.answer.set_result(reply)
 
     def _capacity_changed(self) -> None:
-        """Advertise changed capacity to other owners if any of them has a queue."""
-        if not self.ownership.claims or self.leaving:
-            return
+        """Tell other owners of changed capacity, or that tasks begin to queue here."""
+        queues = self.pool.waiting > 0
+        begins_to_queue = queues and not self._told_queue
+        self._told_queue = queues
+        if begins_to_queue or any(p.queues for p in self.members.live_owners()):
+            self._tell_capacity()
+
+    def _tell_capacity(self) -> None:
+        """Tell other owners of the free capacity, at a limited rate."""
         now = self.timers.now()
-        if now - self._capacity_sent_at < CAPACITY_INTERVAL_S:
+        if not self.ownership.claims or self.leaving:
             return
-        if any(
-            p.heartbeat is not None and p.heartbeat.queued for p in self.members.live()
-        ):
+        if now - self._capacity_sent_at >= CAPACITY_INTERVAL_S:
             self._capacity_sent_at = now
             self.members.send_heartbeats_to_owners()
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from monsoongap.coordination.members import Peer
+from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.ports import PeerCallFailed
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -54,6 +54,7 @@
             case SubmitCall():
                 return await self._answer_submit(request)
             case LendCall():
+                host.start_work_timers()
                 if await host.config_fetcher.wait_for(request.version, request.home):
                     return await host.lending.lend(request)
                 return await host.lending.refuse(request)
@@ -62,6 +63,7 @@
                 host.lending.cancel_runs_of(job)
                 return True
             case FindCall(job):
+                host.start_work_timers()
                 host.jobs.cancel(job)
                 return await host.lending.stop_runs_of(request)
             case ConfigCall(accepts_packed):
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -29,7 +29,7 @@
     SubmitCall,
 )
 from monsoongap.state.job_locations import job_number
-from monsoongap.timers import MS_PER_S, TimerService
+from monsoongap.timers import MS_PER_S, Subscription, TimerService
 
 log = logging.getLogger(__name__)
 
@@ -92,10 +92,10 @@
         self.steps = Steps(self.pool, self._end)
         self.admission_control = AdmissionControl(self.pool, self.timers, self._end)
 
-    def start(self) -> None:
-        """Start the periodic check of unanswered jobs."""
-        self.admission_control.start()
-        self.timers.every(TICK_S, self._tick, "jobs")
+    def start(self) -> tuple[Subscription, ...]:
+        """Start the periodic checks of unanswered jobs."""
+        tick = self.timers.every(TICK_S, self._tick, "jobs")
+        return tick, self.admission_control.start()
 
     @property
     def in_flight(self) -> int:
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -24,7 +24,7 @@
     ShareId,
     TaskId,
 )
-from monsoongap.timers import TimerService
+from monsoongap.timers import Subscription, TimerService
 
 log = logging.getLogger(__name__)
 
@@ -73,9 +73,14 @@
     _lent: dict[int, Lent] = field(default_factory=dict)
     _replies: dict[tuple[TaskId, int], _Known] = field(default_factory=dict)
 
-    def start(self) -> None:
+    def start(self) -> Subscription:
         """Begin to watch borrowers."""
-        self.timers.every(TICK_S, self._tick, "lending")
+        return self.timers.every(TICK_S, self._tick, "lending")
+
+    @property
+    def has_work(self) -> bool:
+        """Return whether tasks are lent, or replies are kept for repeated calls."""
+        return bool(self._lent or self._replies)
 
     async def lend(self, call: LendCall) -> LendReply:
         """Run a task of another owner at once, or refuse."""
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -1,9 +1,10 @@
 """Membership: which entry hosts are live, detected by heartbeats.
 
-An owner sends heartbeats often to the hosts of its data centre and to other owners; all
-other hosts send them seldom, so that a host's cost grows with the number of owners.
-Each heartbeat lists the hosts whose heartbeats its sender receives, so that a broken
-connection can be distinguished from a dead host.
+`monsoongap.coordination.heartbeats` decides which hosts are sent one, and how often.
+Hosts that own no share send theirs to the owners of their data centre only, and learn
+from an owner's list which other hosts of the data centre are live. A full heartbeat
+lists the hosts whose heartbeats its sender receives, so that a broken connection can be
+distinguished from a dead host.
 """
 
 import logging
@@ -12,6 +13,12 @@
 
 import msgspec
 
+from monsoongap.coordination.heartbeats import (
+    Peer,
+    Schedule,
+    due_peers,
+    seeks_owner,
+)
 from monsoongap.coordination.ports import DatagramPort
 from monsoongap.protocol.decoding import Malformed, decode_msgpack
 from monsoongap.protocol.messages import Heartbeat, HostCard
@@ -26,35 +33,31 @@
 # Owners of other data centres only lend, so detecting their failure is not urgent.
 REMOTE_OWNER_TIMEOUT_S = 1.0
 # Hosts that own no share only matter for choosing the next owner.
-LOCAL_HEARTBEAT_TICKS = 5
 LOCAL_TIMEOUT_S = 1.6
-REMOTE_HEARTBEAT_TICKS = 20
 REMOTE_TIMEOUT_S = 6.0
-# Hosts that are not live are sent a heartbeat at this interval.
-UNRESPONSIVE_HEARTBEAT_TICKS = 20
 REMOVE_PEER_AFTER_S = 60.0
+REMOVE_TICKS = 50
+# A list of live hosts tells whether a silent owner is heard by others only this long.
+LIST_FRESH_S = 0.5
+# Replies to hosts that do not hear an owner are not sent more often than this.
+REPLY_INTERVAL_S = 0.1
 MAX_CARDS = 6
 # Cards of other hosts are included in one of this many rounds of heartbeats.
 CARDS_TICKS = 10
 
 
-@dataclass(slots=True)
-class Peer:
-    """Another entry host.
+@dataclass(frozen=True, slots=True)
+class HeartbeatParts:
+    """What a heartbeat tells besides its sender's own state.
 
-    It is live until `timeout_s` after `last_heartbeat_at`.
+    `brief` leaves out the list of live hosts and the free capacity; `for_owners`
+    includes what only owners use.
     """
 
-    card: HostCard
-    heartbeat: Heartbeat | None = None
-    last_heartbeat_at: float = -1e9
-    timeout_s: float = 0.0
-    timeout_logged: bool = False
-
-    @property
-    def address(self) -> str:
-        """The address at which the host accepts calls, as `IP:port`."""
-        return f"{self.card.ip}:{self.card.port}"
+    live_hosts: tuple[str, ...] = ()
+    known_hosts: tuple[HostCard, ...] = ()
+    brief: bool = False
+    for_owners: bool = True
 
 
 @dataclass(slots=True)
@@ -64,24 +67,29 @@
     sent: int = 0
     received: int = 0
     malformed: int = 0
+    bytes_sent: int = 0
 
 
 @dataclass(slots=True)
 class Members:
     """The other entry hosts known to this one.
 
-    `on_heartbeat` is called with a peer and whether it was not live before.
+    `on_heartbeat` is called with a peer and whether it was not live before,
+    `on_owner_lost` when an owner of this data centre timed out. `has_news` tells
+    whether there are new jobs of which other owners are to be told.
     """
 
     card: HostCard
     timers: TimerService
     datagrams: DatagramPort
-    make_heartbeat: Callable[[tuple[str, ...], tuple[HostCard, ...]], Heartbeat]
+    make_heartbeat: Callable[[HeartbeatParts], Heartbeat]
     on_heartbeat: Callable[[Peer, bool], None]
     is_owner: Callable[[], bool]
+    on_owner_lost: Callable[[], None] = lambda: None
+    has_news: Callable[[], bool] = lambda: True
     counts: MemberCounts = field(default_factory=MemberCounts)
     _peers: dict[str, Peer] = field(default_factory=dict)
-    _ticks: int = 0
+    _schedule: Schedule = field(default_factory=Schedule)
 
     def start(self) -> None:
         """Start sending heartbeats."""
@@ -98,7 +106,7 @@
             if card.name == self.card.name:
                 continue
             is_newer = peer is not None and peer.card.boot_ms < card.boot_ms
-            if peer is None or (is_newer and not self._is_live(peer, now)):
+            if peer is None or (is_newer and not peer.is_live(now)):
                 self._peers[card.name] = Peer(card)
 
     def all(self) -> Iterator[Peer]:
@@ -108,7 +116,11 @@
     def live(self) -> Iterator[Peer]:
         """Yield the hosts that are live now."""
         now = self.timers.now()
-        return (p for p in self._peers.values() if self._is_live(p, now))
+        return (p for p in self._peers.values() if p.is_live(now))
+
+    def live_owners(self) -> Iterator[Peer]:
+        """Yield the live hosts that own a share."""
+        return (p for p in self.live() if p.claims)
 
     def peer(self, name: str) -> Peer | None:
         """Return a host by name, live or not."""
@@ -117,7 +129,7 @@
     def is_live(self, name: str) -> bool:
         """Return whether a host is live now."""
         peer = self._peers.get(name)
-        return peer is not None and self._is_live(peer, self.timers.now())
+        return peer is not None and peer.is_live(self.timers.now())
 
     def knows_any(self) -> bool:
         """Return whether any other host is known, live or not."""
@@ -125,32 +137,31 @@
 
     def is_live_for_others(self, name: str) -> bool:
         """Return whether another live host receives heartbeats of a host."""
+        fresh_since = self.timers.now() - LIST_FRESH_S
         return any(
-            name in p.heartbeat.live_hosts
+            name in p.live_hosts
             for p in self.live()
-            if p.heartbeat is not None and p.card.name != name
+            if p.live_hosts_at >= fresh_since and p.card.name != name
         )
 
     def mark_down(self, name: str) -> None:
         """Mark a host as not live: it refused a connection, so its process exited."""
         peer = self._peers.get(name)
         if peer is not None:
-            peer.last_heartbeat_at = -1e9
+            peer.mark_down()
             self._check_owner_timeouts(self.timers.now())
 
     def send_heartbeats(self) -> None:
-        """Send a heartbeat to every live host now."""
+        """Send a full heartbeat to every live host now."""
         self._send(self.live())
 
     def send_heartbeat_to(self, peer: Peer) -> None:
         """Send a heartbeat to a host that became live; it may not know this one."""
-        self._send(iter((peer,)))
+        self._send(iter((peer,)), cards=True)
 
     def send_heartbeats_to_owners(self) -> None:
         """Send a heartbeat to every live owner now."""
-        self._send(
-            p for p in self.live() if p.heartbeat is not None and p.heartbeat.claims
-        )
+        self._send(self.live_owners())
 
     def receive(self, payload: bytes) -> None:
         """Process a datagram; one that cannot be decoded is counted and ignored."""
@@ -177,20 +188,38 @@
                 return
         if peer is None or peer.card != heartbeat.card:
             peer = self._peers[heartbeat.card.name] = Peer(heartbeat.card)
-        was_live = self._is_live(peer, now)
+        was_live = peer.is_live(now)
         if not was_live:
             log.info(
                 "host became live",
                 extra={"peer": heartbeat.card.name, "dc": heartbeat.card.dc},
             )
-        peer.heartbeat = heartbeat
-        peer.last_heartbeat_at = now
-        peer.timeout_s = self._timeout_after(heartbeat)
-        self.add_hosts(heartbeat.known_hosts)
+        peer.record(heartbeat, now, self._timeout_after(heartbeat))
+        if heartbeat.known_hosts:
+            self.add_hosts(heartbeat.known_hosts)
+        if not heartbeat.brief:
+            self._apply_live_hosts(peer, now)
         self.on_heartbeat(peer, not was_live)
 
-    def _is_live(self, peer: Peer, now: float) -> bool:
-        return now - peer.last_heartbeat_at < peer.timeout_s
+    def _apply_live_hosts(self, peer: Peer, now: float) -> None:
+        """Use an owner's list of live hosts; tell others of owners heard here."""
+        if peer.card.dc != self.card.dc:
+            return
+        if peer.claims:
+            for name in peer.live_hosts:
+                listed = self._peers.get(name)
+                if listed is not None and not listed.claims:
+                    listed.listed_until = now + LOCAL_TIMEOUT_S
+            return
+        is_reply_due = now - peer.replied_at >= REPLY_INTERVAL_S
+        hears_all = all(
+            p.card.name in peer.live_hosts
+            for p in self.live_owners()
+            if p.card.dc == self.card.dc and p is not peer
+        )
+        if not hears_all and is_reply_due:
+            peer.replied_at = now
+            self._send(iter((peer,)))
 
     def _timeout_after(self, heartbeat: Heartbeat) -> float:
         """Return for how many seconds the sender stays live after a heartbeat."""
@@ -201,58 +230,81 @@
         return REMOTE_OWNER_TIMEOUT_S if both_own else REMOTE_TIMEOUT_S
 
     def _tick(self) -> None:
-        self._ticks += 1
         now = self.timers.now()
         self._check_owner_timeouts(now)
+        if self._schedule.ticks % REMOVE_TICKS == 0:
+            self._remove_silent(now)
+        heard = [p for p in self._peers.values() if p.heartbeat is not None]
+        is_owner = self.is_owner()
+        seeking = not is_owner and seeks_owner(self.card.dc, heard, now)
+        hears_local = any(p.card.dc == self.card.dc and p.is_live(now) for p in heard)
+        self._schedule.advance(is_owner, seeking, hears_local, now)
+        self._schedule.has_news = self.has_news()
+        peers = self._peers.values() if is_owner or seeking else heard
+        due = list(due_peers(self._schedule, self.card.dc, peers, now))
+        for full in (False, True):
+            self._send((p for p, is_full in due if is_full is full), full)
+
+    def _remove_silent(self, now: float) -> None:
+        """Remove the hosts that were heard once and not for a long time."""
         for name, peer in list(self._peers.items()):
-            if (
-                peer.heartbeat is not None
-                and now - peer.last_heartbeat_at > REMOVE_PEER_AFTER_S
-            ):
+            last = peer.last_heartbeat_at
+            silent = peer.heartbeat is not None and not peer.is_live(now)
+            if silent and now - last > REMOVE_PEER_AFTER_S:
                 del self._peers[name]
-        self._send(p for p in self._peers.values() if self._is_due(p, now))
-
-    def _is_due(self, peer: Peer, now: float) -> bool:
-        if not self._is_live(peer, now):
-            is_starting = self._ticks < UNRESPONSIVE_HEARTBEAT_TICKS
-            return is_starting or self._ticks % UNRESPONSIVE_HEARTBEAT_TICKS == 0
-        is_local = peer.card.dc == self.card.dc
-        peer_owns = peer.heartbeat is not None and bool(peer.heartbeat.claims)
-        if self.is_owner() and (is_local or peer_owns):
-            return True
-        if is_local:
-            return self._ticks % LOCAL_HEARTBEAT_TICKS == 0
-        # Remote hosts need no heartbeats from each other if neither is an owner.
-        either_owns = self.is_owner() or peer_owns
-        return either_owns and self._ticks % REMOTE_HEARTBEAT_TICKS == 0
 
     def _check_owner_timeouts(self, now: float) -> None:
         """Log owners of this data centre that timed out, and notify its hosts."""
         any_timed_out = False
         for peer in self._peers.values():
-            owns_share = peer.heartbeat is not None and bool(peer.heartbeat.claims)
-            if not owns_share or peer.card.dc != self.card.dc:
+            if not peer.heartbeat or not peer.claims or peer.card.dc != self.card.dc:
                 continue
-            timed_out = not self._is_live(peer, now)
+            timed_out = not peer.is_live(now)
             if timed_out and not peer.timeout_logged:
                 log.warning("owner is no longer live", extra={"owner": peer.card.name})
                 any_timed_out = True
             peer.timeout_logged = timed_out
         if any_timed_out:
             self._send(p for p in self.live() if p.card.dc == self.card.dc)
+            self.on_owner_lost()
+
+    def _send(
+        self, peers: Iterator[Peer], full: bool = True, cards: bool = False
+    ) -> None:
+        """Send one heartbeat to each of some hosts; `cards` includes known hosts."""
+        owners: list[Peer] = []
+        others: list[Peer] = []
+        for peer in peers:
+            (owners if peer.claims else others).append(peer)
+        for targets, for_owners in ((owners, True), (others, False)):
+            if not targets:
+                continue
+            live_hosts = self._heard_hosts() if full else ()
+            with_cards = full and (cards or self._schedule.ticks % CARDS_TICKS == 0)
+            known_hosts = self._sample_cards(targets) if with_cards else ()
+            parts = HeartbeatParts(live_hosts, known_hosts, not full, for_owners)
+            payload = msgspec.msgpack.encode(self.make_heartbeat(parts))
+            for peer in targets:
+                self.datagrams.send((peer.card.ip, peer.card.port), payload)
+            self.counts.sent += len(targets)
+            self.counts.bytes_sent += len(targets) * len(payload)
+
+    def _heard_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of this data centre that send heartbeats to this one."""
+        now = self.timers.now()
+        return tuple(
+            p.card.name
+            for p in self._peers.values()
+            if p.card.dc == self.card.dc and p.is_heard(now) and not p.is_leaving
+        )
 
-    def _send(self, peers: Iterator[Peer]) -> None:
-        targets = list(peers)
-        if not targets:
-            return
-        live = list(self.live())
-        live_hosts = tuple(p.card.name for p in live if p.card.dc == self.card.dc)
-        sample: tuple[HostCard, ...] = ()
-        if live and self._ticks % CARDS_TICKS == 0:
-            cards = tuple(p.card for p in live)
-            start = self._ticks // CARDS_TICKS % len(cards)
-            sample = (cards + cards)[start : start + min(MAX_CARDS, len(cards))]
-        heartbeat = msgspec.msgpack.encode(self.make_heartbeat(live_hosts, sample))
-        for peer in targets:
-            self.datagrams.send((peer.card.ip, peer.card.port), heartbeat)
-            self.counts.sent += 1
+    def _sample_cards(self, targets: list[Peer]) -> tuple[HostCard, ...]:
+        """Return some cards of live hosts: those that a single target needs first."""
+        cards = tuple(p.card for p in self.live())
+        if len(targets) == 1:
+            dc = targets[0].card.dc
+            cards = tuple(card for card in cards if card.dc == dc) or cards
+        if not cards:
+            return ()
+        start = self._schedule.ticks // CARDS_TICKS * MAX_CARDS % len(cards)
+        return (cards + cards)[start : start + min(MAX_CARDS, len(cards))]
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -12,23 +12,24 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from statistics import median
 
-from monsoongap.coordination.members import Members, Peer
+from monsoongap.coordination.heartbeats import NEVER, Peer
+from monsoongap.coordination.members import Members
 from monsoongap.protocol.messages import Claim, HostCard, ShareId, share_index
 from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util import rendezvous
 
 log = logging.getLogger(__name__)
 
-CHECK_INTERVAL_S = 0.05
+# Heartbeats that change owners are checked at once; this finds timeouts.
+CHECK_INTERVAL_S = 0.1
 # Shares of other data centres are acquired only after a long wait, so they are checked
 # less often.
 REMOTE_CHECK_INTERVAL_S = 0.5
 # Owners are looked up for each job, but change only with heartbeats.
 OWNERS_CACHE_S = 0.01
 # A runner ends about 10 tasks per second, each taking 2 ms of its owner's
-# processor. An owner may use half of the cores of the median host of its data centre.
+# processor. An owner may use half of its cores.
 CORES_PER_RUNNER = 0.02
 OWNER_CPU_FRACTION = 0.5
 # Hosts start within 0.3 s of each other; the first owner waits for all heartbeats.
@@ -74,7 +75,7 @@
     counts: OwnershipCounts = field(default_factory=OwnershipCounts)
     claims: dict[ShareId, Claim] = field(default_factory=dict)
     _highest_fence: int = 0
-    _started_at: float = 0.0
+    _started_at: float = NEVER
     _last_contact_at: float = 0.0
     _unowned_since: dict[ShareId, float] = field(default_factory=dict)
     _yield_until: dict[ShareId, float] = field(default_factory=dict)
@@ -102,21 +103,34 @@
         runners.
         """
         owners = self._owners_by_share().values()
-        claims = [owner.claim for owner in owners if owner.claim.share.dc == dc]
-        newest = max(claims, key=lambda claim: claim.fence, default=None)
-        if newest is not None:
-            count = newest.share_count
+        of_dc = [owner for owner in owners if owner.claim.share.dc == dc]
+        newest = max(of_dc, key=lambda owner: owner.claim.fence, default=None)
+        if newest is None:
+            count = self._share_count(dc)
         else:
-            count = -(-self._runner_counts[dc] // self._runners_per_share(dc)) or 1
+            count = newest.claim.share_count
+            if newest.peer is not None and newest.peer.is_leaving:
+                # The hosts that stay may be weaker than the one that leaves.
+                count = max(count, self._share_count(dc))
         return [ShareId(dc, index) for index in range(count)]
 
-    def _runners_per_share(self, dc: str) -> int:
-        """Return how many runners the processor of one owner suffices for."""
+    def _share_count(self, dc: str) -> int:
+        """Return the least number of shares that the hosts of a data centre can carry.
+
+        The strongest hosts own the shares. One of them may be lost: the next one has to
+        be able to carry a share as well.
+        """
         cards = self._hosts_of(dc)
-        if dc == self.members.card.dc:
+        if dc == self.members.card.dc and not self.leaving:
             cards.append(self.members.card)
-        median_cores = median(card.cores for card in cards) if cards else 1.0
-        return max(int(OWNER_CPU_FRACTION * median_cores / CORES_PER_RUNNER), 1)
+        cores = sorted((card.cores for card in cards), reverse=True) or [1.0]
+        runners = self._runner_counts[dc]
+        for count in range(1, runners):
+            weakest = cores[min(count, len(cores) - 1)]
+            needed = -(-runners // count) * CORES_PER_RUNNER
+            if needed <= OWNER_CPU_FRACTION * weakest:
+                return count
+        return max(runners, 1)
 
     def all_shares(self) -> list[ShareId]:
         """Return the shares of every data centre that has runners or an owner."""
@@ -155,12 +169,21 @@
             self._highest_fence += FENCE_HOSTS * MAX_CLOCK_SKEW_MS
             self._release(share, "runner accepted a higher fence")
 
+    def claims_changed(self) -> None:
+        """Check shares now: another host's claims changed, or it is lost or leaves."""
+        self._owners_updated_at = -1e9
+        if self._started_at != NEVER:
+            self.check()
+
     def check(self) -> None:
         """Release shares that another host owns, and acquire those without an owner."""
         now = self.timers.now()
         if any(True for _ in self.members.live()):
             self._last_contact_at = now
         self._check_dc(self.members.card.dc, now)
+        if not self.claims:
+            # Only owners take over the shares of other data centres.
+            return
         if now - self._remote_checked_at >= REMOTE_CHECK_INTERVAL_S:
             self._remote_checked_at = now
             for dc in sorted(self._runner_counts):
@@ -178,7 +201,7 @@
     def _all_claims(self) -> Iterator[Owner]:
         """Yield every claim of a live host, including this one."""
         for peer in self.members.live():
-            for claim in peer.heartbeat.claims if peer.heartbeat else ():
+            for claim in peer.claims:
                 yield Owner(claim, peer)
         for claim in self.claims.values():
             yield Owner(claim, None)
@@ -206,13 +229,11 @@
             if is_remote and self._hosts_of(share.dc):
                 self._release(share, "hosts of its own data centre are live again")
             return True
-        return not (owner.peer.heartbeat and owner.peer.heartbeat.leaving)
+        return not owner.peer.is_leaving
 
     def _hosts_of(self, dc: str) -> list[HostCard]:
         return [
-            p.card
-            for p in self.members.live()
-            if p.card.dc == dc and p.heartbeat is not None and not p.heartbeat.leaving
+            p.card for p in self.members.live() if p.card.dc == dc and not p.is_leaving
         ]
 
     def _may_acquire(
@@ -230,7 +251,7 @@
         if share.dc != own.dc:
             if candidates or now - since < REMOTE_WAIT_S:
                 return False
-            candidates = [p.card for p in self.members.live()]
+            candidates = [p.card for p in self.members.live_owners()]
         if self._preferred_owner(share, [*candidates, own]) != own.name:
             return False
         if owner is not None:
@@ -251,7 +272,7 @@
         """
         owned = {self.members.card.name: len(self.claims)}
         for peer in self.members.live():
-            owned[peer.card.name] = len(peer.heartbeat.claims) if peer.heartbeat else 0
+            owned[peer.card.name] = len(peer.claims)
         cores_left = {c.name: c.cores / (1 + owned.get(c.name, 0)) for c in cards}
         most = max(cores_left.values())
         names = [name for name, cores in cores_left.items() if cores >= most]
@@ -296,3 +317,5 @@
             extra={"dc": share.dc, "share": share.index, "reason": why},
         )
         self.on_release(share)
+        if not self.leaving:
+            self.members.send_heartbeats()
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -28,7 +28,7 @@
 )
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import Directory
-from monsoongap.timers import TimerService
+from monsoongap.timers import Subscription, TimerService
 
 log = logging.getLogger(__name__)
 
@@ -86,9 +86,9 @@
     _moved: bool = False
     usual_slowness: float = 1.0
 
-    def start(self) -> None:
+    def start(self) -> Subscription:
         """Begin to look after what waits."""
-        self.timers.every(PUMP_S, self._tick, "pool")
+        return self.timers.every(PUMP_S, self._tick, "pool")
 
     # Which runners are held.
 
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -10,8 +10,8 @@
 import logging
 from dataclasses import dataclass, field
 
+from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.lending import Lending
-from monsoongap.coordination.members import Peer
 from monsoongap.coordination.ownership import Ownership
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
--- a/monsoongap/coordination/status.py
+++ b/monsoongap/coordination/status.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.host import Host
-from monsoongap.coordination.members import Peer
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -2,9 +2,9 @@
 
 The configuration is read with a long poll. The list of runners changes with every
 heartbeat of a runner, so it is read at an interval: a short one on owners, a long one
-on other hosts. If the store fails for this host, another host may have the data:
-heartbeats announce a newer configuration, which is fetched from a host that has it, and
-the list of runners is fetched from the other hosts.
+on other hosts, which read only the newest entries. If the store fails for this host,
+another host may have the data: heartbeats announce a newer configuration, which is
+fetched from a host that has it, and the list of runners is fetched from other hosts.
 """
 
 import asyncio
@@ -42,7 +42,10 @@
 CONFIG_MIN_WAIT_S = 0.2
 # An owner reads the list of runners at least twice within the limit for draining.
 OWNER_INTERVAL_FACTOR = 0.4
-NON_OWNER_INTERVAL_S = 5.0
+# A host that acquires a share reads the list at once, or gets it from another host.
+NON_OWNER_INTERVAL_S = 15.0
+# Runners register when the deployment starts, and hosts may start before them.
+NO_RUNNERS_INTERVAL_S = 0.5
 # Jobs wait while a new owner lacks runners that a previous owner may have used. Reading
 # the list again finds a runner that was added recently.
 MISSING_RUNNERS_INTERVAL_S = 0.2
@@ -123,10 +126,12 @@
                 self._host.directory.accept_text(config_text, SOURCE_STORE)
 
     async def _follow_runners(self) -> None:
-        topic = Topic(RUNNERS_TOPIC)
+        topic = Topic(RUNNERS_TOPIC, skips_backlog=True)
         failures = 0
         while True:
             read_at = self._timers.now()
+            # A host that reads seldom would read many records of each runner.
+            topic.is_behind |= not self._host.became_owner.is_set()
             try:
                 changed = await self._store.advance(topic, 0.0)
             except StoreUnavailable as exc:
@@ -143,13 +148,21 @@
             await self._wait_until_due(read_at)
 
     async def _wait_until_due(self, read_at: float) -> None:
-        while True:
-            await asyncio.sleep(INTERVAL_CHECK_S)
-            if self._timers.now() - read_at >= self._read_interval_s():
+        """Wait until the list is to be read again; a host that becomes owner reads."""
+        while (left_s := read_at + self._read_interval_s() - self._timers.now()) > 0:
+            if self._host.became_owner.is_set():
+                await asyncio.sleep(min(INTERVAL_CHECK_S, left_s))
+                continue
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._host.became_owner.wait()
+            except TimeoutError:
                 return
 
     def _read_interval_s(self) -> float:
         """Return the interval between reads of the list of runners, in seconds."""
+        if not self._host.directory.runners:
+            return NO_RUNNERS_INTERVAL_S
         if not self._host.ownership.claims:
             return NON_OWNER_INTERVAL_S
         if self._host.pool.lacks_runners:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -339,7 +339,8 @@
     is the number of its waiting tasks. `recent_jobs` holds the ids, as numbers, of the
     jobs whose execution it started lately: another data centre that gets one of them
     again forwards it to this host. `known_hosts` has some of the hosts that it knows.
-    `runner_digests` has one digest for each claim, in the same order.
+    `runner_digests` has one digest for each claim, in the same order. `brief` says that
+    `live_hosts` and `free` are left out, and those told last still hold.
     """
 
     card: HostCard
@@ -353,6 +354,7 @@
     recent_jobs: tuple[Annotated[int, Meta(ge=0)], ...] = ()
     known_hosts: tuple[HostCard, ...] = ()
     runner_digests: tuple[RunnerDigest, ...] = ()
+    brief: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -12,19 +12,66 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+# A first call that would come sooner than this part of a period waits one more.
+MIN_DELAY = 0.5
 
 Callback = Callable[[], Awaitable[None]] | Callable[[], None]
 
 
 class Subscription:
-    """Handle of a periodic call, to cancel it."""
-
-    def __init__(self, task: asyncio.Task[None]) -> None:
-        self._task = task
+    """A periodic call; `cancel` ends it."""
+
+    def __init__(self, period_s: float, callback: Callback, name: str) -> None:
+        self._period_s = period_s
+        self._callback = callback
+        self._name = name
+        self._handle: asyncio.TimerHandle | None = None
+        self._task: asyncio.Future[None] | None = None
+        self.is_active = False
+
+    def schedule(self) -> None:
+        """Make the next call after a period."""
+        self.is_active = True
+        loop = asyncio.get_running_loop()
+        # On a common grid the calls of several subscribers share one wake-up.
+        due = (loop.time() // self._period_s + 1) * self._period_s
+        if due - loop.time() < MIN_DELAY * self._period_s:
+            due += self._period_s
+        self._handle = loop.call_at(due, self._call)
 
     def cancel(self) -> None:
         """Stop the periodic call."""
-        self._task.cancel()
+        self.is_active = False
+        if self._handle is not None:
+            self._handle.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _call(self) -> None:
+        try:
+            result = self._callback()
+        except Exception as exc:
+            self._log_exception(exc)
+            result = None
+        if result is not None:
+            self._task = asyncio.ensure_future(result)
+            self._task.add_done_callback(self._finished)
+        elif self.is_active:
+            self.schedule()
+
+    def _finished(self, task: "asyncio.Future[None]") -> None:
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self._log_exception(exc)
+        if self.is_active:
+            self.schedule()
+
+    def _log_exception(self, exc: BaseException) -> None:
+        log.error(
+            "timer subscriber raised; next call after its period",
+            exc_info=exc,
+            extra={"timer": self._name},
+        )
 
 
 class TimerService:
@@ -34,12 +81,13 @@
     its next period, so that one failing part does not stop the others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        self._clock = clock
         self._subscriptions: set[Subscription] = set()
 
     def now(self) -> float:
-        """Return the monotonic time in seconds."""
-        return asyncio.get_running_loop().time()
+        """Return the monotonic time in seconds, by the given clock or the loop's."""
+        return self._clock() if self._clock else asyncio.get_running_loop().time()
 
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds; it may jump when the clock is set."""
@@ -54,32 +102,17 @@
 
         `name` identifies the subscriber in log lines.
         """
-        task = asyncio.create_task(
-            self._repeat(period_s, callback, name), name=f"timer:{name}"
-        )
-        subscription = Subscription(task)
+        subscription = Subscription(period_s, callback, name)
+        subscription.schedule()
+        self._subscriptions = {s for s in self._subscriptions if s.is_active}
         self._subscriptions.add(subscription)
-        task.add_done_callback(lambda _: self._subscriptions.discard(subscription))
         return subscription
 
     def active_count(self) -> int:
         """Return the number of subscriptions that are not cancelled."""
-        return len(self._subscriptions)
+        return sum(subscription.is_active for subscription in self._subscriptions)
 
     def close(self) -> None:
         """Cancel every subscription."""
         for subscription in self._subscriptions:
             subscription.cancel()
-
-    async def _repeat(self, period_s: float, callback: Callback, name: str) -> None:
-        while True:
-            await asyncio.sleep(period_s)
-            try:
-                result = callback()
-                if result is not None:
-                    await result
-            except Exception:
-                log.exception(
-                    "timer subscriber raised; next call after its period",
-                    extra={"timer": name},
-                )
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -56,8 +56,13 @@
             OWN,
             self.clock,
             self.datagrams,
-            lambda live_hosts, known_hosts: Heartbeat(
-                OWN, 1, False, 0, live_hosts=live_hosts, known_hosts=known_hosts
+            lambda parts: Heartbeat(
+                OWN,
+                1,
+                False,
+                0,
+                live_hosts=parts.live_hosts,
+                known_hosts=parts.known_hosts,
             ),
             lambda peer, new: self.received.append((peer.card.name, new)),
             lambda: owner,
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -98,6 +98,9 @@
     runners_per_dc: int = 2
     seed: int = 1
     cores: float = 1.0
+    # The first hosts of each data centre that are stronger than the others.
+    strong_per_dc: int = 0
+    strong_cores: float = 2.15
     room: Resources = ROOM
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
@@ -143,7 +146,8 @@
             for i in range(count):
                 name, ip = f"{dc}-h{i}", f"10.{dc_index}.0.{i + 1}"
                 self._names_by_ip[ip] = name
-                self._cards[name] = HostCard(name, dc, ip, 1, 0, self.cores)
+                cores = self.strong_cores if i < self.strong_per_dc else self.cores
+                self._cards[name] = HostCard(name, dc, ip, 1, 0, cores)
         for name in self._cards:
             self.start_host(name)
         await asyncio.sleep(1.5)
