Serve callers and operators with the HTTP parser of the client

Cause: tornado's server was the last part of a host on another HTTP stack; it is imported by every host, and parses each request of a caller in Python.

Change: `transport.http_server` is an asyncio protocol over httptools, as the client and the calls between hosts are: pipelined requests in order, limits on headers and bodies, 400 and 413, told of a client that leaves. The stand-in stays with tornado.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -111,20 +111,20 @@
         listen = self._cfg.listen
         await self._heartbeats.listen(listen.peers)
         await self._calls.listen(listen.peers)
-        self._callers.listen(listen.callers)
-        self._ready.listen(listen.ready)
-        self._listen_for_operators()
+        await self._callers.listen(listen.callers)
+        await self._ready.listen(listen.ready)
+        await self._listen_for_operators()
         self.host.members.add_hosts(tuple(_seed_cards(self._cfg)))
         self.host.start()
         self._feeds.start()
 
-    def _listen_for_operators(self) -> None:
+    async def _listen_for_operators(self) -> None:
         """Listen for operators; if the port is not free, serve callers without them."""
         address = self._cfg.listen.operators
         if not address:
             return
         try:
-            self._operators.listen(address)
+            await self._operators.listen(address)
         except OSError as exc:
             log.error(
                 "cannot listen for operators; continuing without metrics",
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -123,9 +123,6 @@
     handler = RateLimitedHandler(sys.stdout.fileno(), cfg.lines_per_s)
     handler.setFormatter(JsonFormatter(host))
     logging.basicConfig(level=cfg.level.upper(), handlers=[handler], force=True)
-    # A refusal is an ordinary answer, which is logged where it is decided; the access
-    # log of tornado reports it as an error.
-    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     # No line shows the source location, thread or process of a record.
     logging._srcfile = None
     logging.logThreads = False
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -1,16 +1,12 @@
 """The HTTP servers for callers and for the platform's readiness check."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
 
 import msgspec
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
-from tornado.iostream import IOStream
 
 from monsoongap.coordination.host import Host
 from monsoongap.errors import ANSWER_RULES, AnswerKind
@@ -18,15 +14,14 @@
 from monsoongap.platform import wire
 from monsoongap.protocol.decoding import DurationMs, Malformed, decode_json
 from monsoongap.protocol.messages import JobReply, QueueRule
-from monsoongap.transport.http_server import listen, send_reply
+from monsoongap.transport.http_server import HttpServer, ServerRequest
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
 
 READY_PATH = "/monsoongap/ready"
 # How long the caller waits for the answer, in whole milliseconds since it sent the job.
-WAIT_HEADER = "X-Monsoongap-Deadline-Ms"
-MAX_HEADER_BYTES = 65_536
+WAIT_HEADER = "x-monsoongap-deadline-ms"
 # A host receives its first configuration within a second of its start.
 CONFIG_RETRY_S = 1.0
 
@@ -49,38 +44,30 @@
         self.counts = CallerCounts()
         self.open_requests = 0
         self._background = BackgroundTasks()
-        self._busy_streams: set[IOStream] = set()
-        self._server = TrackingServer(self._handle, max_header_size=MAX_HEADER_BYTES)
+        self._server = HttpServer(self._handle)
 
-    def listen(self, address: str) -> None:
+    async def listen(self, address: str) -> None:
         """Listen for callers on `address`, an `IP:port`."""
-        listen(self._server, address)
+        await self._server.listen(address)
 
     def stop_listening(self) -> None:
         """Accept no new connections; open ones stay open."""
-        self._server.stop()
+        self._server.stop_listening()
 
     def close_idle(self) -> None:
         """Close the connections that have no open request."""
-        for stream in self._server.streams - self._busy_streams:
-            stream.close()
+        self._server.close_idle()
 
-    def _handle(self, req: HTTPServerRequest) -> None:
+    def _handle(self, req: ServerRequest) -> None:
         self.counts.requests += 1
         self.open_requests += 1
-        conn = req.connection
-        stream = conn.stream if isinstance(conn, HTTP1Connection) else None
-        if stream is not None:
-            self._busy_streams.add(stream)
         task = self._background.spawn(self._serve(req), "request")
-        task.add_done_callback(lambda _: self._on_request_end(stream))
+        task.add_done_callback(self._on_request_end)
 
-    def _on_request_end(self, stream: IOStream | None) -> None:
+    def _on_request_end(self, task: "asyncio.Task[None]") -> None:
         self.open_requests -= 1
-        if stream is not None:
-            self._busy_streams.discard(stream)
 
-    async def _serve(self, req: HTTPServerRequest) -> None:
+    async def _serve(self, req: ServerRequest) -> None:
         directory = self._host.directory
         if directory.version == 0:
             refusal = JobReply(
@@ -105,7 +92,7 @@
             case _:
                 self._answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
 
-    async def _submit(self, req: HTTPServerRequest, rule: QueueRule, id_: str) -> None:
+    async def _submit(self, req: ServerRequest, rule: QueueRule, id_: str) -> None:
         try:
             if rule.needs_advice:
                 raise wire.Unsupported("queues with advice")
@@ -133,9 +120,7 @@
                 )
                 self._host.cancel(id_)
 
-        conn = req.connection
-        if isinstance(conn, HTTP1Connection):
-            conn.set_close_callback(on_disconnect)
+        req.on_disconnect = on_disconnect
         wait_s = caller_wait_s(req.headers.get(WAIT_HEADER, "0"))
         started_at = self._host.timers.now()
         reply = await self._host.submit(job, wait_s)
@@ -144,7 +129,7 @@
         self._metrics.observe_response(reply.kind.value, took_s)
         self._answer(req, reply)
 
-    def _answer(self, req: HTTPServerRequest, reply: JobReply) -> None:
+    def _answer(self, req: ServerRequest, reply: JobReply) -> None:
         match reply.kind:
             case AnswerKind.COMPLETED | AnswerKind.FAILED:
                 body = {"state": reply.kind.value}
@@ -154,7 +139,7 @@
 
     def _send(
         self,
-        req: HTTPServerRequest,
+        req: ServerRequest,
         status: int,
         body: Mapping[str, object],
         retry_after_s: float = 0.0,
@@ -164,7 +149,7 @@
             headers["Retry-After"] = str(max(1, round(retry_after_s)))
         if self._host.leaving:
             headers["Connection"] = "close"
-        send_reply(req, status, msgspec.json.encode(body), headers)
+        req.reply(status, msgspec.json.encode(body), headers)
 
 
 def caller_wait_s(text: str) -> float:
@@ -179,45 +164,24 @@
         return 0.0
 
 
-class TrackingServer(HTTPServer):
-    """An HTTP server that keeps the set of its open connections."""
-
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Initialize with no connections."""
-        super().initialize(*args, **kwargs)
-        self.streams: set[IOStream] = set()
-
-    def handle_stream(self, stream: IOStream, address: Any) -> None:
-        """Add a connection, which stays in the set until it is closed."""
-        self.streams.add(stream)
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        """Remove closed connections from the set."""
-        self.streams = {stream for stream in self.streams if not stream.closed()}
-        super().on_close(server_conn)
-
-
 class ReadyServer:
     """Reports to the platform whether it may route new connections to this host."""
 
     def __init__(self, ready: Callable[[], bool]) -> None:
         self._ready = ready
-        self._server = HTTPServer(self._handle)
+        self._server = HttpServer(self._handle)
 
-    def listen(self, address: str) -> None:
+    async def listen(self, address: str) -> None:
         """Listen on `address`, an `IP:port`."""
-        listen(self._server, address)
+        await self._server.listen(address)
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        self._server.stop_listening()
 
-    def _handle(self, req: HTTPServerRequest) -> None:
+    def _handle(self, req: ServerRequest) -> None:
         is_ready_path = req.path == READY_PATH
         ready_status = (
             HTTPStatus.OK if self._ready() else HTTPStatus.SERVICE_UNAVAILABLE
         )
-        send_reply(
-            req, ready_status if is_ready_path else HTTPStatus.NOT_FOUND, b"", {}
-        )
+        req.reply(ready_status if is_ready_path else HTTPStatus.NOT_FOUND)
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -12,8 +12,6 @@
 
 import msgspec
 from msgspec import Meta
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
 
 from monsoongap.coordination.host import Host
 from monsoongap.errors import ANSWER_RULES, AnswerKind
@@ -34,7 +32,7 @@
     TaskCount,
     is_job_id,
 )
-from monsoongap.transport.http_server import listen, send_reply
+from monsoongap.transport.http_server import HttpServer, ServerRequest
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
@@ -95,21 +93,21 @@
         self._metrics = metrics
         self._status = status
         self._background = BackgroundTasks()
-        self._server = HTTPServer(self._handle)
+        self._server = HttpServer(self._handle)
 
-    def listen(self, address: str) -> None:
-        """Listen on `IP:port`."""
-        listen(self._server, address)
+    async def listen(self, address: str) -> None:
+        """Listen on `IP:port`; raises `OSError`."""
+        await self._server.listen(address)
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        self._server.stop_listening()
 
-    def _handle(self, req: HTTPServerRequest) -> None:
+    def _handle(self, req: ServerRequest) -> None:
         match (req.method, req.path):
             case ("GET", path) if path == METRICS_PATH:
                 content, headers = self._metrics.render()
-                send_reply(req, HTTPStatus.OK, content, headers)
+                req.reply(HTTPStatus.OK, content, headers)
             case ("GET", path) if path == STATUS_PATH:
                 _send_json(req, HTTPStatus.OK, self._status())
             case ("PUT", path) if path.startswith(JOBS_PATH):
@@ -119,14 +117,14 @@
             case _:
                 _send_answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
 
-    def _cancel(self, req: HTTPServerRequest, job_id: str) -> None:
+    def _cancel(self, req: ServerRequest, job_id: str) -> None:
         if not is_job_id(job_id):
             _send_answer(req, JobReply(AnswerKind.MALFORMED, NO_JOB_ID))
             return
         self._host.cancel(job_id)
         _send_json(req, HTTPStatus.OK, CancelAnswer(job_id))
 
-    async def _submit(self, req: HTTPServerRequest) -> None:
+    async def _submit(self, req: ServerRequest) -> None:
         try:
             job = decode_job(req.body, req.path.removeprefix(JOBS_PATH))
         except Malformed as exc:
@@ -167,7 +165,7 @@
     )
 
 
-def _send_answer(req: HTTPServerRequest, reply: JobReply) -> None:
+def _send_answer(req: ServerRequest, reply: JobReply) -> None:
     rule = ANSWER_RULES[reply.kind]
     answer = JobAnswer(
         reply.kind.value, rule.promise.value, reply.detail, reply.retry_after_s
@@ -175,6 +173,6 @@
     _send_json(req, rule.status, answer)
 
 
-def _send_json(req: HTTPServerRequest, status: int, body: Any) -> None:
+def _send_json(req: ServerRequest, status: int, body: Any) -> None:
     headers = {"Content-Type": "application/json"}
-    send_reply(req, status, msgspec.json.encode(body), headers)
+    req.reply(status, msgspec.json.encode(body), headers)
