Make a start cheaper: one pass over runners, written logs, timers

Change: parsed ids are kept, links without orphans are skipped, free capacity is compared first, the loop's own timer bounds an exchange, log lines are written together after 20 ms (warnings at once).

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -112,13 +112,12 @@
             lapsed_at = self.timers.now() + longest_lease_s(self.cfg.lease_s)
             self._lease.lapsed_at = max(self._lease.lapsed_at, lapsed_at)
 
-    @property
-    def placeable(self) -> bool:
+    def is_placeable(self, now: float) -> bool:
         """Return whether new runs may be placed here."""
         return (
             self.state is LinkState.HELD
             and not self.info.draining
-            and self.timers.now() >= self.avoid_until
+            and now >= self.avoid_until
         )
 
     @property
--- a/monsoongap/coordination/placement.py
+++ b/monsoongap/coordination/placement.py
@@ -18,19 +18,27 @@
 
     `usual_slowness` is that of the median runner, see `monsoongap.state.health`.
     """
-    fitting = list(_fitting(work, upstream, links))
+    fitting = list(_fitting(work, upstream, links, now))
     sound = [k for k in fitting if not k.table.health.is_suspect(now, usual_slowness)]
     near = [k for k in sound if work.rack and work.rack in k.info.labels]
     return min(near or sound or fitting, key=_free_cpu, default=None)
 
 
-def _fitting(work: Work, upstream: str, links: Iterable[Link]) -> Iterator[Link]:
-    """Yield the runners that may take a task now."""
+def _fitting(
+    work: Work, upstream: str, links: Iterable[Link], now: float
+) -> Iterator[Link]:
+    """Yield the runners that may take a task now.
+
+    Most runners of a busy share have no room, so this is checked first.
+    """
+    size, cpu_milli = work.size, work.size.cpu_milli
     for link in links:
+        free = link.table.free
         if (
-            link.info.upstream == upstream
-            and link.table.free.can_fit(work.size)
-            and link.placeable
+            free.cpu_milli >= cpu_milli
+            and free.can_fit(size)
+            and link.info.upstream == upstream
+            and link.is_placeable(now)
             and link.info.id not in work.avoid
             and (not work.label or work.label in link.info.labels)
             and (not work.most_per_runner or _spreads(work, link))
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -288,9 +288,13 @@
     def adopt(self, work: Work) -> bool:
         """Take over a run of an earlier owner of the same task, or its end."""
         for link in self.links.values():
-            run = link.table.runs.get(work.task)
+            table = link.table
+            if not table.orphans and not table.done_before:
+                continue
+            run = table.runs.get(work.task)
             if run is not None and run.on_end is None:
                 self.counts.adopted += 1
+                table.orphans.discard(run.task)
                 link.table.resize(run, work.size)
                 run.estimate_s = work.estimate_s
                 self._bind(work, link, run)
@@ -320,10 +324,11 @@
         """Tell the largest free rooms, for other owners; none while tasks wait."""
         if self._waiting:
             return ()
+        now = self.timers.now()
         rooms = [
             FreeCapacity(link.info.upstream, link.table.free, link.info.labels)
             for link in self.links.values()
-            if link.placeable and link.table.free.cpu_milli > 0
+            if link.table.free.cpu_milli > 0 and link.is_placeable(now)
         ]
         rooms.sort(key=lambda r: -r.resources.cpu_milli)
         return tuple(rooms[:FREE_TOLD])
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -34,7 +34,8 @@
     """The runs on one runner, its free capacity, and which ends are acknowledged.
 
     `checks_capacity` returns whether the runner rejects a run that does not fit.
-    `done_before` holds the tasks that orphan runs completed, with the time of each.
+    `orphans` holds the tasks of the orphan runs in `runs`, `done_before` those that
+    orphan runs completed, with the time of each.
     `stop` requests a stop. Orphan runs that no job adopts are stopped after `orphan_s`.
     `last_seq` is the sequence number of the last end seen.
     """
@@ -48,6 +49,7 @@
     free: Resources = field(init=False)
     health: RunnerHealth = field(default_factory=RunnerHealth)
     runs: dict[TaskId, Run] = field(default_factory=dict)
+    orphans: set[TaskId] = field(default_factory=set)
     done_before: dict[TaskId, float] = field(default_factory=dict)
     last_seq: int = 0
     born_ms: int = 0
@@ -95,6 +97,7 @@
         if not self.has(run):
             return
         del self.runs[run.task]
+        self.orphans.discard(run.task)
         self.free = self.free.plus(run.size)
         now = self.timers.now()
         if outcome is RunOutcome.DONE and run.on_end is not None:
@@ -192,6 +195,7 @@
         size = Resources(int(self.info.room.cpu_milli * share), 0, 0)
         run = Run(row.task, row.run, size, state=RunState.RUNNING)
         self.add(run)
+        self.orphans.add(run.task)
         run.confirmed_at = now
         self.on_orphan_found(row.task.job)
         log.info(
--- a/monsoongap/logs.py
+++ b/monsoongap/logs.py
@@ -6,6 +6,7 @@
 which becomes a key of the JSON object.
 """
 
+import asyncio
 import itertools
 import logging
 import os
@@ -18,6 +19,9 @@
 
 # The token bucket holds the lines of this many seconds at the rate limit.
 BURST_S = 2.0
+# Lines of a busy host are written together; warnings are written at once.
+FLUSH_S = 0.02
+MAX_BUFFERED_LINES = 64
 # `vars(record)` holds the standard attributes first, then the `extra` fields, then
 # those that a formatter adds.
 _STANDARD_FIELD_COUNT = len(vars(logging.makeLogRecord({})))
@@ -72,6 +76,8 @@
         self._max_tokens = self._tokens = lines_per_s * BURST_S
         self._refilled_at = time.monotonic()
         self._unwritten = b""
+        self._buffer: list[bytes] = []
+        self._flush_handle: asyncio.TimerHandle | None = None
         self.dropped = 0
         self._suppressed = 0
 
@@ -86,30 +92,55 @@
             return
         self._tokens -= 1
         line = self.format(record).encode() + b"\n"
+        self._buffer.append(line)
+        if record.levelno < logging.WARNING and self._can_wait():
+            return
+        self.flush()
+
+    def _can_wait(self) -> bool:
+        """Have the buffered lines written soon; return False if they cannot be."""
+        if len(self._buffer) >= MAX_BUFFERED_LINES:
+            return False
+        if self._flush_handle is None:
+            try:
+                loop = asyncio.get_running_loop()
+            except RuntimeError:
+                return False
+            self._flush_handle = loop.call_later(FLUSH_S, self.flush)
+        return True
+
+    def flush(self) -> None:
+        """Write the buffered lines with one system call."""
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        lines, self._buffer = self._buffer, []
+        if lines:
+            self._write(lines)
+
+    def _write(self, lines: list[bytes]) -> None:
+        notice = b""
         if self._suppressed:
-            notice = {"event": "log lines dropped", "count": self._suppressed}
-            line = msgspec.json.encode(notice) + b"\n" + line
-        self._write(line)
-
-    def _write(self, line: bytes) -> None:
-        data = self._unwritten + line
+            fields = {"event": "log lines dropped", "count": self._suppressed}
+            notice = msgspec.json.encode(fields) + b"\n"
+        data = self._unwritten + notice + b"".join(lines)
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
-            self._drop()
+            self._drop(len(lines))
             return
         except OSError:
             # The reader has closed the pipe; the process continues without logs.
-            self._drop()
+            self._drop(len(lines))
             self._unwritten = b""
             return
         self._suppressed = 0
         # The rest of a partly written line precedes the next line.
         self._unwritten = data[written:]
 
-    def _drop(self) -> None:
-        self.dropped += 1
-        self._suppressed += 1
+    def _drop(self, count: int = 1) -> None:
+        self.dropped += count
+        self._suppressed += count
 
 
 def dropped_lines() -> int:
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import functools
 import logging
 import struct
 from collections.abc import Iterator
@@ -240,6 +241,8 @@
     return f"{task.job}.{ONLY_OCCURRENCE}.{task.step}.{task.index}"
 
 
+# A run is listed in each reply until it ends.
+@functools.lru_cache(maxsize=4096)
 def _task_id(text: str) -> TaskId:
     job, _, step, index = text.split(".")
     return convert({"job": job, "step": int(step), "index": int(index)}, TaskId)
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -82,7 +82,7 @@
         self._body_chunks: list[bytes] = []
         self._received_bytes = 0
         self._pending_reply: asyncio.Future[HttpReply] | None = None
-        self._limit: asyncio.Timeout | None = None
+        self._limit: asyncio.TimerHandle | None = None
         self._transfer_s = 0.0
 
     @classmethod
@@ -127,24 +127,24 @@
         """
         if self._transport is None or self.closed:
             raise ExchangeLost(f"{self._address}: connection closed")
-        self._pending_reply = asyncio.get_running_loop().create_future()
-        self._transport.write(req.encode(self._address))
+        loop = asyncio.get_running_loop()
+        self._pending_reply = loop.create_future()
+        self._transfer_s = transfer_s
+        self._limit = loop.call_later(timeout_s, self._expire, timeout_s)
         try:
-            async with asyncio.timeout(timeout_s) as limit:
-                self._limit, self._transfer_s = limit, transfer_s
-                return await self._pending_reply
-        except TimeoutError as exc:
-            self.abort()
-            what = "incomplete" if self._received_bytes else "no"
-            raise ExchangeLost(
-                f"{self._address}: {what} reply in {timeout_s} s"
-            ) from exc
+            self._transport.write(req.encode(self._address))
+            return await self._pending_reply
         except BaseException:
             self.abort()
             raise
         finally:
+            self._limit.cancel()
             self._pending_reply = self._limit = None
 
+    def _expire(self, timeout_s: float) -> None:
+        what = "incomplete" if self._received_bytes else "no"
+        self._fail(f"{what} reply in {timeout_s} s")
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -178,9 +178,13 @@
 
     def _extend_limit(self) -> None:
         """Give the rest of a reply that has begun its own time."""
-        deadline = self._limit.when() if self._limit is not None else None
-        if self._limit is not None and deadline is not None and self._transfer_s:
-            self._limit.reschedule(deadline + self._transfer_s)
+        if self._limit is None or not self._transfer_s:
+            return
+        self._limit.cancel()
+        due = self._limit.when() + self._transfer_s
+        loop = asyncio.get_running_loop()
+        left_s = max(due - loop.time(), 0.0)
+        self._limit = loop.call_later(left_s, self._expire, self._transfer_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that waits for a reply."""
