A new owner makes itself known to owners of other data centres at once

Cause: since heartbeats follow ownership, a host without a share hears remote owners each 2 s only, and a host that was just started not yet.

Change: on acquiring a share a host sends a heartbeat to every known host; owners reply at once. Previous runs are looked for again after 10 ms, then doubling to 100 ms, as the first polls of a new owner take a few milliseconds. A runner that joins waits 0.5 s instead of 0.3 s, in which three heartbeats tell of it, as before.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -97,6 +97,20 @@
             self.live_hosts_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatParts:
+    """What a heartbeat tells besides its sender's own state.
+
+    `brief` leaves out the list of live hosts and the free capacity; `for_owners`
+    includes what only owners use.
+    """
+
+    live_hosts: tuple[str, ...] = ()
+    known_hosts: tuple[HostCard, ...] = ()
+    brief: bool = False
+    for_owners: bool = True
+
+
 @dataclass(slots=True)
 class Schedule:
     """What determines which peers are due; `ticks` counts rounds of heartbeats.
@@ -170,11 +184,10 @@
     if schedule.is_owner:
         if not peer.is_live(now):
             return REMOTE_TICKS
-        if peer.claims and (schedule.has_news or peer.card.dc == dc):
+        is_local = peer.card.dc == dc
+        if peer.claims and (schedule.has_news or is_local):
             return 1
-        if peer.claims:
-            return LOCAL_TICKS
-        return LOCAL_TICKS if peer.card.dc == dc else REMOTE_TICKS
+        return LOCAL_TICKS if peer.claims or is_local else REMOTE_TICKS
     # The data centre of a seed is not known.
     if schedule.seeking and (schedule.seeks_everywhere or peer.card.dc in (dc, "")):
         often = now - schedule.seeking_since < SEEK_OFTEN_S
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -10,12 +10,12 @@
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.config_fetch import ConfigFetcher
 from monsoongap.coordination.coverage import Coverage
-from monsoongap.coordination.heartbeats import Peer
+from monsoongap.coordination.heartbeats import HeartbeatParts, Peer
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.jobs import Jobs
 from monsoongap.coordination.lending import Lending
-from monsoongap.coordination.members import HeartbeatParts, Members
+from monsoongap.coordination.members import Members
 from monsoongap.coordination.ownership import Owner, Ownership
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import (
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -39,7 +39,10 @@
 # Runs of a previous owner or of an unresponsive lender have ended after this: the
 # lender's timeout for its borrower, the time that orphans are kept, and a lease.
 RECONCILED_AFTER_S = 4.0
+# A new owner has polled its runners after a few milliseconds.
+RECONCILE_FIRST_RETRY_S = 0.01
 RECONCILE_RETRY_S = 0.1
+MAX_DOUBLINGS = 4
 # Longer than a lease, after which no run of a previous owner is left here.
 RECONCILE_TIMEOUT_S = 1.5
 # Long enough for three heartbeats to announce a job.
@@ -311,7 +314,8 @@
                     rec, "previous runs not reconciled", None, started_at, tries
                 )
                 return False
-            await self.timers.sleep(RECONCILE_RETRY_S)
+            pause_s = RECONCILE_FIRST_RETRY_S * 2 ** min(tries - 1, MAX_DOUBLINGS)
+            await self.timers.sleep(min(pause_s, RECONCILE_RETRY_S))
 
     def _log_reconciliation(
         self, rec: JobRecord, event: str, by: str | None, started_at: float, tries: int
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from monsoongap.coordination.heartbeats import (
+    HeartbeatParts,
     Peer,
     Schedule,
     due_peers,
@@ -46,20 +47,6 @@
 CARDS_TICKS = 10
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatParts:
-    """What a heartbeat tells besides its sender's own state.
-
-    `brief` leaves out the list of live hosts and the free capacity; `for_owners`
-    includes what only owners use.
-    """
-
-    live_hosts: tuple[str, ...] = ()
-    known_hosts: tuple[HostCard, ...] = ()
-    brief: bool = False
-    for_owners: bool = True
-
-
 @dataclass(slots=True)
 class MemberCounts:
     """Counts of the heartbeats of this host, for the metrics."""
@@ -155,6 +142,13 @@
         """Send a full heartbeat to every live host now."""
         self._send(self.live())
 
+    def send_heartbeats_to_all(self) -> None:
+        """Send a full heartbeat to every known host: this one is a new owner.
+
+        Owners of other data centres reply, and only then are known here to be live.
+        """
+        self._send(self.all())
+
     def send_heartbeat_to(self, peer: Peer) -> None:
         """Send a heartbeat to a host that became live; it may not know this one."""
         self._send(iter((peer,)), cards=True)
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -304,7 +304,7 @@
             },
         )
         self.on_acquire(claim)
-        self.members.send_heartbeats()
+        self.members.send_heartbeats_to_all()
 
     def _release(self, share: ShareId, why: str) -> None:
         claim = self.claims.pop(share, None)
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -40,8 +40,9 @@
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
 ABSENT_S = 2.5
-# A runner that joins gets no task before three heartbeats have told that it is held.
-JOIN_S = 0.3
+# A runner that joins gets no task before three heartbeats have told that it is held:
+# one at once, then one each 0.2 s.
+JOIN_S = 0.5
 
 
 @dataclass(slots=True)
