--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -26,6 +26,7 @@
 SEEK_OFTEN_S = 3.0
 # Hosts of one data centre start within 0.3 s of each other.
 ALONE_S = 0.3
+MAX_CARDS = 6
 NEVER = -1e9
 
 
@@ -194,3 +195,17 @@
         return LOCAL_TICKS if often else REPORT_TICKS
     serves = any(claim.share.dc == dc for claim in peer.claims)
     return REPORT_TICKS if serves and peer.is_heard(now) else 0
+
+
+def sample_cards(
+    cards: Iterable[HostCard], targets: list[Peer], round_: int
+) -> tuple[HostCard, ...]:
+    """Return some of the cards, others in each round; a single target's peers first."""
+    found = tuple(cards)
+    if len(targets) == 1:
+        dc = targets[0].card.dc
+        found = tuple(card for card in found if card.dc == dc) or found
+    if not found:
+        return ()
+    start = round_ * MAX_CARDS % len(found)
+    return (found + found)[start : start + min(MAX_CARDS, len(found))]
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -18,6 +18,7 @@
     Peer,
     Schedule,
     due_peers,
+    sample_cards,
     seeks_owner,
 )
 from monsoongap.coordination.ports import DatagramPort
@@ -42,7 +43,6 @@
 LIST_FRESH_S = 0.5
 # Replies to hosts that do not hear an owner are not sent more often than this.
 REPLY_INTERVAL_S = 0.1
-MAX_CARDS = 6
 # Cards of other hosts are included in one of this many rounds of heartbeats.
 CARDS_TICKS = 10
 
@@ -275,7 +275,10 @@
                 continue
             live_hosts = self._heard_hosts() if full else ()
             with_cards = full and (cards or self._schedule.ticks % CARDS_TICKS == 0)
-            known_hosts = self._sample_cards(targets) if with_cards else ()
+            cards_of_live = (p.card for p in self.live()) if with_cards else ()
+            known_hosts = sample_cards(
+                cards_of_live, targets, self._schedule.ticks // CARDS_TICKS
+            )
             parts = HeartbeatParts(live_hosts, known_hosts, not full, for_owners)
             payload = msgspec.msgpack.encode(self.make_heartbeat(parts))
             for peer in targets:
@@ -291,14 +294,3 @@
             for p in self._peers.values()
             if p.card.dc == self.card.dc and p.is_heard(now) and not p.is_leaving
         )
-
-    def _sample_cards(self, targets: list[Peer]) -> tuple[HostCard, ...]:
-        """Return some cards of live hosts: those that a single target needs first."""
-        cards = tuple(p.card for p in self.live())
-        if len(targets) == 1:
-            dc = targets[0].card.dc
-            cards = tuple(card for card in cards if card.dc == dc) or cards
-        if not cards:
-            return ()
-        start = self._schedule.ticks // CARDS_TICKS * MAX_CARDS % len(cards)
-        return (cards + cards)[start : start + min(MAX_CARDS, len(cards))]
