Timers that are late let the loop read first

Cause: after a pause while it handles input, uvloop calls the timers that are due before it reads again; asyncio's own loop reads first. Since the daemon runs on uvloop, a host that was paused for some seconds took owners, borrowers and runners for silent, and gave replies up, whose heartbeats and replies were waiting in its sockets: another owner for a share that has one, lent work stopped, starts placed again.

Shown by tests/test_late_timers.py on the daemon's loop: its three cases fail before (`tick` before `read`; "no reply in 0.2 s" though it had arrived).

Change: a timer of the timer service and of an exchange that is over 50 ms late fires 20 ms later, once, after the loop has read.

--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -12,12 +12,36 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+# A timer that is later than this comes after a pause of the process, or under overload.
+# What has arrived meanwhile is handled first: the loop may call timers before it reads.
+LATE_S = 0.05
+READ_FIRST_S = 0.02
 # A first call that would come sooner than this part of a period waits one more.
 MIN_DELAY = 0.5
 
 Callback = Callable[[], Awaitable[None]] | Callable[[], None]
 
 
+class Timer:
+    """Calls `callback` once, at `due` by the loop; if that is late, after reading."""
+
+    def __init__(self, due: float, callback: Callable[[], None]) -> None:
+        self.due = due
+        self._callback = callback
+        self._handle = asyncio.get_running_loop().call_at(due, self._fire)
+
+    def cancel(self) -> None:
+        """Do not call."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() - self.due > LATE_S:
+            self._handle = loop.call_later(READ_FIRST_S, self._callback)
+        else:
+            self._callback()
+
+
 class Subscription:
     """A periodic call; `cancel` ends it."""
 
@@ -25,7 +49,7 @@
         self._period_s = period_s
         self._callback = callback
         self._name = name
-        self._handle: asyncio.TimerHandle | None = None
+        self._timer: Timer | None = None
         self._task: asyncio.Future[None] | None = None
         self.is_active = False
 
@@ -37,13 +61,13 @@
         due = (loop.time() // self._period_s + 1) * self._period_s
         if due - loop.time() < MIN_DELAY * self._period_s:
             due += self._period_s
-        self._handle = loop.call_at(due, self._call)
+        self._timer = Timer(due, self._call)
 
     def cancel(self) -> None:
         """Stop the periodic call."""
         self.is_active = False
-        if self._handle is not None:
-            self._handle.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -10,10 +10,12 @@
 import socket
 import struct
 from dataclasses import dataclass
+from functools import partial
 from typing import cast
 
 import httptools
 
+from monsoongap.timers import Timer
 from monsoongap.util.addresses import split_address
 
 MAX_REPLY_BYTES = 8_000_000
@@ -82,7 +84,7 @@
         self._body_chunks: list[bytes] = []
         self._received_bytes = 0
         self._pending_reply: asyncio.Future[HttpReply] | None = None
-        self._limit: asyncio.TimerHandle | None = None
+        self._limit: Timer | None = None
         self._transfer_s = 0.0
 
     @classmethod
@@ -130,7 +132,7 @@
         loop = asyncio.get_running_loop()
         self._pending_reply = loop.create_future()
         self._transfer_s = transfer_s
-        self._limit = loop.call_later(timeout_s, self._expire, timeout_s)
+        self._limit = Timer(loop.time() + timeout_s, partial(self._expire, timeout_s))
         try:
             self._transport.write(req.encode(self._address))
             return await self._pending_reply
@@ -181,10 +183,8 @@
         if self._limit is None or not self._transfer_s:
             return
         self._limit.cancel()
-        due = self._limit.when() + self._transfer_s
-        loop = asyncio.get_running_loop()
-        left_s = max(due - loop.time(), 0.0)
-        self._limit = loop.call_later(left_s, self._expire, self._transfer_s)
+        due = self._limit.due + self._transfer_s
+        self._limit = Timer(due, partial(self._expire, self._transfer_s))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that waits for a reply."""
