--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -164,3 +164,33 @@
     harness.clock.at += 10.0
     harness.members.add_hosts((HostCard("a-h1", "a", "10.9.9.9", 1, 2),))
     assert harness.peer("a-h1").card.ip == "10.9.9.9"
+
+
+# Guards against an upgrade in which hosts take those of the other version for dead.
+def test_heartbeats_of_neighbouring_versions_are_understood() -> None:
+    card = HostCard("a-h1", "a", ip_of("a-h1"), 1, 1)
+    claims = (Claim(ShareId("a"), 1, 7),)
+    heartbeat = Heartbeat(card, 1, False, 3, claims, ("a-h0",), brief=True)
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(heartbeat))
+    harness = Harness()
+    harness.members.receive(msgspec.msgpack.encode(fields[:-1]))
+    assert harness.members.is_live("a-h1")
+    assert harness.peer("a-h1").live_hosts == ("a-h0",)
+
+    class Former(msgspec.Struct, frozen=True, array_like=True):
+        """The fields of the version before, in their order."""
+
+        card: HostCard
+        serial: int
+        leaving: bool
+        config_version: int
+        claims: tuple[Claim, ...] = ()
+        live_hosts: tuple[str, ...] = ()
+        free: tuple[object, ...] = ()
+        queued: int = 0
+        recent_jobs: tuple[int, ...] = ()
+        known_hosts: tuple[HostCard, ...] = ()
+        runner_digests: tuple[object, ...] = ()
+
+    former = msgspec.msgpack.decode(msgspec.msgpack.encode(heartbeat), type=Former)
+    assert (former.card, former.claims) == (card, claims)
