--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,83 @@
+"""Both hosts of a zone are frozen and wake: old requests run beside their repetition.
+
+A client whose job gets no answer sends it again, and by then the platform forwards to
+another zone. As the frozen hosts wake, the first copy is still in their sockets.
+"""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from review import lab
+
+FOLDER = Path(__file__).parent
+ROUTE = "load"
+JOBS_PER_S = 6
+WORK_S = 1.0
+DEADLINE_S = 1.5
+RESEND_S = 1.3
+FREEZE_S = 4.0
+# Each zone is calm for this long before its hosts are frozen.
+CALM_S = 1.6
+ZONES = ("tirol-kuf", "tirol-lnz", "tirol-ibk") * 4
+
+
+async def client(deployment: lab.Lab, zone: str) -> None:
+    """Hand in one job, and again after no answer, as the pages say."""
+    step = {"count": 1, "cpu": 6800, "memMb": 64, "estRuntimeMs": int(WORK_S * 1000)}
+    body = lab.job_body([step], [WORK_S])
+    job = lab.new_job_id()
+    for _ in range(4):
+        host = deployment.ingress(zone)
+        status = await deployment.post(host, ROUTE, job, body, DEADLINE_S)
+        if status not in (None, 502, 504):
+            return
+        await asyncio.sleep(RESEND_S)
+
+
+async def send_jobs(deployment: lab.Lab, zone: str, clients: asyncio.TaskGroup) -> None:
+    """Send jobs at a steady rate until cancelled."""
+    while True:
+        clients.create_task(client(deployment, zone))
+        await asyncio.sleep(1 / JOBS_PER_S)
+
+
+async def freeze(deployment: lab.Lab, zone: str) -> None:
+    """Freeze both hosts of a zone."""
+    hosts = [host for host in deployment.hosts if host.zone == zone]
+    for host in hosts:
+        deployment.record.add("freeze", host=host.name)
+        host.signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    for host in hosts:
+        deployment.record.add("wake", host=host.name)
+        host.signal(signal.SIGCONT)
+
+
+async def play(deployment: lab.Lab, trouble: bool) -> bool:
+    """Return whether no task ran twice at one time."""
+    async with asyncio.TaskGroup() as clients:
+        for zone in ZONES:
+            traffic = asyncio.create_task(send_jobs(deployment, zone, clients))
+            await asyncio.sleep(CALM_S)
+            if trouble:
+                await freeze(deployment, zone)
+            else:
+                await asyncio.sleep(FREEZE_S)
+            await asyncio.sleep(CALM_S)
+            traffic.cancel()
+    await asyncio.sleep(1.0)
+    found = lab.overlaps(FOLDER / "record.txt")
+    for task, began, ended, first, second in found:
+        deployment.record.add(
+            "two runs at one time",
+            task=task,
+            since=began,
+            until=ended,
+            runners=[first, second],
+        )
+    return not found
+
+
+if __name__ == "__main__":
+    lab.main(play, FOLDER)
