--- a/review/lab.py
+++ b/review/lab.py
@@ -836,6 +836,8 @@
                         copy = Path(keep) / host.log.name
                         copy.write_bytes(host.log.read_bytes())
 
+    # A script that is stopped from outside still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(play())
     except Exception as exc:
