--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,34 +12,35 @@
 
 FOLDER = Path(__file__).parent
 ROUTE = "load"
-JOBS_PER_S = 6
+CLIENTS = 12
+PERIOD_S = 2.0
 WORK_S = 1.0
 DEADLINE_S = 1.5
 RESEND_S = 1.3
 FREEZE_S = 4.0
 # Each zone is calm for this long before its hosts are frozen.
-CALM_S = 1.6
-ZONES = ("tirol-kuf", "tirol-lnz", "tirol-ibk") * 4
+CALM_S = 2.0
+ZONES = ("tirol-kuf", "tirol-lnz", "tirol-ibk") * 2
 
 
-async def client(deployment: lab.Lab, zone: str) -> None:
-    """Hand in one job, and again after no answer, as the pages say."""
+async def client(
+    deployment: lab.Lab, zone: str, first_after_s: float, until: asyncio.Event
+) -> None:
+    """Hand in a job each `PERIOD_S`, and again after no answer, as the pages say."""
+    caller = lab.Caller(deployment, zone)
     step = {"count": 1, "cpu": 6800, "memMb": 64, "estRuntimeMs": int(WORK_S * 1000)}
     body = lab.job_body([step], [WORK_S])
-    job = lab.new_job_id()
-    for _ in range(4):
-        host = deployment.ingress(zone)
-        status = await deployment.post(host, ROUTE, job, body, DEADLINE_S)
-        if status not in (None, 502, 504):
-            return
-        await asyncio.sleep(RESEND_S)
-
-
-async def send_jobs(deployment: lab.Lab, zone: str, clients: asyncio.TaskGroup) -> None:
-    """Send jobs at a steady rate until cancelled."""
-    while True:
-        clients.create_task(client(deployment, zone))
-        await asyncio.sleep(1 / JOBS_PER_S)
+    await asyncio.sleep(first_after_s)
+    while not until.is_set():
+        rest = asyncio.create_task(asyncio.sleep(PERIOD_S))
+        job = lab.new_job_id()
+        for _ in range(4):
+            status = await caller.post(ROUTE, job, body, DEADLINE_S)
+            if status not in (None, 502, 504):
+                break
+            await asyncio.sleep(RESEND_S)
+        await rest
+    caller.close()
 
 
 async def freeze(deployment: lab.Lab, zone: str) -> None:
@@ -58,14 +59,17 @@
     """Return whether no task ran twice at one time."""
     async with asyncio.TaskGroup() as clients:
         for zone in ZONES:
-            traffic = asyncio.create_task(send_jobs(deployment, zone, clients))
+            over = asyncio.Event()
+            for number in range(CLIENTS):
+                first_after_s = PERIOD_S * number / CLIENTS
+                clients.create_task(client(deployment, zone, first_after_s, over))
             await asyncio.sleep(CALM_S)
             if trouble:
                 await freeze(deployment, zone)
             else:
                 await asyncio.sleep(FREEZE_S)
             await asyncio.sleep(CALM_S)
-            traffic.cancel()
+            over.set()
     await asyncio.sleep(1.0)
     found = lab.overlaps(FOLDER / "record.txt")
     for task, began, ended, first, second in found:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -53,7 +53,9 @@
             if trouble:
                 runner.crash()
                 await asyncio.sleep(DOWN_S)
-                await runner.start_life(lab.Kind("a"))
+                # Rack and room stay with the machine.
+                life = lab.Kind("a", runner.kind.cpu, runner.kind.mem_mb)
+                await runner.start_life(life)
             else:
                 await asyncio.sleep(DOWN_S)
             await asyncio.sleep(BETWEEN_S)
--- a/review/lab.py
+++ b/review/lab.py
@@ -14,6 +14,7 @@
 import re
 import shlex
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -64,9 +65,10 @@
 Handler = Callable[[Request], Awaitable[tuple[int, bytes] | None]]
 
 
-async def _read_message(
+async def read_message(
     reader: asyncio.StreamReader,
 ) -> tuple[str, dict[str, str], bytes]:
+    """Read a request or an answer: its first line, its headers and its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.rstrip("\r\n").split("\r\n")
     headers = {}
@@ -103,7 +105,7 @@
         self._writers.add(writer)
         try:
             while True:
-                first, headers, body = await _read_message(reader)
+                first, headers, body = await read_message(reader)
                 method, target, _ = first.split(" ", 2)
                 path, _, text = target.partition("?")
                 query = dict(p.split("=", 1) for p in text.split("&") if "=" in p)
@@ -142,7 +144,7 @@
             for name, value in {"Host": "x", **(headers or {})}.items():
                 head += f"{name}: {value}\r\n"
             writer.write(head.encode() + b"\r\n" + body)
-            first, _, content = await _read_message(reader)
+            first, _, content = await read_message(reader)
             return int(first.split(" ")[1]), content
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return None
@@ -549,6 +551,19 @@
             self.process.wait()
 
 
+def _free_octet() -> int:
+    """Return a second octet of 127.0.0.0/8 that no other play uses."""
+    while True:
+        octet = random.randint(20, 250)
+        with socket.socket() as sock:
+            try:
+                sock.bind((f"127.{octet}.0.7", STORE_PORT))
+            except OSError:
+                # Another play has its store there.
+                continue
+        return octet
+
+
 @dataclass(slots=True)
 class Lab:
     """A running deployment."""
@@ -556,7 +571,7 @@
     record: Record
     out: Path
     zones: tuple[str, ...]
-    octet: int = field(default_factory=lambda: random.randint(20, 250))
+    octet: int = field(default_factory=lambda: _free_octet())
     store: Store = field(init=False)
     hosts: list[EntryHost] = field(default_factory=list)
     runners: list[Runner] = field(default_factory=list)
@@ -798,6 +813,52 @@
     return found
 
 
+@dataclass(slots=True)
+class Caller:
+    """A client with a kept-alive connection, opened through the platform's ingress."""
+
+    deployment: Lab
+    zone: str
+    _host: EntryHost | None = None
+    _reader: asyncio.StreamReader | None = None
+    _writer: asyncio.StreamWriter | None = None
+
+    async def post(
+        self, route: str, job: str, body: bytes, deadline_s: float
+    ) -> int | None:
+        """Hand a job in; returns the status, None without an answer in time."""
+        record = self.deployment.record
+        status = None
+        try:
+            async with asyncio.timeout(deadline_s):
+                if self._writer is None:
+                    self._host = self.deployment.ingress(self.zone)
+                    self._reader, self._writer = await asyncio.open_connection(
+                        self._host.ip, FRONT_PORT
+                    )
+                assert self._host is not None and self._reader is not None
+                record.add("post", job=job, host=self._host.name)
+                head = f"POST /{route}/{job} HTTP/1.1\r\nHost: nony24.example\r\n"
+                head += f"X-Monsoongap-Deadline-Ms: {int(deadline_s * 1000)}\r\n"
+                head += f"Content-Length: {len(body)}\r\n\r\n"
+                self._writer.write(head.encode() + body)
+                first, headers, _ = await read_message(self._reader)
+                status = int(first.split(" ")[1])
+                if headers.get("connection") == "close":
+                    self.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            self.close()
+        name = self._host.name if self._host else None
+        record.add("answer", job=job, host=name, status=status)
+        return status
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another one."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+
 Case = Callable[[Lab, bool], Awaitable[bool]]
 
 
