A host that wakes from a pause reads what arrived before it acts

Cause: an owner takes a job that it does not know for a new one. A host that was paused has missed the announcements of other owners, and reads the first copy of a job from its socket before the end of that caller's connection. Calls of other hosts, tasks that wait in its queue and forwarded copies have the same cause.

A second copy that ran elsewhere was also stopped by the first one's owner, and its waiting caller got no answer.

A job read soon after a long pause is looked for at the other owners, and started only when they have confirmed that nothing of it runs.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -15,7 +15,7 @@
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.jobs import Jobs
 from monsoongap.coordination.lending import Lending
-from monsoongap.coordination.members import Members
+from monsoongap.coordination.members import OWNER_TIMEOUT_S, Members
 from monsoongap.coordination.ownership import Owner, Ownership
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import (
@@ -44,7 +44,7 @@
 from monsoongap.settings import EntrySettings
 from monsoongap.state.directory import SOURCE_STORE, Directory
 from monsoongap.state.job_locations import JobLocations
-from monsoongap.timers import MS_PER_S, Subscription, TimerService
+from monsoongap.timers import MS_PER_S, Pause, Subscription, TimerService
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
@@ -60,6 +60,8 @@
 # jobs tolerate twice this delay, and each heartbeat makes every owner check its queue.
 CAPACITY_INTERVAL_S = 0.04
 IDLE_CHECK_S = 1.0
+# A host that wakes from a pause has read what arrived meanwhile within this time.
+CATCH_UP_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +143,7 @@
 
     def start(self) -> None:
         """Start sending heartbeats and acquiring shares."""
+        self.timers.watch_pauses(self._resume_after)
         self.members.start()
         self.ownership.start()
 
@@ -154,6 +157,23 @@
                 self.timers.every(IDLE_CHECK_S, self._stop_idle_timers, "idle"),
             )
 
+    def _resume_after(self, pause: Pause) -> None:
+        """Announce this host again, and end the jobs whose callers gave up."""
+        if pause.length_s >= OWNER_TIMEOUT_S:
+            self.members.send_heartbeats_to_all()
+            self.jobs.end_expired()
+
+    @property
+    def is_catching_up(self) -> bool:
+        """Whether requests read now may be from a pause that others noticed.
+
+        Their callers may have sent them to other hosts since, whose announcements did
+        not arrive here.
+        """
+        pause = self.timers.last_pause()
+        since_s = self.timers.now() - pause.ended_at
+        return pause.length_s >= OWNER_TIMEOUT_S and since_s < CATCH_UP_S
+
     def _stop_idle_timers(self) -> None:
         parts = (self.ownership.claims, self.jobs.records, self.pool.waiting)
         if any(parts) or self.lending.has_work:
@@ -214,8 +234,10 @@
         waited_s = 0.0
         started_at = self.timers.now()
         while True:
+            await self.timers.read_first()
             share = self.ownership.share_of_job(call.job.id)
-            call = replace(call, share=share)
+            delayed = call.delayed or self.is_catching_up
+            call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
             if owner is None:
                 if waited_s >= OWNER_WAIT_S:
@@ -312,7 +334,14 @@
         owner = None
         if not call.here and not self.jobs.knows(call.job.id):
             owner = self.job_locations.owner_of_job(call.job.id)
+            if owner is None and call.delayed:
+                owner = await self.calls.locate(call.job.id)
+                if call.share not in self.ownership.claims:
+                    return JobReply(AnswerKind.HANDED_ON, "not an owner")
         if owner is None:
+            if call.delayed and not self.jobs.knows(call.job.id):
+                self.jobs.mark_job_in_doubt(call.job.id)
+                call = replace(call, again=True)
             return await self.jobs.submit(call)
         peer = self.members.peer(owner)
         if peer is not None and self.members.is_live(owner):
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from monsoongap.coordination.heartbeats import Peer
@@ -15,6 +15,7 @@
     FindCall,
     JobReply,
     LendCall,
+    LocateCall,
     RunnerInfo,
     RunnersCall,
     RunnersReply,
@@ -27,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 FETCH_TIMEOUT_S = 1.0
+LOCATE_TIMEOUT_S = 0.3
 # Hosts that are asked for their list of runners at a time.
 RUNNERS_HOSTS_ASKED = 2
 
@@ -52,12 +54,16 @@
         host = self._host
         match request:
             case SubmitCall():
+                if host.is_catching_up:
+                    request = replace(request, delayed=True)
                 return await self._answer_submit(request)
             case LendCall():
                 host.start_work_timers()
                 if await host.config_fetcher.wait_for(request.version, request.home):
                     return await host.lending.lend(request)
                 return await host.lending.refuse(request)
+            case LocateCall(job):
+                return host.jobs.knows(job)
             case CancelCall(job):
                 host.jobs.cancel(job)
                 host.lending.cancel_runs_of(job)
@@ -88,6 +94,23 @@
             return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
         return await host.execute(call)
 
+    async def locate(self, job: str) -> str | None:
+        """Return the name of another owner that has a job, None if none says so."""
+        peers = [peer for peer in self._host.members.all() if peer.claims]
+        found = await asyncio.gather(*(self._has_job(peer, job) for peer in peers))
+        return next((name for name in found if name is not None), None)
+
+    async def _has_job(self, peer: Peer, job: str) -> str | None:
+        """Return the name of a host if it says that it has a job."""
+        try:
+            has_job: bool = await self._host.peers.call(
+                peer.address, LocateCall(job), bool, LOCATE_TIMEOUT_S, fresh=True
+            )
+        except PeerCallFailed:
+            # The job counts as in doubt until this host has answered.
+            return None
+        return peer.card.name if has_job else None
+
     async def fetch_runners(self) -> bool:
         """Fetch a newer list of runners; return whether another host had one.
 
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -123,6 +123,11 @@
         self.in_doubt_since[share] = self.timers.now()
         self.pool.mark_share_in_doubt(share)
 
+    def is_in_doubt(self, share: ShareId) -> bool:
+        """Return whether a previous owner of a share may have runs unknown here."""
+        since_s = self.timers.now() - self.in_doubt_since.get(share, NEVER)
+        return since_s <= RECONCILED_AFTER_S
+
     def announce(self, job: str) -> None:
         """Announce to other owners that a job, or a run of it, is here."""
         self._announced.append((self.timers.now(), job_number(job)))
@@ -236,6 +241,15 @@
             self.counts.cancelled += 1
             self._end(rec, JobReply(AnswerKind.BROKEN, "cancelled by its caller"))
 
+    def end_expired(self) -> None:
+        """End the jobs whose callers no longer wait, as after a pause of this host."""
+        now = self.timers.now()
+        for rec in list(self._unanswered.values()):
+            wait_s = rec.budget.wait_s or rec.rule.timeout_s
+            if now - rec.arrived_at > wait_s:
+                reply = JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
+                self._end(rec, reply)
+
     def hand_over(self, share: ShareId) -> list[tuple[JobRecord, SubmitCall]]:
         """Remove a share's jobs in progress; return each with its handover call."""
         taken = []
@@ -290,10 +304,9 @@
         started_at = self.timers.now()
         tries = 0
         while True:
-            share_in_doubt_since = self.in_doubt_since.get(rec.share, NEVER)
             now = self.timers.now()
-            share_reconciled = now - share_in_doubt_since > RECONCILED_AFTER_S
-            if share_reconciled and now - rec.in_doubt_since > KEEP_ANSWER_S:
+            in_doubt = self.is_in_doubt(rec.share)
+            if not in_doubt and now - rec.in_doubt_since > KEEP_ANSWER_S:
                 if tries:
                     self.counts.past_lapsed += 1
                     self._log_reconciliation(
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -156,6 +156,10 @@
         self._background.spawn(self._request_stop(run), "stop")
 
     async def _request_start(self, run: Run, payload: str, until_ms: int) -> None:
+        if run.state is not RunState.STARTING:
+            # Stopped before the request was sent, which must not be sent any more.
+            self.table.end(run, RunOutcome.STOPPED)
+            return
         request = StartRequest(run.task, run.number, payload, until_ms, self.fence)
         try:
             result = await self.runners.start(self.info, request)
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -347,6 +347,10 @@
 
     def _place_waiting(self) -> None:
         """Place what has room, in order; what fits nowhere is passed over."""
+        if (wait_s := self.timers.read_first_s) > 0:
+            # Callers may have left, and another owner taken over, during a pause.
+            asyncio.get_running_loop().call_later(wait_s, self._place_waiting)
+            return
         self._pump_due = False
         nowhere: set[tuple[str, Resources, str]] = set()
         tried = placed = 0
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -84,7 +84,7 @@
         self._operators = OperatorServer(
             self.host, metrics, lambda: status_of(self.host)
         )
-        self._calls = HostCallServer(self.host.calls.answer)
+        self._calls = HostCallServer(self.host.calls.answer, self._timers)
         self._ready = ReadyServer(lambda: self.host.ready)
         store = StoreClient(cfg.store, self._http)
         self._feeds = Feeds(cfg.bounds, self.host, store, self._timers, cfg.peers.dcs)
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -93,6 +93,14 @@
                 self._answer(req, JobReply(AnswerKind.MALFORMED, "no such call"))
 
     async def _submit(self, req: ServerRequest, rule: QueueRule, id_: str) -> None:
+        await self._host.timers.read_first()
+        if not req.is_open:
+            self.counts.left_early += 1
+            log.info(
+                "caller disconnected while this host was paused; dropping the job",
+                extra={"job": id_},
+            )
+            return
         try:
             if rule.needs_advice:
                 raise wire.Unsupported("queues with advice")
@@ -110,9 +118,13 @@
             self._answer(req, JobReply(AnswerKind.UNSUPPORTED, detail))
             return
         answered = False
+        task = asyncio.current_task()
+        assert task is not None
 
         def on_disconnect() -> None:
             if not answered:
+                # The job must not be submitted to another owner from now on.
+                task.cancel()
                 self.counts.left_early += 1
                 log.info(
                     "caller disconnected before the answer; cancelling the job",
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -380,7 +380,9 @@
     longer be refused as not run. `here` says that the callee has the job, as another
     owner knows. `wait_s` is how long the caller waits; 0 if it did not say. `origin`
     and `number` identify the request of the caller: a call that is repeated, or late,
-    gets the same refusal again. `origin` is empty in a handover.
+    gets the same refusal again. `origin` is empty in a handover. `delayed` says that
+    the request may have waited while its host was paused, so that the caller may have
+    sent the job to another host since.
     """
 
     job: Job
@@ -393,6 +395,7 @@
     here: bool = False
     wait_s: DurationS = 0.0
     number: Natural = 0
+    delayed: bool = False
 
     @property
     def is_handover(self) -> bool:
@@ -407,6 +410,13 @@
     job: JobId
 
 
+@dataclass(frozen=True, slots=True)
+class LocateCall:
+    """Asks whether the callee executes a job, or has its answer."""
+
+    job: JobId
+
+
 @dataclass(frozen=True, slots=True)
 class LendCall:
     """Runs one task on a runner of the callee at once, or is refused without capacity.
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -8,6 +8,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 log = logging.getLogger(__name__)
 
@@ -19,9 +20,22 @@
 # A first call that would come sooner than this part of a period waits one more.
 MIN_DELAY = 0.5
 
+# A process that did not run for this long counts as paused. Shorter gaps come from
+# garbage collection and bursts of input.
+PAUSE_S = 0.25
+PAUSE_CHECK_S = 0.1
+
 Callback = Callable[[], Awaitable[None]] | Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """A time in which this process did not run, until `ended_at`; in seconds."""
+
+    length_s: float
+    ended_at: float
+
+
 class Timer:
     """Calls `callback` once, at `due` by the loop; if that is late, after reading."""
 
@@ -108,6 +122,9 @@
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         self._clock = clock
         self._subscriptions: set[Subscription] = set()
+        self._pause_callbacks: list[Callable[[Pause], None]] = []
+        self._ran_at: float | None = None
+        self._last_pause = Pause(0.0, float("-inf"))
 
     def now(self) -> float:
         """Return the monotonic time in seconds, by the given clock or the loop's."""
@@ -132,6 +149,44 @@
         self._subscriptions.add(subscription)
         return subscription
 
+    def watch_pauses(self, callback: Callable[[Pause], None]) -> None:
+        """Call `callback` once after each pause of this process, before what waits."""
+        if not self._pause_callbacks:
+            self._ran_at = self.now()
+            self.every(PAUSE_CHECK_S, self._check_pause, "pause")
+        self._pause_callbacks.append(callback)
+
+    def _check_pause(self) -> None:
+        now = self.now()
+        if self._ran_at is None:
+            return
+        length_s, self._ran_at = now - self._ran_at, now
+        if length_s < PAUSE_S:
+            return
+        log.warning(
+            "process was paused; reading what arrived before acting",
+            extra={"paused_ms": round(length_s * MS_PER_S)},
+        )
+        self._last_pause = Pause(length_s, now)
+        for callback in self._pause_callbacks:
+            callback(self._last_pause)
+
+    def last_pause(self) -> Pause:
+        """Return the last pause of this process, also if it has just ended."""
+        self._check_pause()
+        return self._last_pause
+
+    @property
+    def read_first_s(self) -> float:
+        """How long to let the loop read after a pause before acting, in seconds."""
+        left_s = self.last_pause().ended_at + READ_FIRST_S - self.now()
+        return max(left_s, 0.0)
+
+    async def read_first(self) -> None:
+        """After a pause, wait until the loop has read what arrived meanwhile."""
+        while (left_s := self.read_first_s) > 0:
+            await self.sleep(left_s)
+
     def active_count(self) -> int:
         """Return the number of subscriptions that are not cancelled."""
         return sum(subscription.is_active for subscription in self._subscriptions)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -18,6 +18,7 @@
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol import messages
 from monsoongap.protocol.decoding import Malformed, decode_msgpack
+from monsoongap.timers import TimerService
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import (
     ExchangeLost,
@@ -33,6 +34,7 @@
 
 CALL_TYPES = (
     messages.SubmitCall,
+    messages.LocateCall,
     messages.LendCall,
     messages.CancelCall,
     messages.FindCall,
@@ -46,8 +48,11 @@
 class HostCallServer:
     """Serves calls from other hosts; `answer` returns the reply to a decoded call."""
 
-    def __init__(self, answer: Callable[[Any], Awaitable[Any]]) -> None:
+    def __init__(
+        self, answer: Callable[[Any], Awaitable[Any]], timers: TimerService
+    ) -> None:
         self._answer = answer
+        self._timers = timers
         self._background = BackgroundTasks()
         self._server: asyncio.Server | None = None
 
@@ -75,6 +80,13 @@
         if kind is None:
             conn.reply(HTTPStatus.NOT_FOUND, b"no such call")
             return
+        await self._timers.read_first()
+        if not conn.is_open:
+            log.info(
+                "call was given up while this host was paused; dropping it",
+                extra={"call": path},
+            )
+            return
         try:
             call = decode_msgpack(body, kind)
         except Malformed as exc:
@@ -101,6 +113,11 @@
         self._body_chunks: list[bytes] = []
         self._received_bytes = 0
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the other host still waits for a reply."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
 
@@ -135,7 +152,7 @@
 
     def reply(self, status: HTTPStatus, body: bytes) -> None:
         """Send a reply, unless the other host closed the connection."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and self.is_open:
             head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
             size = f"Content-Length: {len(body)}\r\n\r\n"
             self._transport.write((head + size).encode() + body)
--- a/monsoongap/transport/http_server.py
+++ b/monsoongap/transport/http_server.py
@@ -46,6 +46,11 @@
         """The Host header without its port, lower-case."""
         return self.headers.get("host", "").partition(":")[0].lower()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the client still waits for the reply."""
+        return self.conn.waits_for(self)
+
     def reply(
         self, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None
     ) -> None:
@@ -84,6 +89,10 @@
         """Return whether a request waits for its reply."""
         return self._current is not None
 
+    def waits_for(self, req: ServerRequest) -> bool:
+        """Return whether the connection is open and a request has no reply yet."""
+        return self._transport is not None and self._current is req
+
     def close(self) -> None:
         """Close the connection after the data already written was sent."""
         if self._transport is not None:
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -237,8 +237,11 @@
         return await self.submit_job(host, Job(id_, QUEUE, payload, (step,)))
 
     async def submit_job(self, host: str, job: Job) -> JobReply:
-        """Submit a job at a host as a caller would."""
-        task = asyncio.create_task(self.hosts[host].submit(job))
+        """Submit a job at a host as a caller would; a paused one reads it later."""
+        target = self.hosts[host]
+        await self.thawed(host)
+        await target.timers.read_first()
+        task = asyncio.create_task(target.submit(job))
         self._tasks.setdefault(host, {})[task] = None
         try:
             reply = await task
@@ -291,6 +294,7 @@
         if host is None:
             raise PeerDown("refused")
         await self.thawed(target)
+        await host.timers.read_first()
         self.calls_delivered[type(request)] += 1
         task = asyncio.create_task(host.calls.answer(request))
         self._tasks.setdefault(target, {})[task] = None
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+import uvloop
 
 from monsoongap.standin.runner_model import overlapping_runs
 from tests.platform.site import CONFIG, Site, job_body, open_site
@@ -14,7 +15,8 @@
         async with open_site(**counts) as site:
             await test(site)
 
-    asyncio.run(main())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
 
 
 def without_queues(version: int) -> bytes:
--- a/tests/transport/test_host_calls.py
+++ b/tests/transport/test_host_calls.py
@@ -9,6 +9,7 @@
 
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol.messages import CancelCall, ConfigCall, ConfigReply
+from monsoongap.timers import TimerService
 from monsoongap.transport.host_calls import (
     MAX_BODY_BYTES,
     HostCallClient,
@@ -29,7 +30,7 @@
 
 def run_test(test: Callable[[HttpClient, str], Awaitable[None]]) -> None:
     async def main() -> None:
-        server = HostCallServer(answer)
+        server = HostCallServer(answer, TimerService())
         address = f"127.0.0.1:{free_ports(1)[0]}"
         await server.listen(address)
         http = HttpClient()
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -27,6 +27,7 @@
     Step,
     TaskId,
 )
+from monsoongap.timers import TimerService
 from monsoongap.transport.host_calls import (
     CALL_TYPES,
     HostCallClient,
@@ -61,6 +62,7 @@
 CALLS = (
     messages.SubmitCall(JOB, "b-h0", 3, SHARE, (TASK,), ((TASK, 2),), number=4),
     messages.LendCall(TASK, 1, "p", Resources(1, 1), "q", 3, "b-h0", CLAIM, 0.05),
+    messages.LocateCall(JOB_ID),
     messages.CancelCall(JOB_ID),
     messages.FindCall(JOB_ID, SHARE, CLAIM, TASK, 1),
     messages.ConfigCall(True),
@@ -129,7 +131,7 @@
         async def answer(call: Any) -> Any:
             return call
 
-        server, http = HostCallServer(answer), HttpClient()
+        server, http = HostCallServer(answer, TimerService()), HttpClient()
         address = f"127.0.0.1:{free_ports(1)[0]}"
         await server.listen(address)
         for name, body in bodies:
