A job is seen through by the queue that it was accepted by

Cause: each owner looked a job's queue up in its own configuration. After a hand-over, a kill or a pause the next owner did not find a queue that had been removed meanwhile. Placement looked it up too: later steps and tasks to be run again waited for ever, here and at lenders.

Why it works: the rule travels with hand-overs and repeated calls, the upstream with tasks. A reply that promises "not run" loses the promise wherever a previous owner may have started the job, so no path can deny a job that ran.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -104,11 +104,11 @@
                 if fits and (not work.label or work.label in free.labels):
                     left = free.resources.minus(work.size)
                     told.rooms[i] = FreeCapacity(free.upstream, left, free.labels)
-                    self._borrow(work, name)
+                    self._borrow(work, name, upstream)
                     return True
         return False
 
-    def _borrow(self, work: Work, lender: str) -> None:
+    def _borrow(self, work: Work, lender: str, upstream: str) -> None:
         peer = self.members.peer(lender)
         assert peer is not None
         work.borrowed_from = lender
@@ -121,9 +121,9 @@
                 "lender": lender,
             },
         )
-        self._background.spawn(self._run_there(work, peer), "borrow")
+        self._background.spawn(self._run_there(work, peer, upstream), "borrow")
 
-    async def _run_there(self, work: Work, peer: Peer) -> None:
+    async def _run_there(self, work: Work, peer: Peer, upstream: str) -> None:
         shares = tuple(c.share for c in peer.heartbeat.claims) if peer.heartbeat else ()
         claim = self.ownership.claims.get(work.share) if work.share else None
         if claim is None:
@@ -143,6 +143,7 @@
             work.label,
             work.rack,
             work.most_per_runner,
+            upstream,
         )
         try:
             reply: LendReply = await call_repeatedly(
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -37,6 +37,7 @@
     HostCard,
     Job,
     JobReply,
+    QueueRule,
     RunnerInfo,
     ShareId,
     SubmitCall,
@@ -228,9 +229,13 @@
             wait_s=wait_s,
             number=self._request_count,
         )
-        return await self._submit(call)
+        return await self._submit(call, self.directory.rule(job.queue))
 
-    async def _submit(self, call: SubmitCall) -> JobReply:
+    async def _submit(self, call: SubmitCall, rule: QueueRule | None) -> JobReply:
+        """Submit a call to one owner after the other until one has a reply.
+
+        `rule` is the queue by which the job was accepted.
+        """
         waited_s = 0.0
         started_at = self.timers.now()
         while True:
@@ -247,10 +252,10 @@
                     reply = await self._submit_to_owner(owner, call)
                 except PeerCallFailed as exc:
                     self._handle_failed_call(owner, call, exc)
-                    call = replace(call, again=True)
+                    call = replace(call, again=True, rule=rule)
                 else:
                     if reply.kind is not AnswerKind.HANDED_ON:
-                        return reply
+                        return reply.without_promise() if call.again else reply
                     if self.timers.now() - started_at > DECLINED_WAIT_S:
                         return self._no_answer(call, owner, reply)
             waited_s += OWNER_POLL_S
@@ -490,7 +495,8 @@
 
     async def _forward_handed_over(self, rec: JobRecord, call: SubmitCall) -> None:
         # The next owner must not handle the job by an older configuration.
-        reply = await self._submit(replace(call, version=self.directory.version))
+        call = replace(call, version=self.directory.version)
+        reply = await self._submit(call, call.rule)
         if not rec.answer.done():
             rec.answer.set_result(reply)
 
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -129,4 +129,5 @@
             runs=tuple(self.run_numbers.items()),
             again=self.may_have_started or self.dispatched or self.is_borrowing,
             wait_s=self.budget.wait_s,
+            rule=self.rule,
         )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -169,10 +169,13 @@
             )
             self._merge_call(rec, call)
             reply = await asyncio.shield(rec.answer)
-            return _downgrade_refusal(reply) if call.again else reply
-        rule = self.rule_of(job.queue)
+            return reply.without_promise() if call.again else reply
+        # A job that was accepted is seen through by the queue that it was accepted by.
+        rule = self.rule_of(job.queue) or call.rule
         if rule is None:
-            return JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+            reply = JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
+            may_have_started = call.again or self._may_have_started(job.id, rec)
+            return reply.without_promise() if may_have_started else reply
         new_rec = self._create_record(call, rule, rec)
         overload_refusal = self.admission_control.overload_refusal()
         if overload_refusal is not None and not call.again and not call.here:
@@ -200,7 +203,7 @@
         if rec is None or call.is_handover:
             return None
         reply = await asyncio.shield(rec.answer)
-        return None if reply.kind is AnswerKind.REFUSED else reply
+        return None if reply.without_promise() is not reply else reply
 
     def _create_record(
         self, call: SubmitCall, rule: QueueRule, previous: JobRecord | None
@@ -213,11 +216,7 @@
         if previous is not None:
             rec.run_numbers = previous.run_numbers
             rec.in_doubt_since = previous.in_doubt_since
-            rec.may_have_started = previous.may_have_started or previous.dispatched
-        if job.id in self._handed_over:
-            rec.may_have_started = (
-                rec.may_have_started or self._handed_over[job.id][1].may_have_started
-            )
+        rec.may_have_started = self._may_have_started(job.id, previous)
         self._merge_call(rec, call)
         rec.in_doubt_since = max(
             rec.in_doubt_since, self._jobs_in_doubt.pop(job.id, NEVER)
@@ -227,6 +226,13 @@
         self.counts.submitted += 1
         return rec
 
+    def _may_have_started(self, job: str, previous: JobRecord | None) -> bool:
+        """Return whether a try of a job here, or its next owner, may have run it."""
+        _, handed_over = self._handed_over.get(job, (NEVER, None))
+        return (
+            previous is not None and (previous.may_have_started or previous.dispatched)
+        ) or (handed_over is not None and handed_over.may_have_started)
+
     def _merge_call(self, rec: JobRecord, call: SubmitCall) -> None:
         """Update a record, and what is known of previous owners, from a call."""
         repeated = (call.origin, call.number) in rec.requests
@@ -374,7 +380,7 @@
         if rec.answer.done():
             return
         if rec.may_have_started:
-            reply = _downgrade_refusal(reply)
+            reply = reply.without_promise()
         rec.answer.set_result(reply)
         if not rec.works:
             rec.runs_ended.set()
@@ -408,13 +414,3 @@
                 self.counts.refused += 1
             case _:
                 self.counts.broken += 1
-
-
-def _downgrade_refusal(reply: JobReply) -> JobReply:
-    """Return a reply that does not promise that the job has not run.
-
-    A refusal promises it, but another owner may have started the job.
-    """
-    if reply.kind is AnswerKind.REFUSED:
-        return JobReply(AnswerKind.BROKEN, reply.detail)
-    return reply
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -108,6 +108,7 @@
         work = Work(
             call.task,
             call.queue,
+            call.upstream,
             call.payload,
             call.size,
             (0.0,),
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -279,7 +279,7 @@
 
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
-        upstream = self.directory.upstream_of(work.queue)
+        upstream = self._upstream_of(work)
         link = self._best(work, upstream) if upstream else None
         if link is None:
             return False
@@ -356,7 +356,7 @@
         tried = placed = 0
         for work in self._waiting.first(PUMP_LIMIT):
             tried += 1
-            upstream = self.directory.upstream_of(work.queue)
+            upstream = self._upstream_of(work)
             kind = (work.queue, work.size, work.label)
             if not upstream or (kind in nowhere and not work.avoid):
                 continue
@@ -384,6 +384,10 @@
         self.counts.borrowed += 1
         return True
 
+    def _upstream_of(self, work: Work) -> str:
+        """Return the upstream of a task; a queue may be removed while its jobs run."""
+        return self.directory.upstream_of(work.queue) or work.upstream
+
     def _best(self, work: Work, upstream: str) -> Link | None:
         if 2 * len(work.avoid) > len(self.links):
             work.avoid.clear()
--- a/monsoongap/coordination/steps.py
+++ b/monsoongap/coordination/steps.py
@@ -42,6 +42,7 @@
         work = Work(
             task,
             rec.rule.name,
+            rec.rule.upstream,
             rec.job.payload,
             step.size,
             (*rec.sort_key, task.step, task.index),
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -79,6 +79,7 @@
 class Work:
     """A task to run, from when it starts to wait for a runner until it ends.
 
+    `upstream` served the queue when the job was accepted.
     `sort_key` is its place among waiting tasks; the lowest is placed first. `on_end` is
     called with the outcome and the runner's id, empty if no runner here was involved.
     `share` is the share whose owner executes the task's job; None for a task that runs
@@ -90,6 +91,7 @@
 
     task: TaskId
     queue: str
+    upstream: str
     payload: str
     size: Resources
     sort_key: tuple[float, ...]
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -19,6 +19,7 @@
     Address,
     Amount,
     DurationMs,
+    Factor,
     Labels,
     Malformed,
     Name,
@@ -150,7 +151,7 @@
     target_latency_ms: DurationMs = 0
     priority: Amount = 0
     max_attempts: Amount = 1
-    stretch: Annotated[float, Meta(ge=0, le=1_000_000)] = 1.0
+    stretch: Factor = 1.0
     advice: Any = None
 
 
--- a/monsoongap/protocol/decoding.py
+++ b/monsoongap/protocol/decoding.py
@@ -37,6 +37,7 @@
 JobId = Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{1,16}\Z")]
 # Sent in a header.
 RunnerId = Annotated[str, Meta(pattern=r"^[!-~]{1,255}\Z")]
+Factor = Annotated[float, Meta(ge=0, le=1_000_000)]
 DurationMs = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 DurationS = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS / 1000)]
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -16,11 +16,12 @@
 import msgspec
 from msgspec import Meta
 
-from monsoongap.errors import AnswerKind
+from monsoongap.errors import ANSWER_RULES, AnswerKind, Promise
 from monsoongap.protocol.decoding import (
     Address,
     Balance,
     DurationS,
+    Factor,
     Ip,
     JobId,
     Labels,
@@ -104,15 +105,15 @@
     steps times `stretch`, plus `grace_s`.
     """
 
-    name: str
-    host: str
-    path_prefix: str
-    upstream: str
-    timeout_s: float
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    grace_s: float = 0.0
+    name: Text
+    host: Text
+    path_prefix: Text
+    upstream: Text
+    timeout_s: DurationS
+    priority: Natural = 0
+    max_attempts: Natural = 1
+    stretch: Factor = 1.0
+    grace_s: DurationS = 0.0
     needs_advice: bool = False
 
 
@@ -369,6 +370,15 @@
     detail: str = ""
     retry_after_s: DurationS = 0.0
 
+    def without_promise(self) -> "JobReply":
+        """Return the answer for a job that a previous owner may have started.
+
+        A reply that promises that the job has not run becomes one without a promise.
+        """
+        if ANSWER_RULES[self.kind].promise is Promise.NOT_RUN:
+            return JobReply(AnswerKind.BROKEN, self.detail)
+        return self
+
 
 @dataclass(frozen=True, slots=True)
 class SubmitCall:
@@ -382,7 +392,8 @@
     and `number` identify the request of the caller: a call that is repeated, or late,
     gets the same refusal again. `origin` is empty in a handover. `delayed` says that
     the request may have waited while its host was paused, so that the caller may have
-    sent the job to another host since.
+    sent the job to another host since. `rule` is the queue by which the job was
+    accepted, for an owner whose configuration has it no longer; None in a first call.
     """
 
     job: Job
@@ -396,6 +407,7 @@
     wait_s: DurationS = 0.0
     number: Natural = 0
     delayed: bool = False
+    rule: QueueRule | None = None
 
     @property
     def is_handover(self) -> bool:
@@ -423,6 +435,7 @@
 
     `home` is the name of the borrower. `claim` is the one by which the borrower
     executes the job: a borrower that has been replaced without knowing it is refused.
+    `upstream` serves the queue by the borrower's configuration.
     """
 
     task: TaskId
@@ -437,6 +450,7 @@
     label: Text = ""
     rack: Text = ""
     most_per_runner: Natural = 0
+    upstream: Text = ""
 
 
 class LendResult(StrEnum):
--- a/tests/coordination/test_waiting.py
+++ b/tests/coordination/test_waiting.py
@@ -11,7 +11,7 @@
 def make_work(*sort_key: float, cpu: int = 1000, estimate_s: float = 1.0) -> Work:
     task = TaskId("ab" * 8, 0, 0)
     size = Resources(cpu, 64)
-    return Work(task, "q", "", size, sort_key, lambda *_: None, None, estimate_s)
+    return Work(task, "q", "u", "", size, sort_key, lambda *_: None, None, estimate_s)
 
 
 @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 5)), max_size=30))
