Place tasks only by a list of runners younger than the limit for draining

Cause: a host that owns nothing reads the list every 15 s, and as a new owner placed tasks by the old list until its next read was answered. An owner that wakes from a pause does the same.

Why it works: the age of the list is part of the decision, so it does not matter how an old list came to be used.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -160,6 +160,7 @@
 
     def _resume_after(self, pause: Pause) -> None:
         """Announce this host again, and end the jobs whose callers gave up."""
+        self.directory.list_age.resume(self.timers.now())
         if pause.length_s >= OWNER_TIMEOUT_S:
             self.members.send_heartbeats_to_all()
             self.jobs.end_expired()
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -78,7 +78,7 @@
                     return ConfigReply(directory.version, b"", directory.packed_text())
                 return ConfigReply(directory.version, directory.text)
             case RunnersCall():
-                age_s = host.timers.now() - host.directory.runners_read_at
+                age_s = host.timers.now() - host.directory.list_age.read_at
                 return RunnersReply(age_s, host.directory.runners)
             case _:
                 raise TypeError(f"unknown call type: {type(request).__name__}")
@@ -131,7 +131,7 @@
             key=lambda found: found.read_at,
             default=None,
         )
-        if newest is None or newest.read_at <= host.directory.runners_read_at:
+        if newest is None or newest.read_at <= host.directory.list_age.read_at:
             return False
         host.set_runners(newest.runners, newest.read_at, f"host {newest.peer}")
         return True
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -326,6 +326,8 @@
         if self._waiting:
             return ()
         now = self.timers.now()
+        if not self.directory.list_age.allows_placement(now):
+            return ()
         rooms = [
             FreeCapacity(link.info.upstream, link.table.free, link.info.labels)
             for link in self.links.values()
@@ -392,6 +394,8 @@
         if 2 * len(work.avoid) > len(self.links):
             work.avoid.clear()
         links, now = self.links.values(), self.timers.now()
+        if not self.directory.list_age.allows_placement(now):
+            return None
         return best_runner(work, upstream, links, now, self.usual_slowness)
 
     def _launch(self, work: Work, link: Link) -> None:
--- a/monsoongap/coordination/status.py
+++ b/monsoongap/coordination/status.py
@@ -81,7 +81,7 @@
         host.ready,
         host.leaving,
         host.directory.version,
-        round(now - host.directory.runners_read_at, 3),
+        round(now - host.directory.list_age.read_at, 3),
         host.jobs.in_flight,
         host.pool.waiting,
         round(host.jobs.lag_s * 1000),
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -42,6 +42,8 @@
 CONFIG_MIN_WAIT_S = 0.2
 # An owner reads the list of runners at least twice within the limit for draining.
 OWNER_INTERVAL_FACTOR = 0.4
+# The rest of the limit for draining is for the start request's way to the runner.
+MAX_LIST_AGE_FACTOR = 0.8
 # A host that acquires a share reads the list at once, or gets it from another host.
 NON_OWNER_INTERVAL_S = 15.0
 # Runners register when the deployment starts, and hosts may start before them.
@@ -71,6 +73,8 @@
         )
         self._owner_interval_s = OWNER_INTERVAL_FACTOR * cfg.drain_s
         self._host = host
+        self._list_age = host.directory.list_age
+        self._list_age.max_age_s = MAX_LIST_AGE_FACTOR * cfg.drain_s
         self._store = store
         self._timers = timers
         self._dcs = frozenset(dcs)
@@ -132,9 +136,11 @@
             read_at = self._timers.now()
             # A host that reads seldom would read many records of each runner.
             topic.is_behind |= not self._host.became_owner.is_set()
+            self._list_age.begin_read(read_at)
             try:
                 changed = await self._store.advance(topic, 0.0)
             except StoreUnavailable as exc:
+                self._list_age.fail_read()
                 failures += 1
                 self._log_failure(RUNNERS_TOPIC, failures, exc)
                 if failures >= FAILURES_BEFORE_PEER_FETCH:
@@ -143,6 +149,7 @@
                 continue
             self._log_recovery(RUNNERS_TOPIC, failures)
             failures = 0
+            self._list_age.finish_read(read_at)
             if changed:
                 self._host.set_runners(self._decode_runners(topic), read_at)
             await self._wait_until_due(read_at)
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -12,6 +12,7 @@
 
 from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import Configuration, QueueRule, RunnerInfo
+from monsoongap.state.list_age import ListAge
 from monsoongap.timers import MS_PER_S
 
 log = logging.getLogger(__name__)
@@ -55,7 +56,7 @@
     config: Configuration = field(default_factory=lambda: Configuration(0))
     text: bytes = b""
     runners: tuple[RunnerInfo, ...] = ()
-    runners_read_at: float = -1e9
+    list_age: ListAge = field(default_factory=ListAge)
     runners_counts: RunnersCounts = field(default_factory=RunnersCounts)
     config_counts: ConfigCounts = field(default_factory=ConfigCounts)
     _rules: dict[str, QueueRule] = field(default_factory=dict)
@@ -115,7 +116,7 @@
         listed = {r.id for r in runners}
         added, gone = listed - previous, sorted(previous - listed)
         self.runners = runners
-        self.runners_read_at = read_at
+        self.list_age.confirm(read_at)
         self.runners_counts.lists_from_peers += source != SOURCE_STORE
         if not added and not gone:
             return
--- a/tests/platform/test_silent_outage.py
+++ b/tests/platform/test_silent_outage.py
@@ -46,9 +46,11 @@
     store.server.topic(RUNNERS_TOPIC).append(id_, msgspec.json.encode(entry))
 
 
-async def darkened_site(outage_s: float) -> tuple[World, ModelStore]:
+async def darkened_site(
+    outage_s: float, dcs: tuple[str, ...] = ("ibk", "kuf", "lnz")
+) -> tuple[World, ModelStore]:
     """Return a site whose store has just begun to answer again."""
-    world = World({"ibk": 3, "kuf": 2, "lnz": 2}, runners_per_dc=0)
+    world = World({dc: 3 if dc == "ibk" else 2 for dc in dcs}, runners_per_dc=0)
     await world.start()
     store = ModelStore()
     for dc in world.dcs:
