A runner that has restarted gets no task before its new entry is read

Cause: placement did not compare the incarnation that polls tell with that of the runner's record, and an idle runner is not polled, so its restart went unnoticed.

Why it works: a record of another incarnation than the last poll is not used, in either order of arrival and by any owner. A closed idle connection has the runner polled before its next start. The list is read each 0.2 s until the record is there.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -73,6 +73,7 @@
     polls: int = 0
     starts: int = 0
     avoid_until: float = 0.0
+    _may_have_restarted: bool = False
     _lease: RunnerLease = field(init=False)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
@@ -105,6 +106,15 @@
         """Apply a new record of the runner."""
         self.info = info
         self.table.update(info)
+        if self.table.is_other_incarnation:
+            # The runner has restarted; a poll tells whether this record is its newest.
+            self._wake.set()
+
+    def check_incarnation(self) -> None:
+        """Poll the runner before the next start: its idle connection was closed."""
+        if self.state is LinkState.HELD and not self.table.runs:
+            self._may_have_restarted = True
+            self._wake.set()
 
     def mark_in_doubt(self) -> None:
         """Assume that the previous owner renewed the lease until now."""
@@ -113,11 +123,16 @@
             self._lease.lapsed_at = max(self._lease.lapsed_at, lapsed_at)
 
     def is_placeable(self, now: float) -> bool:
-        """Return whether new runs may be placed here."""
+        """Return whether new runs may be placed here.
+
+        The record of another incarnation may have other labels and capacity.
+        """
         return (
             self.state is LinkState.HELD
             and not self.info.draining
             and now >= self.avoid_until
+            and not self._may_have_restarted
+            and not self.table.is_other_incarnation
         )
 
     @property
@@ -283,6 +298,7 @@
 
     def _apply(self, view: RunnerView, sent_at: float) -> None:
         first = self.state is LinkState.NEW
+        self._may_have_restarted = False
         if self.state is not LinkState.HELD:
             if not first:
                 log.info("runner responds again", extra={"runner": self.info.id})
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -150,6 +150,17 @@
             self.coverage.is_complete(c, self._held(c.share)) for c in claims
         )
 
+    @property
+    def lacks_records(self) -> bool:
+        """Tell whether a runner has restarted and its new record was not read yet."""
+        return any(link.table.is_other_incarnation for link in self.links.values())
+
+    def connection_lost(self, address: str) -> None:
+        """Take note that a runner has closed an idle connection: it may have ended."""
+        for link in self.links.values():
+            if link.info.address == address:
+                link.check_incarnation()
+
     def runner_digests(self, claims: Iterable[Claim]) -> tuple[RunnerDigest, ...]:
         """Return what is held by each claim, for the next owner."""
         return tuple(self.coverage.digest(c, self._held(c.share)) for c in claims)
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -66,6 +66,15 @@
         """
         return self.last_seq if self.info.born_ms <= self.born_ms else 0
 
+    @property
+    def is_other_incarnation(self) -> bool:
+        """Return whether the runner's record is of another incarnation than its poll.
+
+        A runner or a record that does not tell its start is taken for the same one.
+        """
+        known = self.born_ms and self.info.born_ms
+        return bool(known) and self.born_ms != self.info.born_ms
+
     @property
     def all_acknowledged(self) -> bool:
         """Return whether every end seen was acknowledged to the runner."""
@@ -122,7 +131,10 @@
         """
         restarted = bool(self.born_ms) and view.born_ms != self.born_ms
         if restarted:
-            log.warning("runner restarted", extra={"runner": self.info.id})
+            log.warning(
+                "runner restarted; placing nothing on it until its new entry is read",
+                extra={"runner": self.info.id},
+            )
             self.last_seq = self._acknowledged = 0
             self.done_before.clear()
         self.born_ms = view.born_ms
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -79,6 +79,7 @@
         card = _card_of(cfg, int(time.time() * MS_PER_S))
         self.host = Host(cfg, card, ports, self._timers, wire.decode_config)
         self._heartbeats.on_datagram = self.host.members.receive
+        self._http.on_idle_lost = self.host.pool.connection_lost
         metrics = Metrics(cfg.host.name, cfg.host.dc)
         self._callers = Callers(self.host, metrics)
         self._operators = OperatorServer(
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -49,7 +49,8 @@
 # Runners register when the deployment starts, and hosts may start before them.
 NO_RUNNERS_INTERVAL_S = 0.5
 # Jobs wait while a new owner lacks runners that a previous owner may have used. Reading
-# the list again finds a runner that was added recently.
+# the list again finds a runner that was added recently. A runner that has restarted
+# gets no work before its new entry was read.
 MISSING_RUNNERS_INTERVAL_S = 0.2
 INTERVAL_CHECK_S = 0.1
 RESTART_PAUSE_S = 1.0
@@ -172,7 +173,7 @@
             return NO_RUNNERS_INTERVAL_S
         if not self._host.ownership.claims:
             return NON_OWNER_INTERVAL_S
-        if self._host.pool.lacks_runners:
+        if self._host.pool.lacks_runners or self._host.pool.lacks_records:
             return MISSING_RUNNERS_INTERVAL_S
         return self._owner_interval_s
 
--- a/monsoongap/standin/runner_model.py
+++ b/monsoongap/standin/runner_model.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -51,7 +51,10 @@
 
 @dataclass(slots=True)
 class LedgerEntry:
-    """One run, recorded by its runner; times are of the clock of `RunnerModel`."""
+    """One run, recorded by its runner; times are of the clock of `RunnerModel`.
+
+    `labels` are those of the runner as the run began.
+    """
 
     task: TaskId
     run: int
@@ -59,6 +62,7 @@
     began_at: float
     ended_at: float | None = None
     how: str = ""
+    labels: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -106,6 +110,9 @@
     _last_end_seq: int = 0
     _runs_changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        self.info = replace(self.info, born_ms=self._born_ms())
+
     def clock_ms(self) -> int:
         """Return the runner's clock in ms, which starts at 0 with each incarnation."""
         return int((self.clock() - self._started_at) * MS_PER_S)
@@ -130,7 +137,9 @@
         if not self.free().can_fit(Resources(plan.cpu_milli, plan.mem_mb)):
             return NotStarted(Refusal.NO_ROOM, clock)
         now = self.clock()
-        entry = LedgerEntry(request.task, request.run, self.info.id, now)
+        entry = LedgerEntry(
+            request.task, request.run, self.info.id, now, labels=self.info.labels
+        )
         self.ledger.append(entry)
         work_s = plan.work_s(request.task)
         self._runs[request.task] = _Run(
@@ -218,14 +227,19 @@
         self._ends.clear()
         self.faults.dark = True
 
-    def restart(self) -> None:
-        """Start a new incarnation with the same id and without any earlier state."""
+    def restart(self, labels: tuple[str, ...] | None = None) -> None:
+        """Start a new incarnation with the same id and without any earlier state.
+
+        `labels` are those of the new incarnation, None for the same as before.
+        """
         self.fence = 0
         self._last_end_seq = 0
         self._rejected_runs.clear()
         self._lease_until_ms = 0.0
         self._started_at = self.clock()
         self.faults = RunnerFaults()
+        labels = self.info.labels if labels is None else labels
+        self.info = replace(self.info, labels=labels, born_ms=self._born_ms())
 
     def _born_ms(self) -> int:
         return 1_000_000 + int(self._started_at * MS_PER_S)
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from monsoongap.transport.http_conn import (
     ExchangeLost,
@@ -40,6 +42,8 @@
 
     def __init__(self) -> None:
         self.counts = ClientCounts()
+        # Called with an address whose server has closed an idle connection.
+        self.on_idle_lost: Callable[[str], None] = lambda address: None
         self._idle: dict[str, list[tuple[float, KeepAliveConnection]]] = {}
 
     async def exchange(
@@ -95,6 +99,7 @@
 
     def _keep(self, address: str, conn: KeepAliveConnection) -> None:
         now = asyncio.get_running_loop().time()
+        conn.on_idle_lost = partial(self.on_idle_lost, address)
         idle = self._idle.setdefault(address, [])
         idle.append((now, conn))
         if len(idle) > MAX_IDLE_PER_ADDRESS:
@@ -111,5 +116,6 @@
         while idle:
             _, conn = idle.pop()
             if not conn.closed:
+                conn.on_idle_lost = None
                 return conn
         return None
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from typing import cast
@@ -86,6 +87,8 @@
         self._pending_reply: asyncio.Future[HttpReply] | None = None
         self._limit: Timer | None = None
         self._transfer_s = 0.0
+        # Called once if the peer closes the connection between two exchanges.
+        self.on_idle_lost: Callable[[], None] | None = None
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "KeepAliveConnection":
@@ -108,6 +111,7 @@
 
     def close(self) -> None:
         """Close the connection after the data already written was sent."""
+        self.on_idle_lost = None
         if self._transport is not None:
             self._transport.close()
 
@@ -187,7 +191,9 @@
         self._limit = Timer(due, partial(self._expire, self._transfer_s))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the exchange that waits for a reply."""
+        """Fail the exchange that waits for a reply, or report an idle connection."""
+        if self.on_idle_lost is not None and self._pending_reply is None:
+            self.on_idle_lost()
         self._fail(str(exc) if exc else "connection closed")
 
     def _fail(self, reason: str) -> None:
--- a/tests/coordination/test_host.py
+++ b/tests/coordination/test_host.py
@@ -669,6 +669,8 @@
         ]
         await asyncio.sleep(0.3)
         model.restart()
+        # The new incarnation registers, and the owner reads its entry.
+        world.send_runner_lists()
         replies = await asyncio.gather(first, *jobs)
         assert {r.kind for r in replies} == {AnswerKind.COMPLETED}
         world.check()
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -160,6 +160,12 @@
         model = self.models[address] = RunnerModel(info, clock, self.ledger)
         return model
 
+    def crash_runner(self, address: str) -> None:
+        """End a runner; its connections close."""
+        self.models[address].crash()
+        for host in self.hosts.values():
+            host.pool.connection_lost(address)
+
     def pause(self, name: str) -> None:
         """Stop a host's process until `thaw`; what comes for it waits."""
         self._thawed[name].clear()
--- a/tests/platform/test_pauses.py
+++ b/tests/platform/test_pauses.py
@@ -22,6 +22,8 @@
     writer.write(HttpRequest("GET", "/scan/").encode(address))
     await reader.readuntil(b"}")
     sock: socket.socket = writer.get_extra_info("socket").dup()
+    # The copy keeps the connection open.
+    writer.close()
     return sock
 
 
--- a/tests/platform/test_silent_outage.py
+++ b/tests/platform/test_silent_outage.py
@@ -33,7 +33,8 @@
     dc, address = id_.partition("-")[0], address_of(id_)
     if address not in world.models:
         world.join_runner(dc, id_, address)
-    room = world.models[address].info.room
+    info = world.models[address].info
+    room = info.room
     entry = {
         "service": UPSTREAM,
         "address": address,
@@ -41,7 +42,7 @@
         "state": state,
         "capacity": {"cpu": room.cpu_milli, "memMb": room.mem_mb},
         "labels": ["a"],
-        "born": 1,
+        "born": info.born_ms,
     }
     store.server.topic(RUNNERS_TOPIC).append(id_, msgspec.json.encode(entry))
 
--- a/tests/transport/test_http_conn.py
+++ b/tests/transport/test_http_conn.py
@@ -184,3 +184,27 @@
             await http.exchange("127.0.0.1:none", REQUEST, 1.0)
 
     asyncio.run(main())
+
+
+# The owner of a runner has to learn that an idle connection was closed: the runner may
+# have restarted as another kind.
+@pytest.mark.parametrize("closes", ["server", "client", "unused"])
+def test_a_server_that_closes_an_idle_connection_is_reported(closes: str) -> None:
+    server = ScriptedServer(*([OK_REPLY, None][: 1 + (closes == "server")]))
+
+    async def test(client: HttpClient) -> None:
+        lost = list[str]()
+        client.on_idle_lost = lost.append
+        address = f"127.0.0.1:{server.port}"
+        await client.exchange(address, REQUEST, 1.0)
+        if closes == "server":
+            conn = client._idle[address][0][1]
+            assert conn._transport is not None
+            # The script ends with the next request, which no exchange sends.
+            conn._transport.write(b"x")
+        elif closes == "client":
+            client.forget(address)
+        await asyncio.sleep(0.05)
+        assert lost == ([address] if closes == "server" else [])
+
+    run_test(server, test)
