--- a/tests/transport/test_http_conn.py
+++ b/tests/transport/test_http_conn.py
@@ -192,10 +192,9 @@
 def test_a_server_that_closes_an_idle_connection_is_reported(closes: str) -> None:
     server = ScriptedServer(*([OK_REPLY, None][: 1 + (closes == "server")]))
 
-    async def test(client: HttpClient) -> None:
+    async def test(client: HttpClient, address: str) -> None:
         lost = list[str]()
         client.on_idle_lost = lost.append
-        address = f"127.0.0.1:{server.port}"
         await client.exchange(address, REQUEST, 1.0)
         if closes == "server":
             conn = client._idle[address][0][1]
