--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -168,6 +168,16 @@
                 run.state = RunState.IN_DOUBT
             case _:
                 return
+        log.info(
+            "stop requested",
+            extra={
+                "job": run.task.job,
+                "task": f"{run.task.step}.{run.task.index}",
+                "run": run.number,
+                "runner": self.info.id,
+                "fence": self.fence,
+            },
+        )
         self._background.spawn(self._request_stop(run), "stop")
 
     async def _request_start(self, run: Run, payload: str, until_ms: int) -> None:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -318,6 +318,16 @@
         return False
 
     def runs_of(self, job: str) -> list[tuple[Link, Run]]:
+                log.info(
+                    "orphan run adopted",
+                    extra={
+                        "job": run.task.job,
+                        "task": f"{run.task.step}.{run.task.index}",
+                        "run": run.number,
+                        "runner": link.info.id,
+                        "fence": link.fence,
+                    },
+                )
         """Return what is left of a job on the owned runners."""
         return [
             (link, run)
@@ -446,3 +456,5 @@
             work.on_end(work, how, link.info.id)
 
         run.on_end = over
+                "fence": link.fence,
+                "lent": work.share is None,
--- a/monsoongap/standin/runner_model.py
+++ b/monsoongap/standin/runner_model.py
@@ -104,7 +104,7 @@
     polls: int = 0
     _started_at: float = 0.0
     _lease_until_ms: float = 0.0
-    _runs: dict[TaskId, _Run] = field(default_factory=dict)
+    _runs: dict[tuple[TaskId, int], _Run] = field(default_factory=dict)
     _rejected_runs: dict[TaskId, int] = field(default_factory=dict)
     _ends: list[RunEnd] = field(default_factory=list)
     _last_end_seq: int = 0
@@ -123,13 +123,9 @@
         self.advance()
         clock = self.clock_ms()
         self._extend_lease(request.lease_until_ms)
-        current = self._runs.get(request.task)
-        if current is not None and current.number == request.run:
+        if (request.task, request.run) in self._runs:
             return Started(clock)
-        if (
-            current is not None
-            or self._rejected_runs.get(request.task, 0) >= request.run
-        ):
+        if self._rejected_runs.get(request.task, 0) >= request.run:
             return NotStarted(Refusal.OLD_RUN, clock)
         if request.lease_until_ms <= clock:
             return NotStarted(Refusal.LEASE_OVER, clock)
@@ -142,7 +138,7 @@
         )
         self.ledger.append(entry)
         work_s = plan.work_s(request.task)
-        self._runs[request.task] = _Run(
+        self._runs[request.task, request.run] = _Run(
             request.task, request.run, plan, entry, work_s, now
         )
         # A waiting poll has to consider the end of this run too.
@@ -157,9 +153,9 @@
         self._check_fence(fence)
         self.advance()
         self._rejected_runs[task] = max(self._rejected_runs.get(task, 0), run)
-        current = self._runs.get(task)
-        if current is not None and current.number <= run:
-            self._end_run(current, EndKind.STOPPED, self.clock())
+        for current in list(self._runs.values()):
+            if current.task == task and current.number <= run:
+                self._end_run(current, EndKind.STOPPED, self.clock())
         return self.clock_ms()
 
     def poll(
@@ -267,7 +263,7 @@
         self._lease_until_ms = max(self._lease_until_ms, min(until_ms, limit_ms))
 
     def _end_run(self, run: _Run, kind: EndKind, ended_at: float) -> None:
-        del self._runs[run.task]
+        del self._runs[run.task, run.number]
         self._rejected_runs[run.task] = max(
             self._rejected_runs.get(run.task, 0), run.number
         )
