Jobs of a share that is given back keep track of their runs

Cause: a host that holds the share of another data centre gives it back. Its jobs were handed over to the owner of its own data centre's share, that is to itself, and their runs on runners that it keeps stayed bound to closed records: nobody adopted or stopped them, and their tasks were started again.

Two of four cases of test_a_job_of_a_share_that_is_given_back_runs_once failed before.

Why it works: a hand-over goes to the next owner of the job's data centre. Runs of jobs that move on become orphans, which are adopted or stopped. Whatever the history, a task is placed only by the owner of its share, and never beside a run of it that is known here: that one is adopted, or its end is waited for.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -241,7 +241,8 @@
         started_at = self.timers.now()
         while True:
             await self.timers.read_first()
-            share = self.ownership.share_of_job(call.job.id)
+            # A job of another data centre is handed over to the next owner there.
+            share = self.ownership.share_of_job(call.job.id, call.share.dc)
             delayed = call.delayed or self.is_catching_up
             call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -138,9 +138,9 @@
         dcs = sorted(owned.union(self._runner_counts))
         return [share for dc in dcs for share in self.shares_of(dc)]
 
-    def share_of_job(self, job: str) -> ShareId:
-        """Return the share of this data centre to which a job belongs."""
-        dc = self.members.card.dc
+    def share_of_job(self, job: str, dc: str = "") -> ShareId:
+        """Return the share of a data centre, by default this one, of a job."""
+        dc = dc or self.members.card.dc
         return ShareId(dc, share_index(job, len(self.shares_of(dc))))
 
     def owner_of(self, share: ShareId) -> Owner | None:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -25,6 +25,7 @@
     RunnerDigest,
     RunnerInfo,
     ShareId,
+    TaskId,
 )
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import Directory
@@ -99,8 +100,15 @@
         self.coverage.acquire(claim)
         self._sync(joins=False)
 
+    def owns(self, share: ShareId) -> bool:
+        """Tell whether this host owns a share."""
+        return share in self._claims
+
     def release(self, share: ShareId) -> list[Work]:
-        """Let the runners of a share go; returns what was placed on them."""
+        """Let the runners of a share go; returns what was placed on them.
+
+        The runs go on there, and no longer report their ends to the tasks.
+        """
         claim = self._claims.pop(share, None)
         if claim is not None:
             self.coverage.release(claim)
@@ -108,10 +116,13 @@
         for link in [k for k in self.links.values() if k.share == share]:
             for run in link.table.runs.values():
                 if run.work is not None:
+                    run.work.active_run = run.work.link = None
                     dropped.append(run.work)
                 run.on_end = None
             link.close()
             del self.links[link.info.id]
+        for link in self.links.values():
+            link.table.orphan_runs_of(share)
         return dropped
 
     def abandon(self) -> None:
@@ -307,6 +318,16 @@
             if run is not None and run.on_end is None:
                 self.counts.adopted += 1
                 table.orphans.discard(run.task)
+                log.info(
+                    "orphan run adopted",
+                    extra={
+                        "job": run.task.job,
+                        "task": f"{run.task.step}.{run.task.index}",
+                        "run": run.number,
+                        "runner": link.info.id,
+                        "fence": link.fence,
+                    },
+                )
                 link.table.resize(run, work.size)
                 run.estimate_s = work.estimate_s
                 self._bind(work, link, run)
@@ -317,17 +338,13 @@
                 return True
         return False
 
+    def _has_run_of(self, task: TaskId) -> bool:
+        return any(task in link.table.runs for link in self.links.values())
+
+    def _has_orphan_of(self, task: TaskId) -> bool:
+        return any(task in link.table.orphans for link in self.links.values())
+
     def runs_of(self, job: str) -> list[tuple[Link, Run]]:
-                log.info(
-                    "orphan run adopted",
-                    extra={
-                        "job": run.task.job,
-                        "task": f"{run.task.step}.{run.task.index}",
-                        "run": run.number,
-                        "runner": link.info.id,
-                        "fence": link.fence,
-                    },
-                )
         """Return what is left of a job on the owned runners."""
         return [
             (link, run)
@@ -394,7 +411,18 @@
         self.on_capacity_change()
 
     def _place(self, work: Work, upstream: str) -> bool:
-        """Start a task here, or with another owner; tell whether it has room."""
+        """Start a task here, or with another owner; tell whether it has room.
+
+        A run of the same task that was found since the task began to wait is adopted;
+        one that runs here for a borrower ends first.
+        """
+        if work.share is not None and not self.owns(work.share):
+            return False
+        if self._has_run_of(work.task):
+            if self._has_orphan_of(work.task):
+                self._waiting.remove(work)
+                return self.adopt(work)
+            return False
         link = self._best(work, upstream)
         if link is not None:
             self._waiting.remove(work)
@@ -432,6 +460,8 @@
                 "task": f"{work.task.step}.{work.task.index}",
                 "run": work.run_number,
                 "runner": link.info.id,
+                "fence": link.fence,
+                "lent": work.share is None,
                 "free_cpu": link.table.free.cpu_milli,
                 "waiting": len(self._waiting),
             },
@@ -456,5 +486,3 @@
             work.on_end(work, how, link.info.id)
 
         run.on_end = over
-                "fence": link.fence,
-                "lent": work.share is None,
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -16,6 +16,7 @@
     RunnerInfo,
     RunnerView,
     RunRow,
+    ShareId,
     TaskId,
 )
 from monsoongap.state.health import RunnerHealth, is_hung
@@ -118,6 +119,14 @@
         elif outcome is RunOutcome.DONE:
             self._record_done(run.task)
 
+    def orphan_runs_of(self, share: ShareId) -> None:
+        """Leave the runs of a share's jobs, which were handed over, to be adopted."""
+        for run in self.runs.values():
+            if run.work is not None and run.work.share == share:
+                run.work = run.on_end = None
+                run.started_at = self.timers.now()
+                self.orphans.add(run.task)
+
     def end_all(self) -> None:
         """End every run as lost."""
         for run in list(self.runs.values()):
--- /dev/null
+++ b/tests/coordination/test_released_shares.py
@@ -0,0 +1,88 @@
+"""Tests of owners of two shares that give one of them back; on virtual time.
+
+A host that owns the share of another data centre gives it back as soon as that one's
+hosts are live again. Its jobs move on, while their runs stay on the runners of both.
+"""
+
+import asyncio
+
+import pytest
+
+from monsoongap.errors import AnswerKind
+from monsoongap.protocol.messages import FindCall, LendCall, LendResult, SubmitCall
+from tests.coordination.test_host import run_virtual
+from tests.coordination.test_removed_queues import job_of
+from tests.coordination.test_takeover_doubts import busy, until
+from tests.host_world import QUEUE, World
+
+JOB = "ab" * 8
+WIDE = 12
+
+
+async def owner_of_two() -> tuple[World, str]:
+    """Return a world in which a host of `a` owns the runners of `b` as well."""
+    world = World({"a": 1, "b": 2, "c": 1})
+    await world.start()
+    await asyncio.sleep(3)
+    for name in ("b-h0", "b-h1"):
+        world.kill(name)
+    await until(lambda: any(host.owns("b") for host in world.hosts.values()))
+    # Jobs are reconciled by time, without asking the other owners.
+    await asyncio.sleep(5)
+    return world, next(name for name, host in world.hosts.items() if host.owns("b"))
+
+
+async def give_back(world: World) -> None:
+    world.start_host("b-h0")
+    await until(lambda: world.hosts["b-h0"].owns("b"))
+
+
+# The job's runs on runners that its former owner keeps were neither adopted nor stopped
+# when the job came back to that owner. One owner started its tasks twice on one runner.
+@pytest.mark.parametrize("tasks", [2, WIDE])
+@pytest.mark.parametrize("work_s", [0.6, 3.0])
+def test_a_job_of_a_share_that_is_given_back_runs_once(
+    tasks: int, work_s: float
+) -> None:
+    async def main() -> None:
+        world, holder = await owner_of_two()
+        other = next(name for name in world.hosts if name != holder)
+        world.start_host("b-h0")
+        # Until it owns the share, the host that started forwards jobs to its holder.
+        host = world.hosts["b-h0"]
+        await until(
+            lambda: (
+                host.ownership.owner_of(host.ownership.share_of_job(JOB)) is not None
+            )
+        )
+        call = asyncio.create_task(world.submit_job("b-h0", job_of(1, tasks, work_s)))
+        await until(lambda: bool(world.ledger))
+        await until(lambda: host.owns("b"))
+        again = asyncio.create_task(world.submit_job(other, job_of(1, tasks, work_s)))
+        replies = await asyncio.wait_for(asyncio.gather(call, again), 20)
+        assert {reply.kind for reply in replies} == {AnswerKind.COMPLETED}
+        await asyncio.sleep(3)
+        world.check()
+
+    run_virtual(main())
+
+
+# The former holder handed the jobs of the other data centre over to the owner of its
+# own share, which was itself.
+def test_the_jobs_of_a_share_that_is_given_back_go_to_its_next_owner() -> None:
+    async def main() -> None:
+        world, holder = await owner_of_two()
+        world.start_host("b-h0")
+        host = world.hosts["b-h0"]
+        share = host.ownership.share_of_job(JOB)
+        await until(lambda: host.ownership.owner_of(share) is not None)
+        call = asyncio.create_task(world.submit_job("b-h0", job_of(1, 2, 3.0)))
+        await until(lambda: bool(world.ledger))
+        await until(lambda: host.owns("b"))
+        await asyncio.sleep(0.2)
+        assert host.jobs.knows(JOB)
+        assert not world.hosts[holder].jobs.knows(JOB)
+        assert (await call).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
