Settle tasks whose runner is given back while their job stays

Callers saw: no answer to a job, nor to any repetition of it.

Cause: a job may run on runners of any share that its owner holds. As one of them is given back, the ends of runs there were no longer told to the job, and it waited for ever; a repetition waited for the end of its runs.

Evidence: test_a_job_with_runs_on_runners_that_are_given_back_is_answered timed out before.

Why it works: such a task is in the place of a lent one whose lender left it running, and is settled in the same way: the next owner of the runner stops the run, then the task is placed again.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -491,7 +491,12 @@
         if not self.ownership.claims:
             self.became_owner.clear()
         handed_over = self.jobs.hand_over(share)
-        self.lending.leave_running(self.pool.release(share))
+        dropped = self.pool.release(share)
+        self.lending.leave_running(work for work in dropped if work.share is None)
+        for work in dropped:
+            if work.share is not None and self.pool.owns(work.share):
+                # A task of a job that stays here; the next owner has its run.
+                self.reconciler.reconcile_lent(work, (share,))
         for rec, call in handed_over:
             self._background.spawn(self._forward_handed_over(rec, call), "hand-over")
 
--- a/tests/coordination/test_released_shares.py
+++ b/tests/coordination/test_released_shares.py
@@ -86,3 +86,18 @@
         world.check()
 
     run_virtual(main())
+
+
+# A job that stays here has runs on runners that are given back. Their ends were no
+# longer told to it, and the job and every repetition of it waited for ever.
+def test_a_job_with_runs_on_runners_that_are_given_back_is_answered() -> None:
+    async def main() -> None:
+        world, holder = await owner_of_two()
+        call = asyncio.create_task(world.submit_job(holder, job_of(1, WIDE, 2.5)))
+        await until(lambda: busy(world, "b-r0") or busy(world, "b-r1"))
+        await give_back(world)
+        reply = await asyncio.wait_for(call, 20)
+        assert reply.kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
