Open a record for a forwarded repetition only for an owned share

Callers saw: one answer; two owners in two data centres ran a task at one time.

Cause: a repetition is forwarded to the owner that is known to have the job. If the job had ended there without a result, that host opened a new record, under the share of the host that forwarded it and also when its own share was gone. Nothing handed the record over, no owner was asked, and its tasks began when the host next owned runners.

Why it works: the host declines unless it still owns the share by which it had the job, and uses that share. The forwarding owner then settles the job with all owners.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -9,7 +9,7 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from monsoongap.coordination.admission_control import (
     RETRY_AFTER_S,
@@ -170,6 +170,11 @@
             self._merge_call(rec, call)
             reply = await asyncio.shield(rec.answer)
             return reply.without_promise() if call.again else reply
+        if call.here:
+            if rec is None or not self.pool.owns(rec.share):
+                # Its share was released; a record here would never be handed over.
+                return JobReply(AnswerKind.HANDED_ON, "the job has ended here")
+            call = replace(call, share=rec.share)
         # A job that was accepted is seen through by the queue that it was accepted by.
         rule = self.rule_of(job.queue) or call.rule
         if rule is None:
--- a/tests/coordination/test_released_shares.py
+++ b/tests/coordination/test_released_shares.py
@@ -101,3 +101,28 @@
         world.check()
 
     run_virtual(main())
+
+
+# A host that had a job, and no longer owns its share, opened a record for a repetition
+# of it. Nothing handed that record over; its tasks began when the host owned runners
+# again, beside those of the next owner.
+def test_a_host_that_released_a_share_opens_no_record_for_its_jobs() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        host = world.hosts[owner]
+        call = asyncio.create_task(world.submit_job(owner, job_of(1, 2, 1.0)))
+        await until(lambda: bool(world.ledger))
+        (share,) = host.ownership.claims
+        host.cancel(JOB)
+        assert (await call).kind is AnswerKind.BROKEN
+        host.ownership.yield_to_fence(share)
+        foreign = world.hosts["b-h0"].ownership.share_of_job(JOB)
+        repeated = SubmitCall(job_of(1, 2, 1.0), "b-h0", 1, foreign, here=True)
+        reply = await host.calls.answer(repeated)
+        assert reply.kind is AnswerKind.HANDED_ON
+        assert host.jobs.in_flight == 0
+
+    run_virtual(main())
