A lender that has a run of a task does not answer that it has no room

Callers saw: nothing known; found by reading for the users' record, shown by a test.

Cause: "no room" lets the borrower start the task elsewhere at once. A lender gave this answer also because it had an earlier run of the same task.

Evidence: test_a_lender_with_a_run_of_the_task_does_not_answer_no_room failed before.

Why it works: the answer is `left_running`, after which the borrower has the lender stop the run before it places the task again.

--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -122,7 +122,10 @@
         )
         already = self.pool.runs_of(call.task.job)
         twice = any(run.task == call.task for _, run in already)
-        if twice or not self.pool.place_now(work):
+        if twice:
+            # Its owner does not know of this run, or takes it for ended.
+            fut.set_result(LendReply(LendResult.LEFT_RUNNING, call.run))
+        elif not self.pool.place_now(work):
             fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
         else:
             self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
--- a/tests/coordination/test_released_shares.py
+++ b/tests/coordination/test_released_shares.py
@@ -126,3 +126,30 @@
         assert host.jobs.in_flight == 0
 
     run_virtual(main())
+
+
+# A lender that has a run of the task told its borrower that there was no room, and the
+# borrower started the task elsewhere beside it.
+def test_a_lender_with_a_run_of_the_task_does_not_answer_no_room() -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        job = job_of(1, WIDE, 1.0)
+        call = asyncio.create_task(world.submit_job("a-h0", job))
+        await until(lambda: busy(world, "b-r0"))
+        borrower, lender = world.hosts["a-h0"], world.hosts["b-h0"]
+        (claim,) = borrower.ownership.claims.values()
+        lent = next(e for e in world.ledger if e.runner == "b-r0")
+        step = job.steps[0]
+        size, version = step.size, world.config.version
+        again = LendCall(lent.task, 9, job.payload, size, QUEUE, version, "a-h0", claim)
+        reply = await lender.calls.answer(again)
+        assert reply.result is LendResult.LEFT_RUNNING
+        found = FindCall(JOB, next(iter(lender.ownership.claims)), claim)
+        assert not (await lender.calls.answer(found)).settled or not busy(world, "b-r0")
+        assert (await call).kind in (AnswerKind.COMPLETED, AnswerKind.BROKEN)
+        assert borrower.jobs.in_flight == 0
+        world.check()
+
+    run_virtual(main())
