--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -348,6 +348,9 @@
         if owner is None:
             if call.delayed and not self.jobs.knows(call.job.id):
                 self.jobs.mark_job_in_doubt(call.job.id)
+                # A copy that comes to another owner from now on is forwarded here.
+                self.jobs.announce(call.job.id)
+                self.members.send_heartbeats_to_owners()
                 call = replace(call, again=True)
             return await self.jobs.submit(call)
         peer = self.members.peer(owner)
