Soak: whole data centres paused or lost, and callers who give up

Half of the callers now give up after 1.5 s and send their job again; the final jobs are from patient ones. `--only` plays one kind of fault, one after the other.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 
 from monsoongap.errors import AnswerKind
 from monsoongap.load.records import Attempt, CallRecord
+from monsoongap.platform.callers import WAIT_HEADER
 from monsoongap.standin.runner_model import TaskPlan
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
@@ -18,7 +19,9 @@
 ROUTE_HOST = "site"
 RESEND_DELAY_S = 1.3
 MAX_ATTEMPTS = 3
-ANSWER_TIMEOUT_S = 6.0
+# Callers say how long they wait, and then close the connection.
+HURRIED_WAIT_S = 1.5
+PATIENT_WAIT_S = 6.0
 # Long jobs are the ones that are still running when an owner changes.
 LONG_SHARE = 0.2
 
@@ -38,8 +41,11 @@
     http: HttpClient = field(default_factory=HttpClient)
     calls: list[CallRecord] = field(default_factory=list)
 
-    async def send(self) -> CallRecord:
-        """Send one job, and resend it while it gets no answer or `BROKEN`."""
+    async def send(self, may_hurry: bool = True) -> CallRecord:
+        """Send one job, and resend it while it gets no answer or `BROKEN`.
+
+        Half of the callers give up after `HURRIED_WAIT_S`, unless `may_hurry` is false.
+        """
         rng = self.rng
         tasks = rng.choice((1, 2, 4, 8))
         is_long = rng.random() < LONG_SHARE
@@ -51,9 +57,11 @@
         )
         self.calls.append(call)
         body = _encode_job(call, work_ms)
+        hurries = rng.random() < 0.5 and may_hurry
+        wait_s = HURRIED_WAIT_S if hurries else PATIENT_WAIT_S
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._send_once(
-                rng.choice(self.nodes), f"/{kind}/{call.id}", body
+                rng.choice(self.nodes), f"/{kind}/{call.id}", body, wait_s
             )
             call.attempts.append(Attempt(outcome))
             if outcome not in (None, AnswerKind.BROKEN):
@@ -63,11 +71,12 @@
         return call
 
     async def _send_once(
-        self, node: NodeAddress, path: str, body: bytes
+        self, node: NodeAddress, path: str, body: bytes, wait_s: float
     ) -> AnswerKind | None:
-        req = HttpRequest("POST", path, body, (("Host", ROUTE_HOST),))
+        headers = (("Host", ROUTE_HOST), (WAIT_HEADER, str(round(wait_s * 1000))))
+        req = HttpRequest("POST", path, body, headers)
         try:
-            reply = await self.http.exchange(node.callers, req, ANSWER_TIMEOUT_S)
+            reply = await self.http.exchange(node.callers, req, wait_s)
         except (NotConnected, ExchangeLost):
             # The caller gets no answer and sends the job again, as real callers do.
             return None
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,12 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Parameters of one soak; `calm` means without faults."""
+    """Parameters of one soak; `calm` means without faults, `only` one kind of them."""
 
     seconds: float
     jobs_per_s: float
     calm: bool
     size: Size
+    only: str = ""
 
 
 async def soak(seed: int, plan: Plan, out: Path) -> list[str]:
@@ -70,11 +71,12 @@
     if plan.calm:
         await asyncio.sleep(plan.seconds)
     else:
-        await FaultInjector(deployment, seed).inject_faults(plan.seconds)
+        await FaultInjector(deployment, seed, plan.only).inject_faults(plan.seconds)
     await asyncio.sleep(RECOVERY_S)
     loading.cancel()
     done_pending = await asyncio.wait(sends, timeout=ANSWER_WAIT_S)
-    final_calls = await asyncio.gather(*(callers.send() for _ in range(FINAL_JOBS)))
+    final_sends = (callers.send(may_hurry=False) for _ in range(FINAL_JOBS))
+    final_calls = await asyncio.gather(*final_sends)
     failures = list(broken_promises(callers.calls, await deployment.ledger()))
     failures += (
         [f"not answered before the end of the soak: {len(done_pending[1])} calls"]
@@ -108,6 +110,7 @@
     dcs: Annotated[int | None, typer.Option(help="Number of data centres.")] = None,
     nodes: Annotated[int | None, typer.Option(help="Entry hosts in each.")] = None,
     runners: Annotated[int, typer.Option(help="Runners in each.")] = 3,
+    only: Annotated[str, typer.Option(help="Inject faults of this kind only.")] = "",
 ) -> None:
     """Run soaks; exit with 1 if any of them failed."""
     seed_source = random.SystemRandom()
@@ -120,7 +123,7 @@
     for soak_seed in seeds:
         # By default two or three of each, depending on the seed.
         size = Size(dcs or 2 + soak_seed % 2, nodes or 2 + soak_seed // 2 % 2, runners)
-        plan = Plan(seconds, jobs_per_s, calm, size)
+        plan = Plan(seconds, jobs_per_s, calm, size, only)
         print(f"seed {soak_seed}, {size}")
         try:
             shutil.rmtree(out / str(soak_seed), ignore_errors=True)
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from monsoongap.coordination.ownership import REMOTE_WAIT_S
 from soak.deployment import Deployment
 from soak.processes import GRACE_S
 from soak.proxy import ProxyFault
@@ -28,10 +29,14 @@
 
 @dataclass(slots=True)
 class FaultInjector:
-    """Injects faults into a deployment; a seed gives the same faults at any load."""
+    """Injects faults into a deployment; a seed gives the same faults at any load.
+
+    `only` names the kind of fault to inject; empty for all kinds.
+    """
 
     deployment: Deployment
     seed: int
+    only: str = ""
     _started_at: float = field(default_factory=time.monotonic)
     _joined_count: int = 0
 
@@ -62,6 +67,24 @@
             for name in names:
                 self.deployment.procs.signal(name, signal.SIGCONT)
 
+    async def pause_dc(self, rng: Random) -> None:
+        """Pause all hosts of a data centre, for longer than others wait for them."""
+        dc = rng.choice(self.deployment.size.dc_names)
+        await self._pause(self.deployment.nodes_of(dc), rng.uniform(3.0, 11.0))
+
+    async def lose_dc(self, rng: Random) -> None:
+        """Kill all hosts of a data centre until others own it; start them again."""
+        dc = rng.choice(self.deployment.size.dc_names)
+        duration_s = rng.uniform(REMOTE_WAIT_S + 0.5, REMOTE_WAIT_S + 3.0)
+        self._print_event(f"kill the hosts of {dc} for {duration_s:.2f} s")
+        names = self.deployment.nodes_of(dc)
+        for name in names:
+            self.deployment.procs.signal(name, signal.SIGKILL)
+            self.deployment.procs.wait(name, 5)
+        await asyncio.sleep(duration_s)
+        for name in names:
+            self.deployment.procs.start_node(name)
+
     async def restart_node(self, rng: Random) -> None:
         """Shut a host down with SIGTERM and start it again."""
         await self._restart(rng.choice(list(self.deployment.procs.nodes)))
@@ -245,6 +268,8 @@
         return (
             self.kill_node,
             self.pause_node,
+            self.pause_dc,
+            self.lose_dc,
             self.restart_node,
             self.restart_all,
             self.restart_ready,
@@ -259,16 +284,22 @@
         )
 
     async def inject_faults(self, seconds: float) -> None:
-        """Inject faults at random times, so that they overlap."""
+        """Inject faults at random times, so that they overlap.
+
+        Faults of one kind only come one after the other.
+        """
         rng = Random(self.seed)
         self._started_at = time.monotonic()
         # A fault that raises cancels the others, so that none starts a host later.
         async with asyncio.TaskGroup() as group:
             while time.monotonic() - self._started_at < seconds:
                 await asyncio.sleep(rng.expovariate(0.8))
-                fault = rng.choice(self.faults())
+                kinds = [f for f in self.faults() if self.only in ("", f.__name__)]
+                fault = rng.choice(kinds)
                 self._print_event(fault.__name__)
-                group.create_task(fault(Random(rng.getrandbits(64))))
+                task = group.create_task(fault(Random(rng.getrandbits(64))))
+                if self.only:
+                    await task
 
     def _print_event(self, what: str) -> None:
         """Print an event with the seconds since the epoch, as logs have them."""
