Send a repetition to the owner that took the job up again

Callers saw: one answer; two owners in two data centres ran a task at one time.

Cause: a job that ended without a result is taken up by another owner, which has its former runs stopped first. A repetition that comes to the host where it ended, from a caller or forwarded by a third owner, was begun there again: that host looked at its own record only, and did not know who had taken the job up.

Why it works: the call that has a job's runs stopped names its sender, and the host takes note of it as of an announcement. What it knows of other owners goes before a record of its own that has no result, for callers and for hosts that forward to it.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -339,7 +339,8 @@
         """Execute a job here, or forward it to the owner that already executes it."""
         self.start_work_timers()
         owner = None
-        if not call.here and not self.jobs.knows(call.job.id):
+        if not call.here and not self.jobs.can_join(call):
+            # Another owner may have taken a job up again that ended here.
             owner = self.job_locations.owner_of_job(call.job.id)
             if owner is None and call.delayed:
                 owner = await self.calls.locate(call.job.id)
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -21,6 +21,7 @@
     RunnersReply,
     SubmitCall,
 )
+from monsoongap.state.job_locations import job_number
 
 if TYPE_CHECKING:
     from monsoongap.coordination.host import Host
@@ -70,6 +71,9 @@
                 return True
             case FindCall(job):
                 host.start_work_timers()
+                if request.home:
+                    # From now on, a repetition of the job is forwarded to its owner.
+                    host.job_locations.record_jobs(request.home, (job_number(job),))
                 host.jobs.cancel(job)
                 return await host.lending.stop_runs_of(request)
             case ConfigCall(accepts_packed):
@@ -87,7 +91,9 @@
         host = self._host
         if not await host.config_fetcher.wait_for(call.version, call.origin):
             return JobReply(AnswerKind.HANDED_ON, "owner has an older configuration")
-        has_job = call.here and host.jobs.knows(call.job.id)
+        has_job = call.here and host.jobs.can_join(call)
+        if call.here and host.job_locations.owner_of_job(call.job.id) is None:
+            has_job = host.jobs.knows(call.job.id)
         owns_share = not call.here and call.share in host.ownership.claims
         if not has_job and not owns_share:
             reply = await host.jobs.follow_handover(call)
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -114,6 +114,11 @@
         """Return whether a job is in progress here, or was until recently."""
         return job in self.records
 
+    def can_join(self, call: SubmitCall) -> bool:
+        """Return whether a call gets the answer of a job that is or was here."""
+        rec = self.records.get(call.job.id)
+        return rec is not None and rec.applies_to(call, self.timers.now())
+
     def mark_job_in_doubt(self, job: str) -> None:
         """Record that an owner that cannot be reached may have runs of a job."""
         self._jobs_in_doubt[job] = self.timers.now()
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.lending import Lending
@@ -117,9 +117,10 @@
         claim = self.ownership.claims.get(job_share)
         if claim is None:
             return False
-        call = FindCall(job, share, claim)
+        home = self.ownership.members.card.name
+        call = FindCall(job, share, claim, home=home)
         if lent is not None:
-            call = FindCall(job, share, claim, lent.task, lent.run_number)
+            call = replace(call, task=lent.task, run=lent.run_number)
         try:
             reply: FindReply = await self.peers.call(
                 peer.address, call, FindReply, STOP_RUNS_TIMEOUT_S, fresh=True
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -481,7 +481,8 @@
 
     `claim` is the one by which the caller executes the job. The reply covers the
     runners of `share`. With `task`, the callee also no longer starts run `run` of that
-    task, whose `LendCall` may still be on its way.
+    task, whose `LendCall` may still be on its way. `home` is the name of the caller,
+    to which the callee forwards repetitions of the job.
     """
 
     job: JobId
@@ -489,6 +490,7 @@
     claim: Claim
     task: TaskId | None = None
     run: Natural = 0
+    home: Sender = ""
 
 
 @dataclass(frozen=True, slots=True)
