--- a/tests/coordination/test_released_shares.py
+++ b/tests/coordination/test_released_shares.py
@@ -8,8 +8,20 @@
 
 import pytest
 
+from monsoongap.coordination.admission_control import AdmissionControl
+from monsoongap.coordination.job_record import JobRecord
+from monsoongap.coordination.time_budget import TimeBudget
+from monsoongap.coordination.waiting import Backlog
 from monsoongap.errors import AnswerKind
-from monsoongap.protocol.messages import FindCall, LendCall, LendResult, SubmitCall
+from monsoongap.protocol.messages import (
+    FindCall,
+    LendCall,
+    LendResult,
+    QueueRule,
+    ShareId,
+    SubmitCall,
+)
+from monsoongap.timers import TimerService
 from tests.coordination.test_host import run_virtual
 from tests.coordination.test_removed_queues import job_of
 from tests.coordination.test_takeover_doubts import busy, until
@@ -153,3 +165,71 @@
         world.check()
 
     run_virtual(main())
+
+
+class FullPool:
+    """A pool with an hour of work ahead of any task."""
+
+    def backlog(self) -> Backlog:
+        return Backlog([], [3600.0])
+
+
+# A job that waited for its admission was handed over, and then refused by the former
+# owner, while the next one ran it.
+@pytest.mark.parametrize("handed_over", [True, False])
+def test_a_job_that_was_handed_over_is_not_refused_by_its_former_owner(
+    handed_over: bool,
+) -> None:
+    async def main() -> None:
+        timers = TimerService()
+        refused = list[JobRecord]()
+        admission = AdmissionControl(
+            FullPool(),  # type: ignore[arg-type]
+            timers,
+            lambda rec, reply: refused.append(rec),
+        )
+        subscription = admission.start()
+        rule = QueueRule(QUEUE, "h", "/q/", "u", 1.5)
+        answer = asyncio.get_running_loop().create_future()
+        budget = TimeBudget(0.1, 1.5)
+        rec = JobRecord(
+            job_of(1, 1, 0.1), rule, ShareId("a"), budget, timers.now(), answer
+        )
+        admission.add(rec)
+        rec.closed = handed_over
+        await asyncio.sleep(0.3)
+        subscription.cancel()
+        assert bool(refused) is not handed_over
+
+    run_virtual(main())
+
+
+# A job that ended here without a result was taken up by another owner. A repetition
+# that came here began it again, beside the runs of that owner.
+@pytest.mark.parametrize("is_forwarded", [True, False])
+def test_a_repetition_goes_to_the_owner_that_took_the_job_up_again(
+    is_forwarded: bool,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1, "c": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        first = asyncio.create_task(world.submit_job("a-h0", job_of(1, 2, 2.0)))
+        await until(lambda: bool(world.ledger))
+        world.hosts["a-h0"].cancel(JOB)
+        assert (await first).kind is AnswerKind.BROKEN
+        # Callers send a job again after this.
+        await asyncio.sleep(1.3)
+        host = world.hosts["b-h0"]
+        share = host.ownership.share_of_job(JOB)
+        host.jobs.mark_job_in_doubt(JOB)
+        call = SubmitCall(job_of(1, 2, 2.0), "b-h0", 1, share, again=True)
+        second = asyncio.create_task(host.jobs.submit(call))
+        await asyncio.sleep(0.3)
+        at = "c-h0" if is_forwarded else "a-h0"
+        third = await world.submit_job(at, job_of(1, 2, 2.0))
+        assert third.kind is AnswerKind.COMPLETED
+        assert (await second).kind is AnswerKind.COMPLETED
+        world.check()
+
+    run_virtual(main())
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -63,9 +63,13 @@
         assert (await call).kind is AnswerKind.COMPLETED
 
     told = story(gathered, scene)
-    placed, hung, again, placed_again, answered = told
+    placed, hung, stopped, again, placed_again, answered = told
     assert hung.event == "run makes no progress; stopping it"
     assert hung.fields["runner"] == placed.fields["runner"]
+    assert stopped.event == "stop requested"
+    assert stopped.fields["runner"] == placed.fields["runner"]
+    assert stopped.fields["run"] == placed.fields["run"]
+    assert stopped.fields["fence"] == placed.fields["fence"]
     assert again.fields["avoid"] == placed.fields["runner"]
     assert placed_again.fields["runner"] != placed.fields["runner"]
     assert answered.fields["outcome"] == "completed"
