Send a start only to the incarnation by which its task was placed

Cause: placement compares the record of a runner with its last poll, but a start request names no incarnation. With the connections still open, no poll tells of the restart, and the start opens a new connection, whose first request it is.

Why it works: a connection leads to one incarnation. Replies to polls tell 'born', which the connection keeps; a start names the 'born' of its placement and uses a connection to that incarnation only. A start on a warm connection costs nothing more.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -157,7 +157,12 @@
         # otherwise find the lease lapsed and end the run.
         until_ms = self._lease.extend(self.timers.now())
         self.table.add(run)
-        self._background.spawn(self._request_start(run, payload, until_ms), "start")
+        # A poll may tell of a restart before the request is sent.
+        born_ms = self.table.born_ms
+        request = StartRequest(
+            run.task, run.number, payload, until_ms, self.fence, born_ms
+        )
+        self._background.spawn(self._request_start(run, request), "start")
 
     def stop(self, run: Run) -> None:
         """Stop a run; `run.on_end` is called once its end is certain."""
@@ -180,12 +185,11 @@
         )
         self._background.spawn(self._request_stop(run), "stop")
 
-    async def _request_start(self, run: Run, payload: str, until_ms: int) -> None:
+    async def _request_start(self, run: Run, request: StartRequest) -> None:
         if run.state is not RunState.STARTING:
             # Stopped before the request was sent, which must not be sent any more.
             self.table.end(run, RunOutcome.STOPPED)
             return
-        request = StartRequest(run.task, run.number, payload, until_ms, self.fence)
         try:
             result = await self.runners.start(self.info, request)
         except HigherFence:
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -48,7 +48,11 @@
     async def start(
         self, runner: RunnerInfo, request: StartRequest
     ) -> Started | NotStarted:
-        """Start a run; returns `Started` also if the run is there already."""
+        """Start a run; returns `Started` also if the run is there already.
+
+        The request is sent only if the runner is certainly in the incarnation
+        `request.born_ms`; otherwise raises `WrongInstance` or `NotSent`.
+        """
         ...
 
     async def stop(self, runner: RunnerInfo, task: TaskId, run: int, fence: int) -> int:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -229,13 +229,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRequest:
-    """Asks a runner to start a run. `lease_until_ms` is a time on its clock."""
+    """Asks a runner to start a run. `lease_until_ms` is a time on its clock.
+
+    `born_ms` is the incarnation by whose record the task was placed; 0 for any.
+    """
 
     task: TaskId
     run: int
     payload: str
     lease_until_ms: int
     fence: int
+    born_ms: int = 0
 
 
 class Refusal(StrEnum):
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -62,21 +62,45 @@
         `fresh` requires a new connection, for use after
         an exchange on a reused one got no reply.
         """
-        conn = None if fresh else self._take_idle(address)
-        if conn is None:
-            conn = await self._open(address)
+        conn = await self.acquire(address, fresh)
+        reply = await self.exchange_on(conn, address, req, timeout_s, transfer_s)
+        self.release(conn, address)
+        return reply
+
+    async def acquire(
+        self, address: str, fresh: bool = False, peer: int = 0
+    ) -> KeepAliveConnection:
+        """Return an idle connection, or open one; raises `NotConnected`.
+
+        `peer` prefers a connection to that process and excludes those to other ones.
+        The caller passes the connection to `release`, unless an exchange on it failed.
+        """
+        conn = None if fresh else self._take_idle(address, peer)
+        return await self._open(address) if conn is None else conn
+
+    def release(self, conn: KeepAliveConnection, address: str) -> None:
+        """Keep a connection for the next exchange, unless it was closed."""
+        if not conn.closed:
+            self._keep(address, conn)
+
+    async def exchange_on(
+        self,
+        conn: KeepAliveConnection,
+        address: str,
+        req: HttpRequest,
+        timeout_s: float,
+        transfer_s: float = 0.0,
+    ) -> HttpReply:
+        """Send a request on an acquired connection; raises `ExchangeLost`."""
         self.counts.exchanges += 1
         try:
-            reply = await conn.exchange(req, timeout_s, transfer_s)
+            return await conn.exchange(req, timeout_s, transfer_s)
         except ExchangeLost:
             self.counts.exchanges_lost += 1
             # The other idle connections have probably failed too; do not let
             # later exchanges time out on them one by one.
             self.forget(address)
             raise
-        if not conn.closed:
-            self._keep(address, conn)
-        return reply
 
     def forget(self, address: str) -> None:
         """Close the idle connections to `address`, which is no longer in use."""
@@ -105,17 +129,25 @@
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             idle.pop(0)[1].close()
 
-    def _take_idle(self, address: str) -> KeepAliveConnection | None:
-        """Return the most recently used idle connection; close those idle too long."""
+    def _take_idle(self, address: str, peer: int) -> KeepAliveConnection | None:
+        """Return the most recently used idle connection; close those idle too long.
+
+        If `peer` is given, connections to that process come first, and those to other
+        processes are left idle.
+        """
         idle = self._idle.get(address)
         if not idle:
             return None
         cutoff = asyncio.get_running_loop().time() - MAX_IDLE_S
         while idle and idle[0][0] < cutoff:
             idle.pop(0)[1].close()
-        while idle:
-            _, conn = idle.pop()
-            if not conn.closed:
-                conn.on_idle_lost = None
-                return conn
+        for known in (peer, 0) if peer else (None,):
+            for index in reversed(range(len(idle))):
+                conn = idle[index][1]
+                if known is not None and conn.peer != known:
+                    continue
+                del idle[index]
+                if not conn.closed:
+                    conn.on_idle_lost = None
+                    return conn
         return None
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -87,6 +87,9 @@
         self._pending_reply: asyncio.Future[HttpReply] | None = None
         self._limit: Timer | None = None
         self._transfer_s = 0.0
+        # Identity of the process at the other end, as a reply on this connection told
+        # it; 0 if unknown. It cannot change: a new process has new connections.
+        self.peer = 0
         # Called once if the peer closes the connection between two exchanges.
         self.on_idle_lost: Callable[[], None] | None = None
 
--- a/tests/coordination/test_runner_restarts.py
+++ b/tests/coordination/test_runner_restarts.py
@@ -87,3 +87,45 @@
         assert wrong_starts(world, NEW) == []
 
     run_virtual(main())
+
+
+async def lose_power(world: World, id_: str) -> None:
+    """Restart a runner as another kind; no connection is closed."""
+    world.models[id_].crash()
+    world.models[id_].restart((NEW,))
+
+
+# No connection was closed and no poll was answered since: the owner goes by its record
+# of the former incarnation, and the start would be the first request of the new one.
+@pytest.mark.parametrize("is_lent", [True, False])
+@pytest.mark.parametrize("lose", [keep, leave, kill])
+def test_a_restart_that_no_poll_has_told_of_gets_no_task_by_old_labels(
+    lose: Callable[[World, str], None], is_lent: bool
+) -> None:
+    async def main() -> None:
+        world = World({"ibk": 2, "lnz": 2}, runners_per_dc=1)
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("ibk")
+        if is_lent:
+            # Fills the runner of the data centre, so that the next tasks are lent.
+            size = Resources(world.models["ibk-r0"].info.room.cpu_milli, 64)
+            payload = msgspec.json.encode(TaskPlan(800.0)).decode()
+            step = Step(1, size, 0.8)
+            full = Job(f"{999:016x}", QUEUE, payload, (step,))
+            asyncio.create_task(world.submit_job(owner, full))
+            await asyncio.sleep(0.2)
+        await lose_power(world, "lnz-r0" if is_lent else "ibk-r0")
+        lose(world, owner)
+        host = next(iter(world.hosts))
+        for number in range(20):
+            asyncio.create_task(world.submit_job(host, job(number)))
+            await asyncio.sleep(0.04)
+        by_old_labels = [
+            e
+            for e in world.ledger
+            if e.labels == (NEW,) and e.task.job != f"{999:016x}"
+        ]
+        assert by_old_labels == []
+
+    run_virtual(main())
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -15,7 +15,13 @@
 import msgspec
 
 from monsoongap.coordination.host import Host, HostPorts
-from monsoongap.coordination.ports import NoAnswer, NotSent, PeerCallFailed, PeerDown
+from monsoongap.coordination.ports import (
+    NoAnswer,
+    NotSent,
+    PeerCallFailed,
+    PeerDown,
+    WrongInstance,
+)
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
     Configuration,
@@ -402,6 +408,8 @@
         self, runner: RunnerInfo, request: StartRequest
     ) -> Started | NotStarted:
         async def act(model: RunnerModel) -> Started | NotStarted:
+            if request.born_ms not in (0, model.info.born_ms):
+                raise WrongInstance(runner.id)
             return model.start(request)
 
         return await self.world.order(self.name, runner.address, act)
