--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import struct
+from types import SimpleNamespace
 from typing import Any, cast
 
 import msgspec
@@ -160,8 +161,15 @@
     def __init__(self, status: int, body: bytes) -> None:
         self._reply = HttpReply(status, body)
 
-    async def exchange(
-        self, address: str, req: HttpRequest, timeout_s: float, fresh: bool = False
+    async def acquire(self, address: str, fresh: bool, peer: int) -> SimpleNamespace:
+        """Return a connection that is only marked with its peer."""
+        return SimpleNamespace(peer=0)
+
+    def release(self, conn: SimpleNamespace, address: str) -> None:
+        """Do nothing."""
+
+    async def exchange_on(
+        self, conn: SimpleNamespace, address: str, req: HttpRequest, timeout_s: float
     ) -> HttpReply:
         """Return the reply."""
         return self._reply
