Keep runners in use whose replies get lost

Cause: one request without a reply took a whole runner out of use until a later poll, 0.3 to 0.8 s. A task whose start was stopped waited for the poll under way, and a poll without a reply left the ends of all runs of its runner untold for 0.7 s.

Why it works: a runner that has answered a request sent later works, so only the reply was lost. While replies get lost, a start without one for 60 ms is looked for by a poll, the stop of a run in doubt is followed by a poll at once, and an end that is overdue is polled for. A reply that another one has overtaken is dropped by the runner's clock.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -6,11 +6,19 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
 from monsoongap.coordination.lease import CLOCK_DRIFT, RunnerLease, longest_lease_s
+from monsoongap.coordination.lost_replies import (
+    PROBE_INTERVAL_S,
+    START_OVERDUE_S,
+    LostReplies,
+    Responses,
+    probe_delay_s,
+)
 from monsoongap.coordination.ports import (
     HigherFence,
     NoAnswer,
@@ -25,6 +33,7 @@
     RunnerInfo,
     RunnerView,
     ShareId,
+    Started,
     StartRequest,
 )
 from monsoongap.settings import BoundsSection
@@ -68,6 +77,7 @@
     on_capacity_change: Callable[[], None]
     checks_capacity: Callable[[str], bool]
     on_orphan_found: Callable[[str], None] = lambda job: None
+    lost_replies: LostReplies = field(default_factory=LostReplies)
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
@@ -75,6 +85,7 @@
     avoid_until: float = 0.0
     _may_have_restarted: bool = False
     _lease: RunnerLease = field(init=False)
+    _responses: Responses = field(default_factory=Responses)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
 
@@ -190,22 +201,28 @@
             # Stopped before the request was sent, which must not be sent any more.
             self.table.end(run, RunOutcome.STOPPED)
             return
+        sent_at = self.timers.now()
         try:
-            result = await self.runners.start(self.info, request)
+            result = await self._send_start(run, request)
         except HigherFence:
             self.on_fenced(self)
             return
-        except (NotSent, WrongInstance):
+        except WrongInstance:
             self.table.end(run, RunOutcome.UNHEALTHY)
             self._mark_unresponsive("start request not sent")
             return
+        except NotSent:
+            self.table.end(run, RunOutcome.UNHEALTHY)
+            self._handle_lost_reply("start request not sent", sent_at)
+            return
         except NoAnswer:
-            self._mark_unresponsive("no reply to start request")
+            self._handle_lost_reply("no reply to start request", sent_at)
             if run.state is RunState.STARTING:
                 run.state = RunState.IN_DOUBT
                 await self._request_stop(run)
             return
         now = self.timers.now()
+        self._responses.record(sent_at)
         self._lease.record_clock(result.clock_ms, now)
         if isinstance(result, NotStarted):
             self.avoid_until = now + REFUSED_PAUSE_S
@@ -218,9 +235,34 @@
             run.state = RunState.RUNNING
         self._wake.set()
 
+    async def _send_start(
+        self, run: Run, request: StartRequest
+    ) -> Started | NotStarted:
+        """Send a start request; raises `NoAnswer` early if the reply is probably lost.
+
+        A poll then tells whether the run is there. If it is not, the request may still
+        be carried out later, so the caller stops the run.
+        """
+        if not self.lost_replies.is_likely(self.timers.now()):
+            return await self.runners.start(self.info, request)
+        sent_at = self.timers.now()
+        call = asyncio.ensure_future(self.runners.start(self.info, request))
+        try:
+            await asyncio.wait({call}, timeout=START_OVERDUE_S)
+            if not call.done():
+                await self._probe()
+                is_unlisted = run.state is RunState.STARTING
+                answers = self._responses.any_since(sent_at)
+                if is_unlisted and answers and not call.done():
+                    raise NoAnswer("not listed by a later poll")
+            return await call
+        finally:
+            call.cancel()
+
     async def _request_stop(self, run: Run) -> None:
         """Repeat a stop until it is confirmed; the run has ended or is listed then."""
         while self.table.has(run) and self.state is not LinkState.CLOSED:
+            sent_at = self.timers.now()
             try:
                 clock_ms = await self.runners.stop(
                     self.info, run.task, run.number, self.fence
@@ -241,10 +283,15 @@
                 await self.timers.sleep(RETRY_S)
                 continue
             now = self.timers.now()
+            self._responses.record(sent_at)
             self._lease.record_clock(clock_ms, now)
             run.confirmed_at = min(run.confirmed_at, now)
+            was_in_doubt = run.state is RunState.IN_DOUBT
             run.state = RunState.STOPPING
             self._wake.set()
+            if was_in_doubt:
+                # A run that never began has no end that the poll under way waits for.
+                await self._probe()
             return
 
     async def _poll_loop(self) -> None:
@@ -282,25 +329,75 @@
         extends = held and self._lease.clock_known
         until_ms = self._lease.extend(sent_at) if extends else None
         self.polls += 1
+        acknowledged = self.table.last_seen_seq if held else 0
+        call = self.runners.poll(
+            self.info,
+            self.fence,
+            acknowledged,
+            until_ms,
+            int(wait_s * MS_PER_S),
+            self.state is LinkState.SILENT,
+        )
         try:
-            view = await self.runners.poll(
-                self.info,
-                self.fence,
-                self.table.last_seen_seq if held else 0,
-                until_ms,
-                int(wait_s * MS_PER_S),
-                self.state is LinkState.SILENT,
-            )
+            view = await (self._with_probes(call) if wait_s else call)
         except HigherFence:
             self.on_fenced(self)
             await self.timers.sleep(RETRY_S)
         except (NotSent, NoAnswer, WrongInstance) as exc:
-            self._mark_unresponsive(f"poll failed: {type(exc).__name__}")
+            self._handle_lost_reply(f"poll failed: {type(exc).__name__}", sent_at)
             if self.timers.now() >= self._lease.lapsed_at:
                 self.table.end_all()
-            await self.timers.sleep(RETRY_S)
+            if not (held and isinstance(exc, NoAnswer)):
+                await self.timers.sleep(RETRY_S)
         else:
-            self._apply(view, sent_at)
+            self._apply(view, sent_at, acknowledged)
+
+    async def _with_probes(self, call: Coroutine[Any, Any, RunnerView]) -> RunnerView:
+        """Await a poll, with further polls if ends are overdue and replies get lost."""
+        now = self.timers.now()
+        slowness = self.table.health.slowness
+        delay_s = probe_delay_s(self.table.runs.values(), slowness, now)
+        if delay_s is None or not self.lost_replies.is_likely(now):
+            return await call
+        task = asyncio.ensure_future(call)
+        interval_s = PROBE_INTERVAL_S
+        try:
+            while True:
+                await asyncio.wait({task}, timeout=delay_s)
+                if task.done():
+                    return await task
+                self._background.spawn(self._probe(), "probe")
+                delay_s, interval_s = interval_s, 2 * interval_s
+        finally:
+            task.cancel()
+
+    async def _probe(self) -> None:
+        """Poll at once, beside the poll that is under way; ignore a failure."""
+        if self.state is LinkState.CLOSED:
+            return
+        self.lost_replies.probes += 1
+        sent_at = self.timers.now()
+        acknowledged = self.table.last_seen_seq
+        try:
+            view = await self.runners.poll(
+                self.info, self.fence, acknowledged, None, 0, False
+            )
+        except HigherFence:
+            self.on_fenced(self)
+        except (NotSent, NoAnswer, WrongInstance):
+            return
+        else:
+            self._apply(view, sent_at, acknowledged)
+
+    def _handle_lost_reply(self, reason: str, sent_at: float) -> None:
+        """Handle a request without a reply: the runner may be gone, or only the reply.
+
+        A runner that has answered a later request stays in use.
+        """
+        if self._responses.any_since(sent_at):
+            self.lost_replies.record(self.timers.now())
+        else:
+            self._mark_unresponsive(reason)
 
     def _mark_unresponsive(self, reason: str) -> None:
         if self.state is LinkState.HELD:
@@ -310,15 +407,19 @@
             )
         self._wake.set()
 
-    def _apply(self, view: RunnerView, sent_at: float) -> None:
+    def _apply(self, view: RunnerView, sent_at: float, acknowledged: int) -> None:
+        if self.state is LinkState.CLOSED or self.table.is_outdated(view, sent_at):
+            return
+        self._responses.record(sent_at)
         first = self.state is LinkState.NEW
         self._may_have_restarted = False
         if self.state is not LinkState.HELD:
             if not first:
                 log.info("runner responds again", extra={"runner": self.info.id})
+                self.lost_replies.record(self.timers.now())
             self.state = LinkState.HELD
         runs_before = len(self.table.runs)
-        if self.table.apply(view, sent_at):
+        if self.table.apply(view, sent_at, acknowledged):
             self._lease.forget_clock()
         self._lease.record_clock(view.clock_ms, self.timers.now())
         if first or len(self.table.runs) < runs_before:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -14,6 +14,7 @@
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.coverage import Coverage
 from monsoongap.coordination.link import Link, LinkState
+from monsoongap.coordination.lost_replies import LostReplies
 from monsoongap.coordination.placement import best_runner
 from monsoongap.coordination.ports import RunnerPort
 from monsoongap.coordination.waiting import Backlog, Waiting
@@ -87,6 +88,7 @@
     _pump_due: bool = False
     _moved: bool = False
     usual_slowness: float = 1.0
+    lost_replies: LostReplies = field(default_factory=LostReplies)
 
     def start(self) -> Subscription:
         """Begin to look after what waits."""
@@ -238,6 +240,7 @@
             on_capacity_change=self.schedule_placement,
             checks_capacity=self.directory.checks_capacity,
             on_orphan_found=lambda job: self.on_orphan_found(job),
+            lost_replies=self.lost_replies,
         )
         self.links[info.id] = link
         link.open()
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -55,6 +55,8 @@
     last_seq: int = 0
     born_ms: int = 0
     _acknowledged: int = 0
+    _applied_clock_ms: int = 0
+    _applied_sent_at: float = -1e9
 
     def __post_init__(self) -> None:
         self.free = self.info.room
@@ -132,12 +134,25 @@
         for run in list(self.runs.values()):
             self.end(run, RunOutcome.LOST)
 
-    def apply(self, view: RunnerView, sent_at: float) -> bool:
+    def is_outdated(self, view: RunnerView, sent_at: float) -> bool:
+        """Return whether the reply to a later poll was applied already.
+
+        Replies on different connections may overtake each other.
+        """
+        if view.born_ms == self.born_ms:
+            return view.clock_ms < self._applied_clock_ms
+        return sent_at < self._applied_sent_at
+
+    def apply(self, view: RunnerView, sent_at: float, acknowledged: int) -> bool:
         """Apply the reply to a poll sent at `sent_at`; return if the runner restarted.
 
+        The poll acknowledged the ends up to `acknowledged`.
+
         Runs from before a restart are not listed and end as lost. A run whose start is
         not confirmed may be on either incarnation and waits for the next poll.
         """
+        self._applied_clock_ms = view.clock_ms
+        self._applied_sent_at = max(self._applied_sent_at, sent_at)
         restarted = bool(self.born_ms) and view.born_ms != self.born_ms
         if restarted:
             log.warning(
@@ -146,8 +161,9 @@
             )
             self.last_seq = self._acknowledged = 0
             self.done_before.clear()
+        else:
+            self._acknowledged = max(self._acknowledged, acknowledged)
         self.born_ms = view.born_ms
-        self._acknowledged = max(self._acknowledged, self.last_seq)
         self._record_ends(view.ends)
         self._compare(view.running, sent_at)
         return restarted
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -152,6 +152,10 @@
         metrics.add_counters("configuration", lambda: host.directory.config_counts)
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
+        losses = host.pool.lost_replies
+        metrics.add_counters(
+            "replies", lambda: {"lost": losses.count, "probes": losses.probes}
+        )
         metrics.add_counters("jobs", lambda: host.jobs.counts)
         metrics.add_counters("members", lambda: host.members.counts)
         metrics.add_counters("store", lambda: store.counts)
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -48,7 +48,7 @@
         born_ms: int = 7,
     ) -> bool:
         view = RunnerView(1, born_ms, running, ends)
-        return self.table.apply(view, self.timers.at)
+        return self.table.apply(view, self.timers.at, self.table.last_seen_seq)
 
     def run(self, confirmed: bool = True) -> Run:
         run = Run(
