Limit what clients may send, and refuse them by cause

Untrusted clients made a host run out of memory and exit: heads without an end were kept whole, bodies up to 16 MB a connection without a bound on their sum, chunks of calls between hosts as single objects; idle connections took all descriptors. The configuration's limits were decoded and not applied.

The configuration's limits apply to callers, as far as the memory allows. A request that was handed on is answered before its connection is closed for what follows.

A head over the limit is now answered 431 and not 413, as its test says. A call between hosts may have 4 MB and not 16: a job's payload has at most 0.3 MB.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -37,6 +37,7 @@
 )
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.operators import OperatorServer
+from monsoongap.transport.receive_guard import ReceiveGuard
 from monsoongap.util.addresses import split_address
 from monsoongap.util.ini import SettingsErrorGroup
 
@@ -71,6 +72,7 @@
         # The loop's own time stands still within one round of callbacks, also while the
         # process is paused.
         self._timers = TimerService(time.monotonic)
+        self._guard = ReceiveGuard(cfg.limits)
         self._http = HttpClient()
         self._heartbeats = HeartbeatSocket()
         ports = HostPorts(
@@ -81,12 +83,12 @@
         self._heartbeats.on_datagram = self.host.members.receive
         self._http.on_idle_lost = self.host.pool.connection_lost
         metrics = Metrics(cfg.host.name, cfg.host.dc)
-        self._callers = Callers(self.host, metrics)
+        self._callers = Callers(self.host, metrics, self._guard)
         self._operators = OperatorServer(
-            self.host, metrics, lambda: status_of(self.host)
+            self.host, metrics, lambda: status_of(self.host), self._guard
         )
-        self._calls = HostCallServer(self.host.calls.answer, self._timers)
-        self._ready = ReadyServer(lambda: self.host.ready)
+        self._calls = HostCallServer(self.host.calls.answer, self._timers, self._guard)
+        self._ready = ReadyServer(lambda: self.host.ready, self._guard)
         store = StoreClient(cfg.store, self._http)
         self._feeds = Feeds(cfg.bounds, self.host, store, self._timers, cfg.peers.dcs)
         self._stop_requested = asyncio.Event()
@@ -110,6 +112,7 @@
     async def start(self) -> None:
         """Start the servers, the host and the store feeds."""
         listen = self._cfg.listen
+        self._guard.start(self._timers)
         await self._heartbeats.listen(listen.peers)
         await self._calls.listen(listen.peers)
         await self._callers.listen(listen.callers)
@@ -157,6 +160,7 @@
         metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
         metrics.add_counters("connections", lambda: self._http.counts)
+        metrics.add_counters("received_refused", self._guard.counters)
         metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
         metrics.add_gauge(
             "config_version",
@@ -173,6 +177,11 @@
             "Number of tasks that wait for capacity.",
             lambda: host.pool.waiting,
         )
+        metrics.add_gauge(
+            "received_bytes",
+            "Memory of data that is being received or answered, in bytes.",
+            lambda: self._guard.budget.used_bytes,
+        )
         metrics.add_gauge(
             "loop_lag_seconds",
             "Smoothed delay of the event loop of this host.",
--- a/monsoongap/platform/callers.py
+++ b/monsoongap/platform/callers.py
@@ -12,9 +12,13 @@
 from monsoongap.errors import ANSWER_RULES, AnswerKind
 from monsoongap.metrics import Metrics
 from monsoongap.platform import wire
+from monsoongap.platform.caller_limits import CallerLimits
 from monsoongap.protocol.decoding import DurationMs, Malformed, decode_json
 from monsoongap.protocol.messages import JobReply, QueueRule
 from monsoongap.transport.http_server import HttpServer, ServerRequest
+from monsoongap.transport.receive_budget import Source
+from monsoongap.transport.receive_guard import ReceiveGuard
+from monsoongap.transport.request_receiver import RequestLimits
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
@@ -24,6 +28,8 @@
 WAIT_HEADER = "x-monsoongap-deadline-ms"
 # A host receives its first configuration within a second of its start.
 CONFIG_RETRY_S = 1.0
+# A readiness check has no body.
+READY_LIMITS = RequestLimits(body_bytes=4096)
 
 
 @dataclass(slots=True)
@@ -38,13 +44,19 @@
 class Callers:
     """Serves callers' HTTP requests on one address."""
 
-    def __init__(self, host: Host, metrics: Metrics) -> None:
+    def __init__(
+        self, host: Host, metrics: Metrics, guard: ReceiveGuard | None = None
+    ) -> None:
         self._host = host
         self._metrics = metrics
         self.counts = CallerCounts()
         self.open_requests = 0
         self._background = BackgroundTasks()
-        self._server = HttpServer(self._handle)
+        guard = guard or ReceiveGuard()
+        self._limits = CallerLimits(host, guard)
+        self._server = HttpServer(
+            self._handle, guard, Source.CALLERS, self._limits.current
+        )
 
     async def listen(self, address: str) -> None:
         """Listen for callers on `address`, an `IP:port`."""
@@ -179,9 +191,13 @@
 class ReadyServer:
     """Reports to the platform whether it may route new connections to this host."""
 
-    def __init__(self, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, ready: Callable[[], bool], guard: ReceiveGuard | None = None
+    ) -> None:
         self._ready = ready
-        self._server = HttpServer(self._handle)
+        self._server = HttpServer(
+            self._handle, guard, Source.READY, lambda: READY_LIMITS
+        )
 
     async def listen(self, address: str) -> None:
         """Listen on `address`, an `IP:port`."""
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -161,8 +161,14 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
+    # 0 counts as left out.
     max_header_bytes: Natural = 16_384
     max_body_bytes: Natural = 262_144
+    header_timeout_ms: DurationMs = 3000
+    idle_timeout_ms: DurationMs = 15_000
+
+
+_DEFAULT_LIMITS = _Limits()
 
 
 class _Config(msgspec.Struct, rename="camel"):
@@ -193,8 +199,10 @@
             for r in raw.routes
         ),
         tuple(UpstreamRule(s.name, s.admission_check) for s in raw.services),
-        raw.limits.max_body_bytes,
-        raw.limits.max_header_bytes,
+        raw.limits.max_body_bytes or _DEFAULT_LIMITS.max_body_bytes,
+        raw.limits.max_header_bytes or _DEFAULT_LIMITS.max_header_bytes,
+        (raw.limits.header_timeout_ms or _DEFAULT_LIMITS.header_timeout_ms) / MS_PER_S,
+        (raw.limits.idle_timeout_ms or _DEFAULT_LIMITS.idle_timeout_ms) / MS_PER_S,
     )
 
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -137,6 +137,8 @@
     upstreams: tuple[UpstreamRule, ...] = ()
     body_limit_bytes: int = 262_144
     header_limit_bytes: int = 16_384
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -21,6 +21,7 @@
 HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}\Z")]
 Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+ByteCount = Annotated[int, Meta(ge=1024, le=1_000_000_000)]
 Factor = Annotated[float, Meta(gt=0, le=1024)]
 
 
@@ -127,6 +128,32 @@
     lines_per_s: Count = 300
 
 
+@dataclass(frozen=True, slots=True)
+class LimitsSection:
+    """Limits on what others may cost this process.
+
+    `memory_mb` and `max_fds` are those of the machine; the defaults are those of the
+    smallest one. Data that is being received may take `receive_share` of the memory.
+    A caller's request is limited by the operator's configuration; `call_bytes` limits a
+    call of another host, `operator_bytes` an operator's request, and `reply_bytes` a
+    reply of the store, a runner or a host. A request's body may take as long as
+    `min_bytes_per_s` takes for it.
+    """
+
+    memory_mb: Annotated[int, Meta(ge=64, le=1_000_000)] = 160
+    max_fds: Annotated[int, Meta(ge=64, le=1_000_000)] = 1638
+    receive_share: Annotated[float, Meta(ge=0.01, le=0.5)] = 0.25
+    call_bytes: ByteCount = 4_000_000
+    operator_bytes: ByteCount = 1_000_000
+    reply_bytes: ByteCount = 8_000_000
+    min_bytes_per_s: Count = 4096
+
+    @property
+    def receive_bytes(self) -> int:
+        """Memory for data that is being received, in bytes."""
+        return int(self.memory_mb * 1_000_000 * self.receive_share)
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """All settings of an entry daemon."""
@@ -137,6 +164,7 @@
     peers: PeersSection = field(default_factory=PeersSection)
     bounds: BoundsSection = field(default_factory=BoundsSection)
     log: LogSection = field(default_factory=LogSection)
+    limits: LimitsSection = field(default_factory=LimitsSection)
 
 
 def load_settings(path: Path, overrides: dict[str, str] | None = None) -> EntrySettings:
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -10,14 +10,14 @@
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any, cast
+from typing import Any
 
-import httptools
 import msgspec
 
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol import messages
 from monsoongap.protocol.decoding import Malformed, decode_msgpack
+from monsoongap.settings import LimitsSection
 from monsoongap.timers import TimerService
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import (
@@ -26,7 +26,10 @@
     NotConnected,
     Refused,
 )
-from monsoongap.transport.http_server import BACKLOG
+from monsoongap.transport.http_server import HttpServer, ServerRequest
+from monsoongap.transport.receive_budget import Source
+from monsoongap.transport.receive_guard import ReceiveGuard
+from monsoongap.transport.request_receiver import RequestLimits
 from monsoongap.util.addresses import split_address
 from monsoongap.util.background import BackgroundTasks
 
@@ -42,120 +45,67 @@
     messages.RunnersCall,
 )
 _CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
-MAX_BODY_BYTES = 16_000_000
+# A job's payload has up to 65,536 characters; its 280 tasks and their runs add 30 kB.
+MAX_BODY_BYTES = LimitsSection().call_bytes
+MAX_HEAD_BYTES = 16_384
 
 
 class HostCallServer:
     """Serves calls from other hosts; `answer` returns the reply to a decoded call."""
 
     def __init__(
-        self, answer: Callable[[Any], Awaitable[Any]], timers: TimerService
+        self,
+        answer: Callable[[Any], Awaitable[Any]],
+        timers: TimerService,
+        guard: ReceiveGuard | None = None,
     ) -> None:
         self._answer = answer
         self._timers = timers
         self._background = BackgroundTasks()
-        self._server: asyncio.Server | None = None
+        guard = guard or ReceiveGuard()
+        limits = RequestLimits(MAX_HEAD_BYTES, guard.cfg.call_bytes)
+        # A host takes a closed connection for a call that failed, as it does a refusal.
+        self._server = HttpServer(
+            self._serve, guard, Source.HOSTS, lambda: limits, answers_refusals=False
+        )
 
     async def listen(self, address: str) -> None:
         """Listen for calls on `IP:port`."""
-        ip, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _CallConnection(self._serve),
-            ip,
-            port,
-            backlog=BACKLOG,
-        )
+        await self._server.listen(address)
 
     def close(self) -> None:
         """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        self._server.stop_listening()
 
-    def _serve(self, conn: "_CallConnection", path: str, body: bytes) -> None:
-        self._background.spawn(self._reply(conn, path, body), "call")
+    def _serve(self, req: ServerRequest) -> None:
+        self._background.spawn(self._reply(req), "call")
 
-    async def _reply(self, conn: "_CallConnection", path: str, body: bytes) -> None:
+    async def _reply(self, req: ServerRequest) -> None:
+        path = req.path
         kind = _CALL_TYPES_BY_PATH.get(path)
         if kind is None:
-            conn.reply(HTTPStatus.NOT_FOUND, b"no such call")
+            req.reply(HTTPStatus.NOT_FOUND, b"no such call")
             return
         await self._timers.read_first()
-        if not conn.is_open:
+        if not req.is_open:
             log.info(
                 "call was given up while this host was paused; dropping it",
                 extra={"call": path},
             )
             return
         try:
-            call = decode_msgpack(body, kind)
+            call = decode_msgpack(req.body, kind)
         except Malformed as exc:
             log.warning("malformed call; replying 400", extra={"error": str(exc)})
-            conn.reply(HTTPStatus.BAD_REQUEST, str(exc).encode())
+            req.reply(HTTPStatus.BAD_REQUEST, str(exc).encode())
             return
         try:
             reply = msgspec.msgpack.encode(await self._answer(call))
         except Exception:
             log.exception("call failed; replying 500", extra={"call": path})
-            conn.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b"")
+            req.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b"")
             return
-        conn.reply(HTTPStatus.OK, reply)
-
-
-class _CallConnection(asyncio.Protocol):
-    """A connection from another host, which sends one call at a time."""
-
-    def __init__(self, serve: Callable[["_CallConnection", str, bytes], None]) -> None:
-        self._serve = serve
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._path = b""
-        self._body_chunks: list[bytes] = []
-        self._received_bytes = 0
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the other host still waits for a reply."""
-        return self._transport is not None and not self._transport.is_closing()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
-
-    def data_received(self, data: bytes) -> None:
-        self._received_bytes += len(data)
-        try:
-            if self._received_bytes > MAX_BODY_BYTES:
-                raise httptools.HttpParserError("call too large")
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            log.warning(
-                "malformed call; closing the connection", extra={"error": str(exc)}
-            )
-            if self._transport is not None:
-                self._transport.abort()
-
-    def on_url(self, url: bytes) -> None:
-        self._path += url
-
-    def on_body(self, body: bytes) -> None:
-        self._body_chunks.append(body)
-
-    def on_message_complete(self) -> None:
-        path, body = self._path.decode("latin-1"), b"".join(self._body_chunks)
-        self._path = b""
-        self._body_chunks.clear()
-        self._received_bytes = 0
-        self._serve(self, path, body)
-
-    def reply(self, status: HTTPStatus, body: bytes) -> None:
-        """Send a reply, unless the other host closed the connection."""
-        if self._transport is not None and self.is_open:
-            head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-            size = f"Content-Length: {len(body)}\r\n\r\n"
-            self._transport.write((head + size).encode() + body)
+        req.reply(HTTPStatus.OK, reply)
 
 
 class HostCallClient:
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -33,6 +33,9 @@
     is_job_id,
 )
 from monsoongap.transport.http_server import HttpServer, ServerRequest
+from monsoongap.transport.receive_budget import Source
+from monsoongap.transport.receive_guard import ReceiveGuard
+from monsoongap.transport.request_receiver import RequestLimits
 from monsoongap.util.background import BackgroundTasks
 
 log = logging.getLogger(__name__)
@@ -88,12 +91,20 @@
 class OperatorServer:
     """Serves the operators' API on one address."""
 
-    def __init__(self, host: Host, metrics: Metrics, status: Callable[[], Any]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        metrics: Metrics,
+        status: Callable[[], Any],
+        guard: ReceiveGuard | None = None,
+    ) -> None:
         self._host = host
         self._metrics = metrics
         self._status = status
         self._background = BackgroundTasks()
-        self._server = HttpServer(self._handle)
+        guard = guard or ReceiveGuard()
+        limits = RequestLimits(body_bytes=guard.cfg.operator_bytes)
+        self._server = HttpServer(self._handle, guard, Source.OPERATORS, lambda: limits)
 
     async def listen(self, address: str) -> None:
         """Listen on `IP:port`; raises `OSError`."""
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,11 @@
 
 import monsoongap
 from monsoongap.platform import wire
+from monsoongap.platform.caller_limits import limits_of
 from monsoongap.protocol.messages import EndKind, Resources, TaskId
+from monsoongap.settings import LimitsSection
+from monsoongap.transport.receive_guard import ReceiveGuard
+from monsoongap.transport.request_receiver import RequestLimits
 
 # Names of the wire format, for which the rest of the code has its own terms.
 WIRE_NAMES = re.compile(
@@ -74,3 +78,21 @@
         and WIRE_NAMES.search(node.value)
     ]
     assert found == []
+
+
+# The limits of the configuration were read and not applied.
+def test_limits_of_the_configuration_apply_to_callers() -> None:
+    guard = ReceiveGuard(LimitsSection(memory_mb=160))
+
+    def limits(text: bytes) -> RequestLimits:
+        config = wire.decode_config(b'{"version":1,"limits":' + text + b"}")
+        return limits_of(config, guard)
+
+    assert limits(b"{}") == RequestLimits(16_384, 262_144, 3.0, 15.0)
+    assert limits(
+        b'{"maxHeaderBytes":4096,"maxBodyBytes":65536,'
+        b'"headerTimeoutMs":500,"idleTimeoutMs":2000}'
+    ) == RequestLimits(4096, 65_536, 0.5, 2.0)
+    # What is 0 counts as left out, and no body may take all of the memory.
+    assert limits(b'{"maxHeaderBytes":0,"headerTimeoutMs":0}') == limits(b"{}")
+    assert limits(b'{"maxBodyBytes":999999999}').body_bytes == 20_000_000
