Limit replies by their announcement, their head and the memory budget

A reply of up to 8 MB was read for each exchange, its head without a limit of its own, and the sum of all replies had no bound: a few hundred runners or a slow store could fill the memory of a host. A reply is now given up when it is announced with too many bytes (4 MB for a runner's, 8 MB for others'), when its head exceeds 64 kB, or when the memory budget names it; its exchange fails as one without an answer does. Small chunks are no longer kept as single objects.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -73,7 +73,7 @@
         # process is paused.
         self._timers = TimerService(time.monotonic)
         self._guard = ReceiveGuard(cfg.limits)
-        self._http = HttpClient()
+        self._http = HttpClient(self._guard)
         self._heartbeats = HeartbeatSocket()
         ports = HostPorts(
             RunnerClient(self._http), HostCallClient(self._http), self._heartbeats
--- a/monsoongap/platform/runners.py
+++ b/monsoongap/platform/runners.py
@@ -37,6 +37,8 @@
 EXPECTED_INSTANCE_HEADER = "X-Monsoongap-Expect-Instance"
 # A reply takes a few milliseconds; after this time the request counts as unanswered.
 REPLY_TIMEOUT_S = 0.3
+# A poll lists up to 500 ends and the runs of one runner, each with its checkpoint.
+MAX_REPLY_BYTES = 4_000_000
 OK = 200
 CONFLICT = 409
 MISDIRECTED = 421
@@ -171,7 +173,7 @@
         timeout_s: float,
     ) -> HttpReply:
         headers = ((EXPECTED_INSTANCE_HEADER, runner.id),)
-        req = HttpRequest("POST", path, body, headers)
+        req = HttpRequest("POST", path, body, headers, MAX_REPLY_BYTES)
         try:
             reply = await self._http.exchange_on(conn, runner.address, req, timeout_s)
         except ExchangeLost as exc:
--- a/monsoongap/transport/http_client.py
+++ b/monsoongap/transport/http_client.py
@@ -17,6 +17,7 @@
     KeepAliveConnection,
     NotConnected,
 )
+from monsoongap.transport.receive_guard import ReceiveGuard
 
 # Servers close connections after about 15 s without a request; stay well below.
 MAX_IDLE_S = 8.0
@@ -40,7 +41,8 @@
 class HttpClient:
     """Exchanges HTTP requests and replies with any number of addresses (`IP:port`)."""
 
-    def __init__(self) -> None:
+    def __init__(self, guard: ReceiveGuard | None = None) -> None:
+        self._guard = guard or ReceiveGuard()
         self.counts = ClientCounts()
         # Called with an address whose server has closed an idle connection.
         self.on_idle_lost: Callable[[str], None] = lambda address: None
@@ -114,7 +116,9 @@
 
     async def _open(self, address: str) -> KeepAliveConnection:
         try:
-            conn = await KeepAliveConnection.open(address, CONNECT_TIMEOUT_S)
+            conn = await KeepAliveConnection.open(
+                address, CONNECT_TIMEOUT_S, self._guard
+            )
         except NotConnected:
             self.counts.connections_failed += 1
             raise
--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -16,10 +16,15 @@
 
 import httptools
 
+from monsoongap.settings import LimitsSection
 from monsoongap.timers import Timer
+from monsoongap.transport.receive_budget import Cause, Holding, Source
+from monsoongap.transport.receive_guard import ReceiveGuard
 from monsoongap.util.addresses import split_address
 
-MAX_REPLY_BYTES = 8_000_000
+MAX_REPLY_BYTES = LimitsSection().reply_bytes
+# The head of a reply; the parser gathers a header without a limit.
+MAX_REPLY_HEAD_BYTES = 65_536
 # SO_LINGER's two integers, enabled and 0 s: closing discards data not yet sent.
 LINGER_DISCARD = struct.pack("ii", 1, 0)
 # Connections are reused after at most 8 s of idle time. A connection whose data is not
@@ -35,13 +40,15 @@
     """A request to send. `path` starts with a slash and is percent-encoded.
 
     `headers` are sent in addition to Content-Length and Content-Type. A Host header
-    among them replaces the default, the address.
+    among them replaces the default, the address. `max_reply_bytes` limits the reply
+    below the limit of all replies.
     """
 
     method: str
     path: str
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
+    max_reply_bytes: int = MAX_REPLY_BYTES
 
     def encode(self, address: str) -> bytes:
         """Return the bytes of the request to `address`."""
@@ -78,11 +85,15 @@
 class KeepAliveConnection(asyncio.Protocol):
     """A connection to one address (`IP:port`)."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, guard: ReceiveGuard) -> None:
         self._address = address
+        self._guard = guard
+        self._holding = Holding(Source.REPLIES, self._refuse)
+        self._max_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._body_chunks: list[bytes] = []
+        self._body = bytearray()
+        self._in_head = True
         self._received_bytes = 0
         self._pending_reply: asyncio.Future[HttpReply] | None = None
         self._limit: Timer | None = None
@@ -94,13 +105,17 @@
         self.on_idle_lost: Callable[[], None] | None = None
 
     @classmethod
-    async def open(cls, address: str, timeout_s: float) -> "KeepAliveConnection":
+    async def open(
+        cls, address: str, timeout_s: float, guard: ReceiveGuard
+    ) -> "KeepAliveConnection":
         """Connect to `address`; raises `NotConnected`, if refused as `Refused`."""
         loop = asyncio.get_running_loop()
         try:
             ip, port = split_address(address)
             async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(lambda: cls(address), ip, port)
+                _, conn = await loop.create_connection(
+                    lambda: cls(address, guard), ip, port
+                )
         except ConnectionRefusedError as exc:
             raise Refused(f"{address}: connection refused") from exc
         except (OSError, TimeoutError, ValueError) as exc:
@@ -139,6 +154,7 @@
         loop = asyncio.get_running_loop()
         self._pending_reply = loop.create_future()
         self._transfer_s = transfer_s
+        self._max_bytes = min(req.max_reply_bytes, self._guard.cfg.reply_bytes)
         self._limit = Timer(loop.time() + timeout_s, partial(self._expire, timeout_s))
         try:
             self._transport.write(req.encode(self._address))
@@ -175,15 +191,35 @@
             self.close()
             return
         if not self._received_bytes:
-            self._extend_limit()
+            self._begin_reply()
         self._received_bytes += len(data)
-        if self._received_bytes > MAX_REPLY_BYTES:
-            self._fail("reply too large")
+        head_limit = MAX_REPLY_HEAD_BYTES + len(data) if self._in_head else 0
+        if self._received_bytes > (head_limit or self._max_bytes):
+            self._refuse(Cause.REPLY_SIZE)
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"malformed reply: {exc}")
+            return
+        if self._received_bytes:
+            self._account()
+
+    def _begin_reply(self) -> None:
+        self._extend_limit()
+        self._holding.began_s = self._guard.now_s
+        self._guard.budget.add(self._holding)
+
+    def _account(self) -> None:
+        """Report what the incomplete reply holds."""
+        self._holding.received_s = self._guard.now_s
+        left = max(self._max_bytes - self._received_bytes, 1)
+        self._guard.hold(self._holding, self._received_bytes, 0, left)
+
+    def _refuse(self, cause: Cause) -> None:
+        """Give up a reply that is too large, or for which there is no memory."""
+        self._guard.count(cause, Source.REPLIES)
+        self._fail(f"reply refused: {cause.value}")
 
     def _extend_limit(self) -> None:
         """Give the rest of a reply that has begun its own time."""
@@ -204,19 +240,34 @@
             self._pending_reply.set_exception(
                 ExchangeLost(f"{self._address}: {reason}")
             )
+        self._end_reply()
         self.abort()
 
+    def _end_reply(self) -> None:
+        self._body.clear()
+        self._received_bytes = 0
+        self._in_head = True
+        self._guard.budget.remove(self._holding)
+
     # Callbacks of the parser.
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Refuse a reply that is announced with too many bytes."""
+        if name.lower() == b"content-length" and int(value) > self._max_bytes:
+            self._refuse(Cause.REPLY_SIZE)
+
+    def on_headers_complete(self) -> None:
+        """Count what follows as the body."""
+        self._in_head = False
+
     def on_body(self, body: bytes) -> None:
         """Store part of the body."""
-        self._body_chunks.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Pass the complete reply to the task that waits for it."""
-        reply = HttpReply(self._parser.get_status_code(), b"".join(self._body_chunks))
-        self._body_chunks.clear()
-        self._received_bytes = 0
+        reply = HttpReply(self._parser.get_status_code(), bytes(self._body))
+        self._end_reply()
         if not self._parser.should_keep_alive():
             self.close()
         if self._pending_reply is not None and not self._pending_reply.done():
--- a/tests/transport/test_http_conn.py
+++ b/tests/transport/test_http_conn.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from monsoongap.settings import LimitsSection
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import (
     MAX_REPLY_BYTES,
@@ -14,6 +15,7 @@
     NotConnected,
     Refused,
 )
+from monsoongap.transport.receive_guard import ReceiveGuard
 from monsoongap.util.addresses import split_address
 from tests.platform.site import free_ports
 
@@ -207,3 +209,33 @@
         assert lost == ([address] if closes == "server" else [])
 
     run_test(server, test)
+
+
+LARGE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n"
+
+
+# Replies were limited one by one and read to the limit; together they had no bound.
+@pytest.mark.parametrize(
+    ("sent", "max_bytes", "cause"),
+    [
+        (LARGE_HEAD, 800_000, "reply_size"),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"v" * 600_000, 8_000_000, "reply_size"),
+        (LARGE_HEAD + b"x" * 899_999, 8_000_000, "memory"),
+    ],
+    ids=["announced", "head", "memory"],
+)
+def test_a_reply_over_a_limit_is_given_up(
+    sent: bytes, max_bytes: int, cause: str
+) -> None:
+    guard = ReceiveGuard(LimitsSection(memory_mb=64, receive_share=0.01))
+    server = ScriptedServer(sent)
+
+    async def test(_: HttpClient, address: str) -> None:
+        http = HttpClient(guard)
+        req = HttpRequest("GET", "/", max_reply_bytes=max_bytes)
+        with pytest.raises(ExchangeLost, match=cause):
+            await http.exchange(address, req, 5.0)
+        assert guard.budget.used_bytes == 0 and guard.counts[cause] == 1
+        http.close()
+
+    run_test(server, test)
