--- a/monsoongap/transport/server_conn.py
+++ b/monsoongap/transport/server_conn.py
@@ -22,8 +22,8 @@
 # is closed with unread data is reset, which can discard the response.
 LINGER_S = 1.0
 LINGER_BYTES = 262_144
-# What may wait behind the request that is handled. Above it nothing is read, and a client
-# that closes the connection is not noticed before the reply.
+# What may wait behind the request that is handled. Above it nothing is read, and a
+# client that closes the connection is not noticed before the reply.
 MAX_UNREAD_BYTES = 16_384
 
 
