Connections of the client without a guard use limits of their own

Two tests open a connection without the client, and failed since replies count against the memory budget.

--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -106,10 +106,11 @@
 
     @classmethod
     async def open(
-        cls, address: str, timeout_s: float, guard: ReceiveGuard
+        cls, address: str, timeout_s: float, guard: ReceiveGuard | None = None
     ) -> "KeepAliveConnection":
         """Connect to `address`; raises `NotConnected`, if refused as `Refused`."""
         loop = asyncio.get_running_loop()
+        guard = guard or ReceiveGuard()
         try:
             ip, port = split_address(address)
             async with asyncio.timeout(timeout_s):
