Divide the descriptors by the connections of forwarding hosts and owners

An owner has the calls of many hosts, one for each forwarded job, besides its callers and runners, and operators send jobs too: a quarter of the descriptors for hosts and a thirty-second for operators were less than those for callers. Now 5/16 are for callers, 3/8 for hosts and 1/16 for operators; 383 of 1,638 are left for connections that the host opens.

--- a/monsoongap/transport/receive_guard.py
+++ b/monsoongap/transport/receive_guard.py
@@ -23,12 +23,13 @@
 log = logging.getLogger(__name__)
 
 SWEEP_S = 0.5
-# Part of the descriptors that each listener may use. The rest, a third, is for
-# connections to runners, hosts and the store; forwarding a job takes one of them.
+# Part of the descriptors that each listener may use. A host that forwards its callers'
+# jobs opens as many connections to owners; an owner has calls of many hosts and its
+# runners. The rest, at least a fifth, is for runners, hosts and the store.
 CONNECTION_SHARES: dict[Source, float] = {
-    Source.CALLERS: 3 / 8,
-    Source.HOSTS: 1 / 4,
-    Source.OPERATORS: 1 / 32,
+    Source.CALLERS: 5 / 16,
+    Source.HOSTS: 3 / 8,
+    Source.OPERATORS: 1 / 16,
     Source.READY: 1 / 64,
 }
 # Part of a listener's connections that is closed when it has too many, so that not
--- a/monsoongap/transport/server_conn.py
+++ b/monsoongap/transport/server_conn.py
@@ -107,8 +107,8 @@
 
     @property
     def _client(self) -> str:
-        transport = self._transport
-        return str(transport.get_extra_info("peername")) if transport else ""
+        name = self._transport and self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
 
     def waits_for(self, req: ServerRequest) -> bool:
         """Return whether the connection is open and a request has no reply yet."""
