Take the limits of memory and descriptors from the platform

Callers would have seen: on a host with 8,192 descriptors, connections above 614 were closed, the limit of the smallest machine.

Cause: the template named no limits, as some renderers stop at a field that they lack or leave its placeholder.

Change: a placeholder that was not filled in counts as left out, like an empty value, and the template names both limits.

--- a/monsoongap/util/ini.py
+++ b/monsoongap/util/ini.py
@@ -81,9 +81,8 @@
     except configparser.Error as exc:
         error = SettingsError(source, "", "", exc.message)
         raise SettingsErrorGroup("settings", [error]) from exc
-    # A filled-in template has an empty value where the platform lacks the field.
     values = {
-        name: {key: value for key, value in parser[name].items() if value}
+        name: {k: v for k, v in parser[name].items() if not _is_left_out(v)}
         for name in parser.sections()
     }
     for setting, value in (overrides or {}).items():
@@ -92,6 +91,15 @@
     return _build(values, source, settings_class)
 
 
+def _is_left_out(text: str) -> bool:
+    """Return whether a template had no value for a key.
+
+    Where a platform lacks the field, some renderers leave nothing, others the
+    placeholder.
+    """
+    return not text or (text.startswith("{{") and text.endswith("}}"))
+
+
 def _build(
     values: dict[str, dict[str, str]], source: str, settings_class: type[SettingsT]
 ) -> SettingsT:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from monsoongap.settings import BoundsSection, EntrySettings, load_settings
+from monsoongap.settings import (
+    BoundsSection,
+    EntrySettings,
+    LimitsSection,
+    load_settings,
+)
 from monsoongap.util.ini import SettingsErrorGroup, parse_ini
 
 # Values of the fields that the platform fills into the template.
@@ -21,6 +26,8 @@
     "platform.address": "10.200.1.7:8169",
     "limits.cpuShare": "0.5",
     "limits.cores": "3",
+    "limits.memoryMb|json": "552",
+    "limits.maxFds|json": "8192",
     "bounds.holdMaxMs": "1000",
     "bounds.drainMs": "2000",
     "bounds.configApplyMs": "2000",
@@ -86,6 +93,15 @@
     assert load_settings(path).bounds.resend_ms == BoundsSection().resend_ms
 
 
+# Guards against a host that does not start where the platform lacks a field.
+def test_a_placeholder_that_was_not_filled_in_leaves_the_default(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "entry.ini"
+    path.write_text(VALID_SETTINGS + "\n[limits]\nmax_fds = {{limits.maxFds|json}}\n")
+    assert load_settings(path).limits.max_fds == LimitsSection().max_fds
+
+
 def test_every_error_is_reported_with_section_and_key() -> None:
     with pytest.raises(SettingsErrorGroup) as caught:
         parse_ini(INVALID_SETTINGS, "entry.ini", EntrySettings)
@@ -113,6 +129,7 @@
     assert cfg.listen.peers == "10.1.0.13:7720"
     assert cfg.bounds.lease_s == 1.0
     assert cfg.peers.dcs == ("a", "b")
+    assert (cfg.limits.memory_mb, cfg.limits.max_fds) == (552, 8192)
 
 
 @pytest.mark.parametrize("port", ["0", "65536", "99999", "-1", "\u0663"])
