Evacuate data centres that the operator names in the store

What callers saw: an evacuation had no effect. Tasks started in the data centre until its hosts and runners were gone, and jobs that arrived there depended on it.

The key `evacuate/ZONE` of the operator's topic was never read. With `[bounds] evac_ms`, the set of such keys is now kept with its log offset (`state/evacuation`); the higher offset wins, and heartbeats pass it on to hosts that the store does not serve. An owner and a lender check it when they place a task, and again once a start has a connection; a withheld start ends as NO_ROOM, so its task is placed elsewhere. What was read long before a pause of the process has to be confirmed first, as for the list of runners. A host of an evacuated data centre submits new jobs to the share of another one, by the job's id and in proportion to the runners of its upstream (`rerouting`); a job stays in the data centre of the first owner that was asked. If all are evacuated, the owner refuses what is not in progress.

It works for a key whose removal a host never saw, as the set comes from the whole topic.

Without `evac_ms`, nothing is read, sent or checked but two constants at the end of a heartbeat.

`test_heartbeats_of_neighbouring_versions_are_understood` cut the last field of a heartbeat to get one of the version before `brief`; it now keeps the fields of that version, as fields were appended after `brief`.

--- a/monsoongap/coordination/admission_control.py
+++ b/monsoongap/coordination/admission_control.py
@@ -32,13 +32,15 @@
 class AdmissionControl:
     """The jobs none of whose tasks is dispatched yet, and the decision to refuse them.
 
-    `refuse` ends a job with a reply. `lag_s` is the smoothed lag of this host's event
+    `refuse` ends a job with a reply. `is_evacuated` returns whether no data centre may
+    start tasks for an upstream now. `lag_s` is the smoothed lag of this host's event
     loop, in seconds.
     """
 
     pool: Pool
     timers: TimerService
     refuse: Callable[[JobRecord, JobReply], None]
+    is_evacuated: Callable[[str], bool] = lambda upstream: False
     lag_s: float = 0.0
     _pending: list[JobRecord] = field(default_factory=list)
     _last_decision_at: float = 0.0
@@ -60,6 +62,17 @@
         detail = f"host overloaded: event loop {round(self.lag_s * MS_PER_S)} ms late"
         return JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
 
+    def refusal_on_arrival(self, upstream: str) -> JobReply | None:
+        """Return the refusal of a new job that can't be served now, else None."""
+        return self.overload_refusal() or self.evacuation_refusal(upstream)
+
+    def evacuation_refusal(self, upstream: str) -> JobReply | None:
+        """Return the refusal of a job that no data centre may run now, else None."""
+        if not self.is_evacuated(upstream):
+            return None
+        detail = "every data centre with runners for the job is evacuated"
+        return JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S)
+
     def _decide_pending(self) -> None:
         now = self.timers.now()
         self._update_lag(now)
@@ -70,7 +83,9 @@
             if rec.closed or rec.dispatched or rec.is_borrowing:
                 # Answered, handed over, or at work.
                 continue
-            if age < MIN_DECISION_AGE_S:
+            if refusal := self.evacuation_refusal(rec.rule.upstream):
+                self.refuse(rec, refusal)
+            elif age < MIN_DECISION_AGE_S:
                 pending.append(rec)
             elif age <= rec.budget.decision_deadline_s + MIN_DECISION_AGE_S:
                 backlog = backlog or self.pool.backlog()
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -26,6 +26,7 @@
     RunnerPort,
 )
 from monsoongap.coordination.repeated_call import call_repeatedly
+from monsoongap.coordination.rerouting import Rerouting
 from monsoongap.coordination.settling import Reconciler
 from monsoongap.coordination.time_budget import critical_path_s
 from monsoongap.errors import AnswerKind
@@ -44,6 +45,7 @@
 )
 from monsoongap.settings import EntrySettings
 from monsoongap.state.directory import SOURCE_STORE, Directory
+from monsoongap.state.evacuation import Evacuation
 from monsoongap.state.job_locations import JobLocations
 from monsoongap.timers import MS_PER_S, Pause, Subscription, TimerService
 from monsoongap.util.background import BackgroundTasks
@@ -97,6 +99,7 @@
         self._work_timers: tuple[Subscription, ...] = ()
         self.became_owner = asyncio.Event()
         self.directory = Directory(decode_config, self._config_changed)
+        self.directory.evacuation = Evacuation(cfg.bounds.evac_s, self._config_changed)
         self.members = Members(
             card,
             timers,
@@ -108,6 +111,9 @@
             lambda: bool(self.jobs.recent_jobs()),
         )
         self.ownership = Ownership(self.members, timers, self._acquired, self._released)
+        self.rerouting = Rerouting(card.dc, self.ownership, self.directory)
+        # The data centre of each job that was submitted to another one from here.
+        self._rerouted: dict[str, str] = {}
         self.borrowing = Borrowing(
             self.members, self.ownership, timers, ports.peers, self.directory
         )
@@ -129,6 +135,7 @@
         self.jobs = Jobs(
             self.pool, timers, self.directory.rule, self.reconciler.reconcile_everywhere
         )
+        self.jobs.admission_control.is_evacuated = self.directory.is_evacuated
         self.pool.on_dispatch = self.jobs.record_dispatch
         self.pool.on_held = self.members.send_heartbeats
         self.pool.on_orphan_found = self.jobs.announce
@@ -161,6 +168,7 @@
     def _resume_after(self, pause: Pause) -> None:
         """Announce this host again, and end the jobs whose callers gave up."""
         self.directory.list_age.resume(self.timers.now())
+        self.directory.evacuation.age.resume(self.timers.now())
         if pause.length_s >= OWNER_TIMEOUT_S:
             self.members.send_heartbeats_to_all()
             self.jobs.end_expired()
@@ -187,9 +195,8 @@
     @property
     def ready(self) -> bool:
         """Whether new callers should be sent to this host."""
-        known = self.directory.version > 0 and not self.leaving
-        shares = self.ownership.shares_of(self.card.dc)
-        return known and any(self.ownership.owner_of(share) for share in shares)
+        known = self.directory.version > 0 and self.directory.evacuation.is_known
+        return known and not self.leaving and self.rerouting.serves()
 
     def owns(self, dc: str) -> bool:
         """Return whether this host owns a share of a data centre."""
@@ -219,7 +226,8 @@
         If the call to the owner fails, the job is submitted to the next owner. The
         caller does not notice a takeover.
         """
-        share = self.ownership.share_of_job(job.id)
+        rule = self.directory.rule(job.queue)
+        share = self._share_of_new_job(job, rule)
         version = self.directory.version
         self._request_count += 1
         call = SubmitCall(
@@ -230,7 +238,13 @@
             wait_s=wait_s,
             number=self._request_count,
         )
-        return await self._submit(call, self.directory.rule(job.queue))
+        try:
+            return await self._submit(call, rule)
+        finally:
+            self._rerouted.pop(job.id, None)
+
+    def _share_of_new_job(self, job: Job, rule: QueueRule | None) -> ShareId:
+        return self.rerouting.share_of_new_job(job.id, rule.upstream if rule else "")
 
     async def _submit(self, call: SubmitCall, rule: QueueRule | None) -> JobReply:
         """Submit a call to one owner after the other until one has a reply.
@@ -239,10 +253,15 @@
         """
         waited_s = 0.0
         started_at = self.timers.now()
+        # Once an owner was asked, the call may arrive there late: the job stays in that
+        # data centre. One that is handed over has its runs there.
+        asked = call.is_handover
         while True:
             await self.timers.read_first()
-            # A job of another data centre is handed over to the next owner there.
-            share = self.ownership.share_of_job(call.job.id, call.share.dc)
+            if asked:
+                share = self.ownership.share_of_job(call.job.id, call.share.dc)
+            else:
+                share = self._share_of_new_job(call.job, rule)
             delayed = call.delayed or self.is_catching_up
             call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
@@ -250,6 +269,10 @@
                 if waited_s >= OWNER_WAIT_S:
                     return self._no_owner(call)
             else:
+                if not asked and share.dc != self.card.dc:
+                    self._rerouted[call.job.id] = share.dc
+                    self.directory.evacuation.counts.jobs_rerouted += 1
+                asked = True
                 try:
                     reply = await self._submit_to_owner(owner, call)
                 except PeerCallFailed as exc:
@@ -388,7 +411,8 @@
 
     def cancel(self, job: str) -> None:
         """Cancel a job whose caller has disconnected."""
-        owner = self.ownership.owner_of(self.ownership.share_of_job(job))
+        dc = self._rerouted.get(job, "")
+        owner = self.ownership.owner_of(self.ownership.share_of_job(job, dc))
         if owner is None:
             return
         if owner.peer is None:
@@ -436,6 +460,8 @@
             parts.known_hosts,
             self.pool.runner_digests(claims),
             parts.brief,
+            self.directory.evacuation.offset,
+            tuple(self.directory.evacuation.dcs),
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
@@ -457,6 +483,9 @@
                 self.pool.schedule_placement()
         self._check_ownership_after(peer)
         self.config_fetcher.version_announced(heartbeat.config_version)
+        self.directory.evacuation.accept(
+            heartbeat.evacuated, heartbeat.evac_offset, peer.card.name
+        )
         if became_live:
             self.members.send_heartbeat_to(peer)
 
@@ -477,6 +506,7 @@
     # Callbacks of this host's own parts.
 
     def _config_changed(self) -> None:
+        """Tell other hosts of a configuration or evacuations, and place by them."""
         if self.ownership.claims:
             self.members.send_heartbeats()
         else:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -187,10 +187,11 @@
             may_have_started = call.again or self._may_have_started(job.id, rec)
             return reply.without_promise() if may_have_started else reply
         new_rec = self._create_record(call, rule, rec)
-        overload_refusal = self.admission_control.overload_refusal()
-        if overload_refusal is not None and not call.again and not call.here:
-            self._answer(new_rec, overload_refusal)
-            return new_rec.answer.result()
+        if not call.again and not call.here:
+            refusal = self.admission_control.refusal_on_arrival(rule.upstream)
+            if refusal is not None:
+                self._answer(new_rec, refusal)
+                return new_rec.answer.result()
         reconciled = await self._reconcile_previous_runs(new_rec)
         if new_rec.closed:
             # Cancelled meanwhile, or handed over to the next owner, which answers.
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -16,6 +16,7 @@
     NoAnswer,
     NotSent,
     RunnerPort,
+    Withheld,
     WrongInstance,
 )
 from monsoongap.coordination.runs import RunTable
@@ -28,6 +29,7 @@
     StartRequest,
 )
 from monsoongap.settings import BoundsSection
+from monsoongap.state.evacuation import Evacuation
 from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import BackgroundTasks
 
@@ -68,6 +70,7 @@
     on_capacity_change: Callable[[], None]
     checks_capacity: Callable[[str], bool]
     on_orphan_found: Callable[[str], None] = lambda job: None
+    evacuation: Evacuation = field(default_factory=Evacuation)
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
@@ -133,6 +136,7 @@
             and now >= self.avoid_until
             and not self._may_have_restarted
             and not self.table.is_other_incarnation
+            and self.evacuation.allows_start(self.info.dc, now)
         )
 
     @property
@@ -141,8 +145,10 @@
 
         A new one does until a lease has passed without an answer.
         """
+        if self.info.draining or self.info.dc in self.evacuation.dcs:
+            return False
         starting = self.state is LinkState.NEW and not self.is_reconciled
-        return (starting or self.state is LinkState.HELD) and not self.info.draining
+        return starting or self.state is LinkState.HELD
 
     @property
     def is_reconciled(self) -> bool:
@@ -160,7 +166,13 @@
         # A poll may tell of a restart before the request is sent.
         born_ms = self.table.born_ms
         request = StartRequest(
-            run.task, run.number, payload, until_ms, self.fence, born_ms
+            run.task,
+            run.number,
+            payload,
+            until_ms,
+            self.fence,
+            born_ms,
+            self._may_send_start,
         )
         self._background.spawn(self._request_start(run, request), "start")
 
@@ -195,6 +207,10 @@
         except HigherFence:
             self.on_fenced(self)
             return
+        except Withheld:
+            self.evacuation.counts.starts_withheld += 1
+            self.table.end(run, RunOutcome.NO_ROOM)
+            return
         except (NotSent, WrongInstance):
             self.table.end(run, RunOutcome.UNHEALTHY)
             self._mark_unresponsive("start request not sent")
@@ -218,6 +234,17 @@
             run.state = RunState.RUNNING
         self._wake.set()
 
+    def _may_send_start(self) -> bool:
+        """Return whether a start may still be sent.
+
+        An evacuation may have begun since the task was placed, also during a pause of
+        this process, which is noticed first: the state may be too old since.
+        """
+        if not self.evacuation.is_enabled:
+            return True
+        self.timers.last_pause()
+        return self.evacuation.allows_start(self.info.dc, self.timers.now())
+
     async def _request_stop(self, run: Run) -> None:
         """Repeat a stop until it is confirmed; the run has ended or is listed then."""
         while self.table.has(run) and self.state is not LinkState.CLOSED:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -238,6 +238,7 @@
             on_capacity_change=self.schedule_placement,
             checks_capacity=self.directory.checks_capacity,
             on_orphan_found=lambda job: self.on_orphan_found(job),
+            evacuation=self.directory.evacuation,
         )
         self.links[info.id] = link
         link.open()
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -31,6 +31,10 @@
     """The runner at the address is not the one addressed, or has restarted since."""
 
 
+class Withheld(Exception):
+    """The request was not sent: a check right before it failed."""
+
+
 class PeerCallFailed(Exception):
     """A call to another entry host got no reply; it may have taken effect."""
 
@@ -51,7 +55,8 @@
         """Start a run; returns `Started` also if the run is there already.
 
         The request is sent only if the runner is certainly in the incarnation
-        `request.born_ms`; otherwise raises `WrongInstance` or `NotSent`.
+        `request.born_ms`; otherwise raises `WrongInstance` or `NotSent`. Raises
+        `Withheld` if `request.may_send` returns false once a connection is open.
         """
         ...
 
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -22,7 +22,7 @@
     Topic,
     pause,
 )
-from monsoongap.protocol.decoding import Malformed, decode_json
+from monsoongap.protocol.decoding import Malformed, Name, convert, decode_json
 from monsoongap.protocol.messages import HostCard, RunnerInfo
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import SOURCE_STORE
@@ -33,6 +33,7 @@
 
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 RUNNERS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
 # All hosts poll in step after a change, and then none may be able to announce the next
@@ -69,13 +70,16 @@
         timers: TimerService,
         dcs: tuple[str, ...] = (),
     ) -> None:
+        limit_s = min(cfg.config_s, cfg.evac_s or cfg.config_s)
         self._config_wait_s = max(
-            cfg.config_s - REPLY_TIMEOUT_S - CONFIG_RETRY_RESERVE_S, CONFIG_MIN_WAIT_S
+            limit_s - REPLY_TIMEOUT_S - CONFIG_RETRY_RESERVE_S, CONFIG_MIN_WAIT_S
         )
         self._owner_interval_s = OWNER_INTERVAL_FACTOR * cfg.drain_s
         self._host = host
         self._list_age = host.directory.list_age
         self._list_age.max_age_s = MAX_LIST_AGE_FACTOR * cfg.drain_s
+        self._evacuation = host.directory.evacuation
+        self._evacuation.limit_age()
         self._store = store
         self._timers = timers
         self._dcs = frozenset(dcs)
@@ -116,16 +120,23 @@
         while True:
             # After a failure the store is asked to reply at once, so that one that is
             # still silent is noticed without the time of a long poll.
-            wait_s = 0.0 if failures else self._config_wait_s
+            read_at = self._timers.now()
+            is_old = not self._evacuation.age.allows_placement(read_at)
+            wait_s = 0.0 if failures or is_old else self._config_wait_s
+            self._evacuation.age.begin_read(read_at)
             try:
                 changed = await self._store.advance(topic, wait_s)
             except StoreUnavailable as exc:
+                self._evacuation.age.fail_read()
                 failures += 1
                 self._log_failure(OPERATOR_TOPIC, failures, exc)
                 await pause(failures)
                 continue
             self._log_recovery(OPERATOR_TOPIC, failures)
             failures = 0
+            self._evacuation.accept(_evacuated_dcs(topic), topic.position)
+            if not topic.is_behind:
+                self._evacuation.age.finish_read(read_at)
             config_text = topic.values.get(CONFIG_KEY)
             if changed and config_text is not None:
                 self._host.directory.accept_text(config_text, SOURCE_STORE)
@@ -229,6 +240,19 @@
             )
 
 
+def _evacuated_dcs(topic: Topic) -> Iterator[str]:
+    """Yield the data centres whose evacuation is in force; skip malformed names."""
+    for key, value in topic.values.items():
+        if key.startswith(EVACUATION_PREFIX) and value:
+            try:
+                yield convert(key.removeprefix(EVACUATION_PREFIX), Name)
+            except Malformed as exc:
+                log.warning(
+                    "malformed evacuation skipped",
+                    extra={"entry": key, "error": str(exc)},
+                )
+
+
 def _decode_host_cards(topic: Topic) -> Iterator[HostCard]:
     """Yield the cards of the hosts; skip malformed ones, and those of other hosts."""
     for name, text in topic.values.items():
--- a/monsoongap/platform/runners.py
+++ b/monsoongap/platform/runners.py
@@ -12,6 +12,7 @@
     HigherFence,
     NoAnswer,
     NotSent,
+    Withheld,
     WrongInstance,
 )
 from monsoongap.platform import wire
@@ -64,6 +65,8 @@
         async with self._connection(runner, False, request.born_ms) as conn:
             if request.born_ms and conn.peer != request.born_ms:
                 await self._identify(conn, runner, request)
+            if not request.may_send():
+                raise Withheld(runner.id)
             reply = await self._send(
                 conn, runner, "/monsoongap/run-start", body, REPLY_TIMEOUT_S
             )
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -9,6 +9,7 @@
 
 import string
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Annotated
@@ -18,6 +19,7 @@
 
 from monsoongap.errors import ANSWER_RULES, AnswerKind, Promise
 from monsoongap.protocol.decoding import (
+    MAX_INTEGER,
     Address,
     Balance,
     DurationS,
@@ -227,11 +229,17 @@
     ends: tuple[RunEnd, ...]
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class StartRequest:
     """Asks a runner to start a run. `lease_until_ms` is a time on its clock.
 
     `born_ms` is the incarnation by whose record the task was placed; 0 for any.
+    `may_send` is not part of the request: it is called right before it is sent, and
+    returns whether it still may be.
     """
 
     task: TaskId
@@ -240,6 +248,7 @@
     lease_until_ms: int
     fence: int
     born_ms: int = 0
+    may_send: Callable[[], bool] = field(default=_always, compare=False)
 
 
 class Refusal(StrEnum):
@@ -345,7 +354,9 @@
     jobs whose execution it started lately: another data centre that gets one of them
     again forwards it to this host. `known_hosts` has some of the hosts that it knows.
     `runner_digests` has one digest for each claim, in the same order. `brief` says that
-    `live_hosts` and `free` are left out, and those told last still hold.
+    `live_hosts` and `free` are left out, and those told last still hold. `evacuated`
+    names the evacuated data centres by the operator's log up to `evac_offset`; -1 if
+    the sender does not know them.
     """
 
     card: HostCard
@@ -360,6 +371,8 @@
     known_hosts: tuple[HostCard, ...] = ()
     runner_digests: tuple[RunnerDigest, ...] = ()
     brief: bool = False
+    evac_offset: Annotated[int, Meta(ge=-1, le=MAX_INTEGER)] = -1
+    evacuated: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -20,6 +20,7 @@
 OptionalAddress = Annotated[str, Meta(pattern=rf"^\Z|{ADDRESS_PATTERN}")]
 HostName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,63}\Z")]
 Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
+OptionalMillis = Annotated[float, Meta(ge=0, le=86_400_000)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Factor = Annotated[float, Meta(gt=0, le=1024)]
 
@@ -86,6 +87,8 @@
     start request later than `drain_ms` after it began to drain. A configuration must
     be in force within `config_ms`. A caller without an answer to its job sends the job
     again after `resend_ms`. The process must end within `grace_s` seconds of SIGTERM.
+    Nothing is started in a data centre later than `evac_ms` after its evacuation began;
+    0 if data centres are never evacuated.
     """
 
     lease_ms: Millis = 1000.0
@@ -93,6 +96,7 @@
     config_ms: Millis = 2000.0
     resend_ms: Millis = 1300.0
     grace_s: Annotated[float, Meta(gt=0, le=3600)] = 6.0
+    evac_ms: OptionalMillis = 0.0
 
     @property
     def lease_s(self) -> float:
@@ -109,6 +113,11 @@
         """Limit for applying a configuration, in seconds."""
         return self.config_ms / MS_PER_S
 
+    @property
+    def evac_s(self) -> float:
+        """Limit for evacuating a data centre, in seconds; 0 if there is none."""
+        return self.evac_ms / MS_PER_S
+
     @property
     def resend_s(self) -> float:
         """Delay before a caller sends an unanswered job again, in seconds."""
--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -12,6 +12,7 @@
 
 from monsoongap.protocol.decoding import Malformed
 from monsoongap.protocol.messages import Configuration, QueueRule, RunnerInfo
+from monsoongap.state.evacuation import Evacuation
 from monsoongap.state.list_age import ListAge
 from monsoongap.timers import MS_PER_S
 
@@ -57,12 +58,14 @@
     text: bytes = b""
     runners: tuple[RunnerInfo, ...] = ()
     list_age: ListAge = field(default_factory=ListAge)
+    evacuation: Evacuation = field(default_factory=Evacuation)
     runners_counts: RunnersCounts = field(default_factory=RunnersCounts)
     config_counts: ConfigCounts = field(default_factory=ConfigCounts)
     _rules: dict[str, QueueRule] = field(default_factory=dict)
     _guards: dict[str, bool] = field(default_factory=dict)
     _by_host: dict[str, list[QueueRule]] = field(default_factory=dict)
     _packed: tuple[int, bytes] = (0, b"")
+    _dcs_by_upstream: dict[str, Counter[str]] = field(default_factory=dict)
 
     @property
     def version(self) -> int:
@@ -116,6 +119,7 @@
         listed = {r.id for r in runners}
         added, gone = listed - previous, sorted(previous - listed)
         self.runners = runners
+        self._dcs_by_upstream = {}
         self.list_age.confirm(read_at)
         self.runners_counts.lists_from_peers += source != SOURCE_STORE
         if not added and not gone:
@@ -135,6 +139,21 @@
             },
         )
 
+    def dcs_of(self, upstream: str) -> Counter[str]:
+        """Return the number of an upstream's runners in each data centre."""
+        if upstream not in self._dcs_by_upstream:
+            dcs = Counter(r.dc for r in self.runners if r.upstream == upstream)
+            self._dcs_by_upstream[upstream] = dcs
+        return self._dcs_by_upstream[upstream]
+
+    def is_evacuated(self, upstream: str) -> bool:
+        """Return whether all data centres with runners of an upstream are evacuated."""
+        evacuated = self.evacuation.dcs
+        if not evacuated:
+            return False
+        dcs = self.dcs_of(upstream)
+        return bool(dcs) and dcs.keys() <= evacuated
+
     def rule(self, name: str) -> QueueRule | None:
         """Return the queue of that name."""
         return self._rules.get(name)
--- a/monsoongap/util/rendezvous.py
+++ b/monsoongap/util/rendezvous.py
@@ -6,7 +6,8 @@
 
 import functools
 import hashlib
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
 WEIGHT_BYTES = 8
 ORDER_CACHE_SIZE = 1024
@@ -27,3 +28,19 @@
     """Return the names by descending weight for a subject."""
     ordered = sorted(names, key=lambda name: _weight(subject, name), reverse=True)
     return tuple(ordered)
+
+
+def choose_weighted(subject: str, weights: Mapping[str, float]) -> str:
+    """Return a name for a subject; each gets subjects in proportion to its weight.
+
+    Raise `ValueError` without names. Weights are above zero.
+    """
+
+    def score(name: str) -> float:
+        # In (0, 1), so that the logarithm is finite and negative.
+        uniform = (int.from_bytes(_weight(subject, name)) + 0.5) / 2 ** (
+            8 * WEIGHT_BYTES
+        )
+        return -weights[name] / math.log(min(uniform, 1 - 1e-12))
+
+    return max(weights, key=score)
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -173,7 +173,8 @@
     heartbeat = Heartbeat(card, 1, False, 3, claims, ("a-h0",), brief=True)
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(heartbeat))
     harness = Harness()
-    harness.members.receive(msgspec.msgpack.encode(fields[:-1]))
+    # Without the fields that were appended after `runner_digests`.
+    harness.members.receive(msgspec.msgpack.encode(fields[:11]))
     assert harness.members.is_live("a-h1")
     assert harness.peer("a-h1").live_hosts == ("a-h0",)
 
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -20,6 +20,7 @@
     NotSent,
     PeerCallFailed,
     PeerDown,
+    Withheld,
     WrongInstance,
 )
 from monsoongap.errors import AnswerKind
@@ -40,6 +41,7 @@
     UpstreamRule,
 )
 from monsoongap.settings import (
+    BoundsSection,
     EntrySettings,
     HostSection,
     ListenSection,
@@ -108,6 +110,8 @@
     strong_per_dc: int = 0
     strong_cores: float = 2.15
     room: Resources = ROOM
+    # Limit for evacuating a data centre; 0 for none.
+    evac_ms: float = 0.0
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
     models: dict[str, RunnerModel] = field(default_factory=dict)
@@ -125,6 +129,8 @@
     # Of the link of each host, on which replies queue; None for no limit.
     link_bytes_per_s: float | None = None
     unlisted: set[str] = field(default_factory=set)
+    # How long a start of a host waits for a connection to a runner.
+    connect_s: dict[str, float] = field(default_factory=dict)
     replies: dict[str, list[JobReply]] = field(default_factory=dict)
     config: Configuration = field(
         default_factory=lambda: Configuration(
@@ -193,7 +199,8 @@
         ports = HostPorts(
             _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
         )
-        host = Host(_settings(card), card, ports, WorldTimers(thawed), _decode)
+        cfg = _settings(card, self.evac_ms)
+        host = Host(cfg, card, ports, WorldTimers(thawed), _decode)
         self.hosts[name] = host
         host.members.add_hosts(tuple(self._cards.values()))
         host.start()
@@ -407,6 +414,11 @@
     async def start(
         self, runner: RunnerInfo, request: StartRequest
     ) -> Started | NotStarted:
+        await asyncio.sleep(self.world.connect_s.get(self.name, 0.0))
+        await self.world.thawed(self.name)
+        if not request.may_send():
+            raise Withheld(runner.id)
+
         async def act(model: RunnerModel) -> Started | NotStarted:
             if request.born_ms not in (0, model.info.born_ms):
                 raise WrongInstance(runner.id)
@@ -476,12 +488,13 @@
     return place, place.partition("-")[0]
 
 
-def _settings(card: HostCard) -> EntrySettings:
+def _settings(card: HostCard, evac_ms: float) -> EntrySettings:
     address = "127.0.0.1:1"
     return EntrySettings(
         HostSection(card.name, card.dc),
         ListenSection(address, address, address),
         StoreSection(address),
+        bounds=BoundsSection(evac_ms=evac_ms),
     )
 
 
