Tests: evacuations with a lost owner, a stale lender, a pause and a slow connection

New: a job whose owner is lost stays in its data centre (without that, its runs lapse and are run again elsewhere), and a lender that had advertised capacity refuses it.

--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -7,14 +7,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
+import msgspec
 import pytest
 
 from monsoongap.errors import AnswerKind
 from monsoongap.platform.feeds import Feeds
-from monsoongap.protocol.messages import FindCall, LendCall
+from monsoongap.protocol.messages import FindCall, Job, LendCall, Resources, Step
 from monsoongap.settings import BoundsSection
+from monsoongap.standin.runner_model import TaskPlan
 from tests.coordination.test_host import run_virtual
-from tests.host_world import World
+from tests.host_world import QUEUE, World
 from tests.platform.test_silent_outage import address_of, put_runner
 from tests.store_world import ModelStore, open_feed
 
@@ -143,6 +145,8 @@
         await site.restart(name)
         await asyncio.sleep(2.0)
     await asyncio.sleep(5.0)
+    # Other hosts told them the configuration, the runners and the evacuation.
+    assert all(site.world.hosts[name].ready for name in site.hosts_of("a"))
     site.store.silent = False
 
 
@@ -295,6 +299,41 @@
     site.evacuate("a")
 
 
+# Runs of a lost owner must be adopted by the next one, and not begun elsewhere.
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_job_stays_with_its_runs_when_their_owner_is_lost(leaves: bool) -> None:
+    async def test(site: Site) -> None:
+        owner, entry = site.hosts_of("a")[:2]
+        first = asyncio.create_task(site.world.submit(entry, JOB, 3, 3000.0))
+        await asyncio.sleep(0.5)
+        site.evacuate("a")
+        await asyncio.sleep(0.2)
+        if leaves:
+            site.world.hosts[owner].leave()
+        else:
+            await site.restart(owner)
+        assert (await first).kind is AnswerKind.COMPLETED
+        assert [entry.how for entry in site.world.ledger] == ["done"] * 3
+
+    run_on_site(test)
+
+
+# The borrower counts on room that was advertised before the evacuation.
+def test_a_lender_in_the_evacuated_data_centre_starts_nothing() -> None:
+    async def test(site: Site) -> None:
+        lender, borrower = site.hosts_of("a")[0], site.hosts_of("b")[0]
+        await asyncio.sleep(1.0)
+        site.world.heartbeats_lost.add((lender, borrower))
+        site.evacuate("a")
+        await asyncio.sleep(0.1)
+        reply = await site.world.submit(borrower, JOB, 8 * RUNNERS + 2, 200.0)
+        assert reply.kind is AnswerKind.COMPLETED
+        assert site.world.calls_delivered[LendCall] > 4 * RUNNERS
+        assert site.starts("a", 0.0) == 0
+
+    run_on_site(test)
+
+
 # Guards against one that ends another, and against a state that goes back.
 def test_evacuations_overlap_and_one_is_set_again() -> None:
     async def test(site: Site) -> None:
@@ -320,22 +359,48 @@
     run_on_site(test)
 
 
-# A runner that answers late gets the start when the connection is open at last.
-@pytest.mark.parametrize("is_paused", [False, True])
-def test_a_start_that_waits_for_a_connection_is_withheld(is_paused: bool) -> None:
+# A start that was placed in time was sent when its connection was open at last.
+def test_a_start_that_waits_for_a_connection_is_withheld() -> None:
     async def test(site: Site) -> None:
         owner, entry = site.hosts_of("a")[:2]
-        site.world.connect_s[owner] = 0.4 if is_paused else 7.0
+        site.world.connect_s[owner] = 0.8
         first = asyncio.create_task(site.world.submit(entry, JOB, 2, 50.0))
         await asyncio.sleep(0.2)
-        if is_paused:
-            site.world.pause(owner)
+        site.evacuate("a")
+        assert (await first).kind is AnswerKind.COMPLETED
+        assert site.starts("a", 0.0) == 0
+        counts = site.world.hosts[owner].directory.evacuation.counts
+        assert counts.starts_withheld == 2
+
+    run_on_site(test)
+
+
+# An owner that woke placed the tasks of lapsed runs again by the state of before.
+def test_an_owner_that_wakes_waits_for_its_state_to_be_confirmed() -> None:
+    async def test(site: Site) -> None:
+        owner = site.world.owner("a")
+        for name in site.hosts_of("a")[1:]:
+            site.feeds[name].close()
+            site.world.kill(name)
+        payload = msgspec.json.encode(TaskPlan(3000.0)).decode()
+        job = Job(JOB, QUEUE, payload, (Step(1, Resources(1000, 64), 3.0),))
+        first = asyncio.create_task(site.world.hosts[owner].submit(job, 30.0))
+        await asyncio.sleep(0.5)
+        site.world.pause(owner)
+        # The first that it reads after the pause are heartbeats, and not at once.
+        lost = {(name, owner) for name in site.world.hosts}
+        site.world.heartbeats_lost |= lost
+        site.store.silence_connections()
         begun_at = site.evacuate("a")
-        await asyncio.sleep(7.0)
+        await asyncio.sleep(LIMIT_S + 1.0)
         site.world.resume(owner)
-        await first
+        host = site.world.hosts[owner]
+        # The list of runners comes from another host.
+        host.set_runners(host.directory.runners, now())
+        await asyncio.sleep(0.2)
+        site.world.heartbeats_lost -= lost
+        assert (await first).kind is AnswerKind.COMPLETED
         assert site.starts("a", begun_at) == 0
-        assert len(site.world.ledger) == 2
 
     run_on_site(test)
 
