Take the limit for evacuations from the platform's bounds

`[bounds] evac_ms` has to be 5000 where the platform has `bounds.evacMs`, and 0 elsewhere. So the template lists all fields of `bounds` in a section, in the form that it already uses for the zones, and `platform/bounds` looks for the one. If only names are filled in, the limit counts as 2 s; a host then confirms its state more often than it has to.

`daemon started` tells the limit, so that a template that is not filled in is noticed.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -23,6 +23,7 @@
 from monsoongap.logs import configure_logging, dropped_lines
 from monsoongap.metrics import Metrics
 from monsoongap.platform import SETTINGS_VARIABLE, wire
+from monsoongap.platform.bounds import apply_listed_bounds
 from monsoongap.platform.callers import Callers, ReadyServer
 from monsoongap.platform.feeds import Feeds
 from monsoongap.platform.runners import RunnerClient
@@ -60,7 +61,7 @@
 
     def load(self) -> EntrySettings:
         """Read the settings; raise `SettingsErrorGroup` on errors."""
-        return load_settings(self.path, self.overrides)
+        return apply_listed_bounds(load_settings(self.path, self.overrides))
 
 
 class Daemon:
@@ -102,7 +103,10 @@
             loop.add_signal_handler(signum, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, source)
         await self.start()
-        log.info("daemon started", extra={"dc": self._cfg.host.dc})
+        log.info(
+            "daemon started",
+            extra={"dc": self._cfg.host.dc, "evac_ms": self._cfg.bounds.evac_ms},
+        )
         await self._stop_requested.wait()
         await self._shut_down()
         log.info("daemon stopped")
--- a/monsoongap/platform/__init__.py
+++ b/monsoongap/platform/__init__.py
@@ -2,7 +2,8 @@
 
 All code that depends on the platform's names, paths and fields is in this package. Each
 wire format is decoded once, into types of `monsoongap.protocol.messages`. The settings
-file needs no code here: the platform fills in the template `deploy/entry.ini`.
+file is the template `deploy/entry.ini`, which the platform fills in; only the limits
+that not every platform has are taken from a list (`bounds`).
 """
 
 # Environment variable in which the platform passes the path of the settings file.
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -88,7 +88,8 @@
     be in force within `config_ms`. A caller without an answer to its job sends the job
     again after `resend_ms`. The process must end within `grace_s` seconds of SIGTERM.
     Nothing is started in a data centre later than `evac_ms` after its evacuation began;
-    0 if data centres are never evacuated.
+    0 if data centres are never evacuated. `listed` has the platform's own bounds, as
+    `name=value`, for those that not every platform has.
     """
 
     lease_ms: Millis = 1000.0
@@ -97,6 +98,7 @@
     resend_ms: Millis = 1300.0
     grace_s: Annotated[float, Meta(gt=0, le=3600)] = 6.0
     evac_ms: OptionalMillis = 0.0
+    listed: tuple[str, ...] = ()
 
     @property
     def lease_s(self) -> float:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from monsoongap.platform.bounds import ASSUMED_EVAC_MS, apply_listed_bounds
 from monsoongap.settings import BoundsSection, EntrySettings, load_settings
 from monsoongap.util.ini import SettingsErrorGroup, parse_ini
 
@@ -30,6 +31,8 @@
 
 # Rendered by the platform as its zones, joined by commas.
 ZONES_SECTION = "{{#zones}}{{@}}{{,}}{{/zones}}"
+# Rendered as all bounds that the platform has, as name=value.
+BOUNDS_SECTION = "{{#bounds}}{{@}}={{bounds.{{@}}}}{{,}}{{/bounds}}"
 
 VALID_SETTINGS = """
 [host]
@@ -103,16 +106,42 @@
     assert "grace_s" in reasons["bounds", "gracems"]
 
 
+# A platform without evacuations does not list the limit, and one that fills in names
+# only must not switch evacuations off.
+@pytest.mark.parametrize(
+    ("listed", "evac_ms"),
+    [
+        ("drainMs=2000,evacMs=5000", 5000.0),
+        ("drainMs=2000,graceS=6", 0.0),
+        ("", 0.0),
+        ("drainMs=,evacMs=", ASSUMED_EVAC_MS),
+        ("drainMs={{bounds.drainMs}},evacMs={{bounds.evacMs}}", ASSUMED_EVAC_MS),
+        ("drainMs=}},evacMs=}}", ASSUMED_EVAC_MS),
+        ("evacMs=nan", ASSUMED_EVAC_MS),
+        ("evacMs=0", 0.0),
+    ],
+)
+def test_the_limit_for_evacuations_is_among_the_listed_bounds(
+    listed: str, evac_ms: float
+) -> None:
+    text = VALID_SETTINGS + f"listed = {listed}\n"
+    cfg = apply_listed_bounds(parse_ini(text, "entry.ini", EntrySettings))
+    assert cfg.bounds.evac_ms == evac_ms
+
+
 def test_filled_in_template_of_the_platform_is_valid() -> None:
     template = (Path(__file__).parent.parent / "deploy" / "entry.ini").read_text()
     assert ZONES_SECTION in template
+    assert BOUNDS_SECTION in template
     template = template.replace(ZONES_SECTION, "a,b")
+    template = template.replace(BOUNDS_SECTION, "drainMs=2000,evacMs=5000")
     text = re.sub(r"\{\{(\S+?)\}\}", lambda m: TEMPLATE_FIELDS[m[1]], template)
     cfg = parse_ini(text, "entry.ini", EntrySettings)
     assert cfg.host.cores == 1.5
     assert cfg.listen.peers == "10.1.0.13:7720"
     assert cfg.bounds.lease_s == 1.0
     assert cfg.peers.dcs == ("a", "b")
+    assert apply_listed_bounds(cfg).bounds.evac_s == 5.0
 
 
 @pytest.mark.parametrize("port", ["0", "65536", "99999", "-1", "\u0663"])
