Use cold runners when no warm one has free capacity

At the end of an evacuation the runners there are cold and take 1.5 times as long, and the owner there filled them first, as it places tasks on its own runners before it borrows.

Entries of runners tell `coldLeftMs`. Among sound runners a warm one is taken first, then warm capacity that another owner advertises (`FreeCapacity.cold`, appended), then a cold one; suspect runners stay last. The time that a run should take on a cold runner is multiplied by 1.5, for the judgement of slow and hung runners. Only an entry that changed sets the time anew, so a list that is read again does not extend it.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.ownership import Ownership
@@ -88,10 +90,11 @@
             told.rooms and told.told_at >= oldest for told in self._told.values()
         )
 
-    def try_borrow(self, work: Work, upstream: str) -> bool:
+    def try_borrow(self, work: Work, upstream: str, warm_only: bool = False) -> bool:
         """Send a task to an owner that should have room for it; tell if there is one.
 
-        The owner that told of the most room is asked first.
+        The owner that told of the most room is asked first. With `warm_only`, room on
+        cold runners does not count.
         """
         if work.share is None or work.share not in self.ownership.claims:
             return False
@@ -101,9 +104,10 @@
                 continue
             for i, free in enumerate(told.rooms):
                 fits = free.upstream == upstream and free.resources.can_fit(work.size)
+                fits = fits and not (warm_only and free.cold)
                 if fits and (not work.label or work.label in free.labels):
                     left = free.resources.minus(work.size)
-                    told.rooms[i] = FreeCapacity(free.upstream, left, free.labels)
+                    told.rooms[i] = msgspec.structs.replace(free, resources=left)
                     self._borrow(work, name, upstream)
                     return True
         return False
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -43,6 +43,8 @@
 REFUSED_PAUSE_S = 0.06
 # Ends on an idle runner are acknowledged after this, or with the poll after a start.
 IDLE_ACK_S = 0.5
+# A cold runner takes this many times as long for a task, by the platform's settings.
+COLD_FACTOR = 1.5
 # Orphan runs are kept this much longer than a caller takes to send the job again.
 ORPHAN_MARGIN_S = 0.7
 
@@ -76,6 +78,7 @@
     polls: int = 0
     starts: int = 0
     avoid_until: float = 0.0
+    cold_until: float = 0.0
     _may_have_restarted: bool = False
     _lease: RunnerLease = field(init=False)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -85,6 +88,7 @@
         cfg = self.cfg
         lapsed_at = self.timers.now() + cfg.lease_s / CLOCK_DRIFT
         self._lease = RunnerLease(cfg.lease_s, lapsed_at)
+        self._set_cold(self.info)
         orphan_s = cfg.resend_s + ORPHAN_MARGIN_S
         self.table = RunTable(
             self.info,
@@ -107,12 +111,27 @@
 
     def update(self, info: RunnerInfo) -> None:
         """Apply a new record of the runner."""
+        if info != self.info:
+            self._set_cold(info)
         self.info = info
         self.table.update(info)
         if self.table.is_other_incarnation:
             # The runner has restarted; a poll tells whether this record is its newest.
             self._wake.set()
 
+    def _set_cold(self, info: RunnerInfo) -> None:
+        left_s = info.cold_left_ms / MS_PER_S
+        self.cold_until = self.timers.now() + left_s if left_s else 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the runner has just started and is slower than others."""
+        return now < self.cold_until
+
+    def expected_s(self, estimate_s: float) -> float:
+        """Return how long a task with an estimate should take if it starts here now."""
+        cold = self.is_cold(self.timers.now())
+        return estimate_s * COLD_FACTOR if cold else estimate_s
+
     def check_incarnation(self) -> None:
         """Poll the runner before the next start: its idle connection was closed."""
         if self.state is LinkState.HELD and not self.table.runs:
--- a/monsoongap/coordination/placement.py
+++ b/monsoongap/coordination/placement.py
@@ -1,8 +1,8 @@
-"""Which runner a task goes to: best fit, and sound runners first.
+"""Which runner a task goes to: best fit, and sound and warm runners first.
 
 A wide task finds a whole runner as long as small ones fill those that are in use
 already. Runners that lately failed, hung or were slow are taken only when no other one
-has room.
+has room, and cold ones only when no warm one has.
 """
 
 from collections.abc import Iterable, Iterator
@@ -20,8 +20,9 @@
     """
     fitting = list(_fitting(work, upstream, links, now))
     sound = [k for k in fitting if not k.table.health.is_suspect(now, usual_slowness)]
-    near = [k for k in sound if work.rack and work.rack in k.info.labels]
-    return min(near or sound or fitting, key=_free_cpu, default=None)
+    warm = [k for k in sound if not k.is_cold(now)] or sound
+    near = [k for k in warm if work.rack and work.rack in k.info.labels]
+    return min(near or warm or fitting, key=_free_cpu, default=None)
 
 
 def _fitting(
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -330,7 +330,7 @@
                     },
                 )
                 link.table.resize(run, work.size)
-                run.estimate_s = work.estimate_s
+                run.estimate_s = link.expected_s(work.estimate_s)
                 self._bind(work, link, run)
                 return True
             if link.table.done_before.pop(work.task, None) is not None:
@@ -368,11 +368,16 @@
         if not self.directory.list_age.allows_placement(now):
             return ()
         rooms = [
-            FreeCapacity(link.info.upstream, link.table.free, link.info.labels)
+            FreeCapacity(
+                link.info.upstream,
+                link.table.free,
+                link.info.labels,
+                link.is_cold(now),
+            )
             for link in self.links.values()
             if link.table.free.cpu_milli > 0 and link.is_placeable(now)
         ]
-        rooms.sort(key=lambda r: -r.resources.cpu_milli)
+        rooms.sort(key=lambda r: (r.cold, -r.resources.cpu_milli))
         return tuple(rooms[:FREE_TOLD])
 
     def _tick(self) -> None:
@@ -425,12 +430,19 @@
                 return self.adopt(work)
             return False
         link = self._best(work, upstream)
-        if link is not None:
+        is_cold = link is not None and link.is_cold(self.timers.now())
+        if link is not None and not (is_cold and self._borrow(work, upstream, True)):
             self._waiting.remove(work)
             self._launch(work, link)
             return True
+        return link is not None or self._borrow(work, upstream)
+
+    def _borrow(self, work: Work, upstream: str, warm_only: bool = False) -> bool:
+        """Send a waiting task to another owner that should have room, if any."""
         borrowing = self.borrowing
-        if not borrowing.has_capacity() or not borrowing.try_borrow(work, upstream):
+        if not borrowing.has_capacity():
+            return False
+        if not borrowing.try_borrow(work, upstream, warm_only):
             return False
         self._waiting.remove(work)
         self.counts.borrowed += 1
@@ -449,9 +461,8 @@
         return best_runner(work, upstream, links, now, self.usual_slowness)
 
     def _launch(self, work: Work, link: Link) -> None:
-        run = Run(
-            work.task, work.run_number, work.size, None, estimate_s=work.estimate_s
-        )
+        estimate_s = link.expected_s(work.estimate_s)
+        run = Run(work.task, work.run_number, work.size, None, estimate_s=estimate_s)
         self.counts.placed += 1
         self._bind(work, link, run)
         log.info(
--- a/monsoongap/coordination/status.py
+++ b/monsoongap/coordination/status.py
@@ -55,7 +55,8 @@
     """Everything that `monsoongap status` shows of one entry host.
 
     `runners_age_s` is the age of the list of runners, `loop_late_ms` the lag of the
-    event loop.
+    event loop. `evacuated` names the evacuated data centres, as of `evac_offset` in the
+    operator's log; -1 if they are not known, or the deployment has no evacuations.
     """
 
     host: str
@@ -70,6 +71,8 @@
     hosts: tuple[HostRow, ...]
     shares: tuple[ShareRow, ...]
     runners: tuple[RunnerRow, ...]
+    evacuated: tuple[str, ...] = ()
+    evac_offset: int = -1
 
 
 def status_of(host: Host) -> HostStatus:
@@ -88,6 +91,8 @@
         tuple(_hosts(host, now)),
         tuple(_shares(host)),
         tuple(_runners(host, now)),
+        tuple(sorted(host.directory.evacuation.dcs)),
+        host.directory.evacuation.offset,
     )
 
 
--- a/monsoongap/platform/wire.py
+++ b/monsoongap/platform/wire.py
@@ -215,6 +215,8 @@
     capacity: _Capacity
     labels: Labels = ()
     born: Natural = 0
+    # The runner has just started again; its tasks take longer for this time.
+    cold_left_ms: DurationMs = 0.0
 
 
 # Whether a runner in this state is draining; in any other state it is not used.
@@ -235,6 +237,7 @@
         Resources(raw.capacity.cpu, raw.capacity.mem_mb, raw.capacity.gpu),
         raw.labels,
         raw.born,
+        raw.cold_left_ms,
     )
 
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -22,6 +22,7 @@
     MAX_INTEGER,
     Address,
     Balance,
+    DurationMs,
     DurationS,
     Factor,
     Ip,
@@ -86,7 +87,8 @@
     """A runner as its latest entry in the platform's store describes it.
 
     `room` is its whole capacity. `labels` holds its kind and rack. `born_ms` is when
-    its process started, which distinguishes two incarnations under one id.
+    its process started, which distinguishes two incarnations under one id. For the
+    next `cold_left_ms` its tasks take longer.
     """
 
     id: RunnerId
@@ -97,6 +99,7 @@
     room: Resources
     labels: Labels = ()
     born_ms: Natural = 0
+    cold_left_ms: DurationMs = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,11 +341,12 @@
 
 
 class FreeCapacity(msgspec.Struct, frozen=True, array_like=True):
-    """Free resources of one runner, as its owner counts them."""
+    """Free resources of one runner, as its owner counts them; `cold` slows tasks."""
 
     upstream: Text
     resources: Resources
     labels: Labels = ()
+    cold: bool = False
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
