Show evacuations to operators, and inject them in the soak

The stand-in's control address sets and ends an evacuation; the soak has `evacuate_dc` and reports each run that began in an evacuated data centre after the limit, which is 6 s longer while other faults are injected.

--- a/monsoongap/cli/status.py
+++ b/monsoongap/cli/status.py
@@ -18,6 +18,9 @@
         f"runners read {reply.runners_age_s} s ago, {reply.jobs} jobs, "
         f"{reply.waiting_tasks} tasks wait, loop {reply.loop_late_ms} ms late"
     )
+    if reply.evac_offset >= 0:
+        dcs = ", ".join(reply.evacuated) or "none"
+        print(f"evacuated data centres: {dcs}, as of offset {reply.evac_offset}")
     print_rows("entry hosts", reply.hosts)
     print_rows("shares and their owners", reply.shares)
     print_rows("runners owned here", reply.runners)
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -161,12 +161,18 @@
         metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
         metrics.add_counters("connections", lambda: self._http.counts)
+        metrics.add_counters("evacuation", lambda: host.directory.evacuation.counts)
         metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
         metrics.add_gauge(
             "config_version",
             "Version of the configuration in force.",
             lambda: host.directory.version,
         )
+        metrics.add_gauge(
+            "evacuated_dcs",
+            "Number of data centres that are evacuated.",
+            lambda: len(host.directory.evacuation.dcs),
+        )
         metrics.add_gauge(
             "owned_runners",
             "Number of runners that this host owns.",
--- a/monsoongap/standin/main.py
+++ b/monsoongap/standin/main.py
@@ -6,7 +6,8 @@
 - `POST /store` with fields of `StoreFaults`, or `expire` to delete its history;
 - `POST /join` with `id` and `dc` to add a runner, whose address is advertised without
   the offset;
-- `POST /entry` with `id` and fields of `EntryChange`.
+- `POST /entry` with `id` and fields of `EntryChange`;
+- `POST /evacuate` with `dc` to evacuate a data centre, and `ends` to end that.
 """
 
 import asyncio
@@ -122,6 +123,10 @@
                     self._add_runner(body["id"], body["dc"])
             case "/entry":
                 self._set_entry(msgspec.json.decode(req.body))
+            case "/evacuate":
+                body = msgspec.json.decode(req.body)
+                value = b"" if body.get("ends") else b"{}"
+                self.store.topic("keyed.op").append(f"evacuate/{body['dc']}", value)
             case _:
                 return HTTPStatus.NOT_FOUND, b"{}"
         return HTTPStatus.OK, b"{}"
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,8 @@
 
 ROOT = Path(__file__).parent.parent
 GRACE_S = 4
+# Limit for evacuating a data centre.
+EVAC_MS = 5000
 # High enough to keep all lines; the cause of a broken promise is traced from them.
 LOG_LINES_PER_S = 5000
 SETTINGS_TEMPLATE = """[host]
@@ -23,6 +25,7 @@
 address = {store}
 [bounds]
 grace_s = {grace}
+evac_ms = {evac_ms}
 [log]
 lines_per_s = {log_lines}
 """
@@ -84,6 +87,7 @@
             peers=port + 3,
             store=store,
             grace=GRACE_S,
+            evac_ms=EVAC_MS,
             log_lines=self.log_lines_per_s,
         )
         (self.out / f"{name}.ini").write_text(text)
--- a/soak/run.py
+++ b/soak/run.py
@@ -61,6 +61,7 @@
 async def _run_under_load(deployment: Deployment, seed: int, plan: Plan) -> list[str]:
     callers = Callers(list(deployment.procs.nodes.values()), deployment.rng)
     sends: set[asyncio.Task[object]] = set()
+    injector = FaultInjector(deployment, seed, plan.only)
 
     async def load() -> None:
         while True:
@@ -71,13 +72,15 @@
     if plan.calm:
         await asyncio.sleep(plan.seconds)
     else:
-        await FaultInjector(deployment, seed, plan.only).inject_faults(plan.seconds)
+        await injector.inject_faults(plan.seconds)
     await asyncio.sleep(RECOVERY_S)
     loading.cancel()
     done_pending = await asyncio.wait(sends, timeout=ANSWER_WAIT_S)
     final_sends = (callers.send(may_hurry=False) for _ in range(FINAL_JOBS))
     final_calls = await asyncio.gather(*final_sends)
-    failures = list(broken_promises(callers.calls, await deployment.ledger()))
+    ledger = await deployment.ledger()
+    failures = list(broken_promises(callers.calls, ledger))
+    failures += injector.late_starts(ledger)
     failures += (
         [f"not answered before the end of the soak: {len(done_pending[1])} calls"]
         if done_pending[1]
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -3,13 +3,14 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
 from monsoongap.coordination.ownership import REMOTE_WAIT_S
+from monsoongap.standin.runner_model import LedgerEntry
 from soak.deployment import Deployment
-from soak.processes import GRACE_S
+from soak.processes import EVAC_MS, GRACE_S
 from soak.proxy import ProxyFault
 
 # Delay between the restarts of successive hosts.
@@ -21,12 +22,23 @@
 DISCOVERY_S = 5.0
 # Limit on draining, after which a runner may leave.
 DRAIN_TIMEOUT_S = 2.0
+# Evacuations take this much longer while other faults disturb hosts and store.
+EVAC_STRETCH_S = 6.0
 
 
 def _draw_duration_s(rng: Random) -> float:
     return rng.uniform(0.5, 4.0)
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuated:
+    """A time, by the steady clock, in which nothing may start in a data centre."""
+
+    dc: str
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class FaultInjector:
     """Injects faults into a deployment; a seed gives the same faults at any load.
@@ -38,6 +50,8 @@
     seed: int
     only: str = ""
     _started_at: float = field(default_factory=time.monotonic)
+    evacuated: list[Evacuated] = field(default_factory=list)
+    _evacuating: set[str] = field(default_factory=set)
     _joined_count: int = 0
 
     async def kill_node(self, rng: Random) -> None:
@@ -263,6 +277,34 @@
                 await asyncio.sleep(DRAIN_TIMEOUT_S)
                 await self.deployment.post_control("/entry", id=id_, gone=True)
 
+    async def evacuate_dc(self, rng: Random) -> None:
+        """Evacuate a data centre for a while, and use it again."""
+        dc = rng.choice(self.deployment.size.dc_names)
+        if dc in self._evacuating:
+            return
+        self._evacuating.add(dc)
+        duration_s = rng.uniform(3.0, 14.0)
+        self._print_event(f"evacuate {dc} for {duration_s:.2f} s")
+        await self.deployment.post_control("/evacuate", dc=dc)
+        limit_s = EVAC_MS / 1000 + (0.0 if self.only else EVAC_STRETCH_S)
+        since = time.monotonic() + limit_s
+        await asyncio.sleep(duration_s)
+        self.evacuated.append(Evacuated(dc, since, time.monotonic()))
+        await self.deployment.post_control("/evacuate", dc=dc, ends=True)
+        self._evacuating.remove(dc)
+
+    def late_starts(self, ledger: Iterable[LedgerEntry]) -> Iterator[str]:
+        """Yield a sentence for each run that began in an evacuated data centre."""
+        for run in ledger:
+            for span in self.evacuated:
+                is_there = run.runner.partition("-")[0] == span.dc
+                if is_there and span.since < run.began_at < span.until:
+                    late_s = run.began_at - span.since
+                    yield (
+                        f"{run.task.job} started on {run.runner}, evacuated: "
+                        f"{late_s:.3f} s after the limit"
+                    )
+
     def faults(self) -> tuple[Callable[[Random], Coroutine[None, None, None]], ...]:
         """Return all kinds of faults."""
         return (
@@ -281,6 +323,7 @@
             self.remove_entries,
             self.partition_dc,
             self.join_runners,
+            self.evacuate_dc,
         )
 
     async def inject_faults(self, seconds: float) -> None:
