Have hosts of an evacuated data centre hear the owners elsewhere

A host without a share hears owners of other data centres only each 2 s, as it did not need them, so new jobs had no owner.

Owners now send to all known hosts when the evacuations change, and each 0.5 s to hosts of evacuated data centres. A job for which no owner elsewhere is known for 0.35 s goes to the owner in the evacuated data centre, which hears other owners more often and lends.

test_a_host_that_hears_no_owner_elsewhere_finds_them_at_once failed before with refused jobs.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -119,7 +119,8 @@
     `seeking` says that this host owns nothing and an owner of its data centre is
     missing or silent; it has been so since `seeking_since`. `seeks_everywhere` says
     that no host of the data centre is heard: this one may be cut off, or the only one.
-    `has_news` says that owners are to be told of new jobs.
+    `has_news` says that owners are to be told of new jobs. Hosts of the data centres in
+    `evacuated` submit new jobs to all owners, so they have to hear them often.
     """
 
     ticks: int = 0
@@ -128,6 +129,7 @@
     seeking: bool = False
     seeks_everywhere: bool = False
     seeking_since: float = NEVER
+    evacuated: frozenset[str] = frozenset()
 
     def advance(
         self, is_owner: bool, seeking: bool, hears_local: bool, now: float
@@ -183,9 +185,12 @@
 def _interval(schedule: Schedule, dc: str, peer: Peer, now: float) -> int:
     """Return the ticks between heartbeats to a peer; 0 for none."""
     if schedule.is_owner:
+        is_local = peer.card.dc == dc
+        if peer.card.dc in schedule.evacuated and not is_local and not peer.claims:
+            # It sends none here that would show whether it is live.
+            return REPORT_TICKS
         if not peer.is_live(now):
             return REMOTE_TICKS
-        is_local = peer.card.dc == dc
         if peer.claims and (schedule.has_news or is_local):
             return 1
         return LOCAL_TICKS if peer.claims or is_local else REMOTE_TICKS
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -99,7 +99,9 @@
         self._work_timers: tuple[Subscription, ...] = ()
         self.became_owner = asyncio.Event()
         self.directory = Directory(decode_config, self._config_changed)
-        self.directory.evacuation = Evacuation(cfg.bounds.evac_s, self._config_changed)
+        self.directory.evacuation = Evacuation(
+            cfg.bounds.evac_s, self._evacuation_changed
+        )
         self.members = Members(
             card,
             timers,
@@ -110,6 +112,7 @@
             lambda: self.ownership.claims_changed(),
             lambda: bool(self.jobs.recent_jobs()),
         )
+        self.members.evacuated = lambda: self.directory.evacuation.dcs
         self.ownership = Ownership(self.members, timers, self._acquired, self._released)
         self.rerouting = Rerouting(card.dc, self.ownership, self.directory)
         # The data centre of each job that was submitted to another one from here.
@@ -260,8 +263,11 @@
             await self.timers.read_first()
             if asked:
                 share = self.ownership.share_of_job(call.job.id, call.share.dc)
-            else:
+            elif waited_s < OWNER_WAIT_S / 2:
                 share = self._share_of_new_job(call.job, rule)
+            else:
+                # The owner here can lend its tasks, even if it is evacuated.
+                share = self.ownership.share_of_job(call.job.id)
             delayed = call.delayed or self.is_catching_up
             call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
@@ -506,7 +512,6 @@
     # Callbacks of this host's own parts.
 
     def _config_changed(self) -> None:
-        """Tell other hosts of a configuration or evacuations, and place by them."""
         if self.ownership.claims:
             self.members.send_heartbeats()
         else:
@@ -514,6 +519,14 @@
             self.members.send_heartbeats_to_owners()
         self.pool.schedule_placement()
 
+    def _evacuation_changed(self) -> None:
+        if self.ownership.claims:
+            # Hosts elsewhere submit jobs to owners that they did not need until now.
+            self.members.send_heartbeats_to_all()
+        else:
+            self.members.send_heartbeats_to_owners()
+        self.pool.schedule_placement()
+
     def _acquired(self, claim: Claim) -> None:
         self.start_work_timers()
         self.became_owner.set()
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -63,7 +63,8 @@
 
     `on_heartbeat` is called with a peer and whether it was not live before,
     `on_owner_lost` when an owner of this data centre timed out. `has_news` tells
-    whether there are new jobs of which other owners are to be told.
+    whether there are new jobs of which other owners are to be told. `evacuated` returns
+    the evacuated data centres.
     """
 
     card: HostCard
@@ -74,6 +75,7 @@
     is_owner: Callable[[], bool]
     on_owner_lost: Callable[[], None] = lambda: None
     has_news: Callable[[], bool] = lambda: True
+    evacuated: Callable[[], frozenset[str]] = frozenset
     counts: MemberCounts = field(default_factory=MemberCounts)
     _peers: dict[str, Peer] = field(default_factory=dict)
     _schedule: Schedule = field(default_factory=Schedule)
@@ -234,6 +236,7 @@
         hears_local = any(p.card.dc == self.card.dc and p.is_live(now) for p in heard)
         self._schedule.advance(is_owner, seeking, hears_local, now)
         self._schedule.has_news = self.has_news()
+        self._schedule.evacuated = self.evacuated()
         peers = self._peers.values() if is_owner or seeking else heard
         due = list(due_peers(self._schedule, self.card.dc, peers, now))
         for full in (False, True):
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -251,6 +251,30 @@
     run_on_site(test)
 
 
+# A host without a share hears owners elsewhere only each 2 s. In a soak, such hosts
+# refused jobs for 2.6 s, as no owner elsewhere was known.
+def test_a_host_that_hears_no_owner_elsewhere_finds_them_at_once() -> None:
+    async def test(site: Site) -> None:
+        entry = site.hosts_of("a")[1]
+        lost = {(name, entry) for name in site.hosts_of("b") + site.hosts_of("c")}
+        site.world.heartbeats_lost |= lost
+        await site.restart(entry)
+        # Longer than the others take it for live without a heartbeat.
+        await asyncio.sleep(7.3)
+        site.evacuate("a")
+        site.world.heartbeats_lost -= lost
+        await asyncio.sleep(0.1)
+        site.world.call_types_lost.add(LendCall)
+        calls = []
+        for i in range(40):
+            calls.append(asyncio.create_task(site.world.submit(entry, f"{i:016x}")))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*calls)
+        assert site.outcomes() == {AnswerKind.COMPLETED}
+
+    run_on_site(test)
+
+
 # A repetition goes to another data centre than the job, which is in progress.
 @pytest.mark.parametrize("ends_again", [False, True])
 def test_a_repeated_submission_joins_the_job_that_is_in_progress(
