Merge the evacuation of data centres

The limit comes from the template's bounds.evacMs; a placeholder that a renderer leaves in place counts as left out, so the list of all bounds as name=value is not needed.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -24,6 +24,7 @@
     NoAnswer,
     NotSent,
     RunnerPort,
+    Withheld,
     WrongInstance,
 )
 from monsoongap.coordination.runs import RunTable
@@ -37,6 +38,7 @@
     StartRequest,
 )
 from monsoongap.settings import BoundsSection
+from monsoongap.state.evacuation import Evacuation
 from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import BackgroundTasks
 
@@ -50,6 +52,8 @@
 REFUSED_PAUSE_S = 0.06
 # Ends on an idle runner are acknowledged after this, or with the poll after a start.
 IDLE_ACK_S = 0.5
+# A cold runner takes this many times as long for a task, by the platform's settings.
+COLD_FACTOR = 1.5
 # Orphan runs are kept this much longer than a caller takes to send the job again.
 ORPHAN_MARGIN_S = 0.7
 
@@ -78,11 +82,13 @@
     checks_capacity: Callable[[str], bool]
     on_orphan_found: Callable[[str], None] = lambda job: None
     lost_replies: LostReplies = field(default_factory=LostReplies)
+    evacuation: Evacuation = field(default_factory=Evacuation)
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
     starts: int = 0
     avoid_until: float = 0.0
+    cold_until: float = 0.0
     _may_have_restarted: bool = False
     _lease: RunnerLease = field(init=False)
     _responses: Responses = field(default_factory=Responses)
@@ -93,6 +99,7 @@
         cfg = self.cfg
         lapsed_at = self.timers.now() + cfg.lease_s / CLOCK_DRIFT
         self._lease = RunnerLease(cfg.lease_s, lapsed_at)
+        self._set_cold(self.info)
         orphan_s = cfg.resend_s + ORPHAN_MARGIN_S
         self.table = RunTable(
             self.info,
@@ -115,12 +122,27 @@
 
     def update(self, info: RunnerInfo) -> None:
         """Apply a new record of the runner."""
+        if info != self.info:
+            self._set_cold(info)
         self.info = info
         self.table.update(info)
         if self.table.is_other_incarnation:
             # The runner has restarted; a poll tells whether this record is its newest.
             self._wake.set()
 
+    def _set_cold(self, info: RunnerInfo) -> None:
+        left_s = info.cold_left_ms / MS_PER_S
+        self.cold_until = self.timers.now() + left_s if left_s else 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the runner has just started and is slower than others."""
+        return now < self.cold_until
+
+    def expected_s(self, estimate_s: float) -> float:
+        """Return how long a task with an estimate should take if it starts here now."""
+        cold = self.is_cold(self.timers.now())
+        return estimate_s * COLD_FACTOR if cold else estimate_s
+
     def check_incarnation(self) -> None:
         """Poll the runner before the next start: its idle connection was closed."""
         if self.state is LinkState.HELD and not self.table.runs:
@@ -144,6 +166,7 @@
             and now >= self.avoid_until
             and not self._may_have_restarted
             and not self.table.is_other_incarnation
+            and self.evacuation.allows_start(self.info.dc, now)
         )
 
     @property
@@ -152,8 +175,10 @@
 
         A new one does until a lease has passed without an answer.
         """
+        if self.info.draining or self.info.dc in self.evacuation.dcs:
+            return False
         starting = self.state is LinkState.NEW and not self.is_reconciled
-        return (starting or self.state is LinkState.HELD) and not self.info.draining
+        return starting or self.state is LinkState.HELD
 
     @property
     def is_reconciled(self) -> bool:
@@ -171,7 +196,13 @@
         # A poll may tell of a restart before the request is sent.
         born_ms = self.table.born_ms
         request = StartRequest(
-            run.task, run.number, payload, until_ms, self.fence, born_ms
+            run.task,
+            run.number,
+            payload,
+            until_ms,
+            self.fence,
+            born_ms,
+            self._may_send_start,
         )
         self._background.spawn(self._request_start(run, request), "start")
 
@@ -207,6 +238,10 @@
         except HigherFence:
             self.on_fenced(self)
             return
+        except Withheld:
+            self.evacuation.counts.starts_withheld += 1
+            self.table.end(run, RunOutcome.NO_ROOM)
+            return
         except WrongInstance:
             self.table.end(run, RunOutcome.UNHEALTHY)
             self._mark_unresponsive("start request not sent")
@@ -259,6 +294,17 @@
         finally:
             call.cancel()
 
+    def _may_send_start(self) -> bool:
+        """Return whether a start may still be sent.
+
+        An evacuation may have begun since the task was placed, also during a pause of
+        this process, which is noticed first: the state may be too old since.
+        """
+        if not self.evacuation.is_enabled:
+            return True
+        self.timers.last_pause()
+        return self.evacuation.allows_start(self.info.dc, self.timers.now())
+
     async def _request_stop(self, run: Run) -> None:
         """Repeat a stop until it is confirmed; the run has ended or is listed then."""
         while self.table.has(run) and self.state is not LinkState.CLOSED:
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -104,7 +104,10 @@
             loop.add_signal_handler(signum, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, source)
         await self.start()
-        log.info("daemon started", extra={"dc": self._cfg.host.dc})
+        log.info(
+            "daemon started",
+            extra={"dc": self._cfg.host.dc, "evac_ms": self._cfg.bounds.evac_ms},
+        )
         await self._stop_requested.wait()
         await self._shut_down()
         log.info("daemon stopped")
@@ -165,12 +168,18 @@
         metrics.add_counters("callers", lambda: self._callers.counts)
         metrics.add_counters("connections", lambda: self._http.counts)
         metrics.add_counters("received_refused", self._guard.counters)
+        metrics.add_counters("evacuation", lambda: host.directory.evacuation.counts)
         metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
         metrics.add_gauge(
             "config_version",
             "Version of the configuration in force.",
             lambda: host.directory.version,
         )
+        metrics.add_gauge(
+            "evacuated_dcs",
+            "Number of data centres that are evacuated.",
+            lambda: len(host.directory.evacuation.dcs),
+        )
         metrics.add_gauge(
             "owned_runners",
             "Number of runners that this host owns.",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -33,6 +33,7 @@
     "bounds.configApplyMs": "2000",
     "bounds.resendMs": "1300",
     "bounds.graceS": "6",
+    "bounds.evacMs|json": "5000",
 }
 
 # Rendered by the platform as its zones, joined by commas.
@@ -119,6 +120,18 @@
     assert "grace_s" in reasons["bounds", "gracems"]
 
 
+# Guards against evacuations switched on where the platform has none, and off where a
+# renderer leaves the field out.
+@pytest.mark.parametrize(
+    ("rendered", "evac_s"), [("5000", 5.0), ("", 0.0), ("{{bounds.evacMs|json}}", 0.0)]
+)
+def test_the_limit_for_evacuations_is_that_of_the_platform(
+    rendered: str, evac_s: float
+) -> None:
+    text = VALID_SETTINGS + f"evac_ms = {rendered}\n"
+    assert parse_ini(text, "entry.ini", EntrySettings).bounds.evac_s == evac_s
+
+
 def test_filled_in_template_of_the_platform_is_valid() -> None:
     template = (Path(__file__).parent.parent / "deploy" / "entry.ini").read_text()
     assert ZONES_SECTION in template
@@ -130,6 +143,7 @@
     assert cfg.bounds.lease_s == 1.0
     assert cfg.peers.dcs == ("a", "b")
     assert (cfg.limits.memory_mb, cfg.limits.max_fds) == (552, 8192)
+    assert cfg.bounds.evac_s == 5.0
 
 
 @pytest.mark.parametrize("port", ["0", "65536", "99999", "-1", "\u0663"])
