Plan placement over waiting tasks and predicted ends behind [placement] horizon_ms

A wide task that fits nowhere is passed over for smaller ones, which take the gaps that it waits for, and a task is placed by free capacity alone, also where it is late by the speed of the runner. With a horizon, a pure planner decides each round: it starts tasks where they end within their job's objective and holds a bounded number of runners for tasks that fit nowhere yet. The pace of runners is learned from ended runs. Without a horizon, the default, nothing of this is created.

A property test found that the runner of an expired reservation was reserved again in the same round; such runners now rest from that round on.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -17,6 +17,7 @@
 from monsoongap.coordination.lending import Lending
 from monsoongap.coordination.members import OWNER_TIMEOUT_S, Members
 from monsoongap.coordination.ownership import Owner, Ownership
+from monsoongap.coordination.planned_placement import PlannedPlacement
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import (
     DatagramPort,
@@ -122,6 +123,8 @@
             self.ownership.yield_to_fence,
             self._capacity_changed,
         )
+        if cfg.placement.horizon_s > 0:
+            self.pool.planned = PlannedPlacement(cfg.placement.horizon_s)
         self.lending = Lending(self.pool, self.members, timers)
         self.reconciler = Reconciler(
             self.pool, self.ownership, self.lending, timers, ports.peers
--- /dev/null
+++ b/monsoongap/coordination/plan.py
@@ -0,0 +1,357 @@
+"""The plan of one round of placement: the starts to send now, and reservations.
+
+Tasks are planned in their order of urgency. One that fits nowhere, or only where it
+would be late, may reserve the runner on which it is expected to start first. Less
+urgent tasks start on a reserved runner if they are expected to end before that, or
+leave enough free. Design: docs/design/0703-placement-plan.md.
+"""
+
+import bisect
+from collections.abc import Iterator, Sequence
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass, field, replace
+from heapq import nlargest
+
+from monsoongap.protocol.messages import Resources, TaskId
+
+NEVER = float("inf")
+# Declared times are off by two fifths.
+TIME_MARGIN = 1.4
+# Bounds of the processor time of one round.
+SEARCH_TASKS = 8
+SEARCH_RUNNERS = 32
+# A reservation is dropped when its time has passed by this share of the horizon.
+LATE_SHARE = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class PlanTask:
+    """A waiting task. `due_at` is the end of its job's objective.
+
+    `waits_for_better` says that it may wait for a runner on which it is in time while
+    it could start late on another one.
+    """
+
+    task: TaskId
+    upstream: str
+    size: Resources
+    declared_s: float
+    due_at: float = NEVER
+    label: str = ""
+    rack: str = ""
+    most_per_runner: int = 0
+    avoid: AbstractSet[str] = frozenset()
+    waits_for_better: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRun:
+    """A current run; from `unknown_from` on, its end is not predicted."""
+
+    task: TaskId
+    size: Resources
+    ends_at: float
+    unknown_from: float = NEVER
+
+    def end_after(self, now: float) -> float:
+        """Return the predicted end, not before `now`."""
+        return max(self.ends_at, now) if now < self.unknown_from else NEVER
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRunner:
+    """A runner that may be used now. `pace` is run time over declared time."""
+
+    id: str
+    upstream: str
+    labels: tuple[str, ...]
+    free: Resources
+    pace: float = 1.0
+    slow: bool = False
+    suspect: bool = False
+    runs: tuple[PlanRun, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """A runner held for a task.
+
+    `start_at` is the predicted start, `first_start_at` that of the round in which the
+    reservation was made, `held_since` from when the runner has been held.
+    """
+
+    task: TaskId
+    runner: str
+    start_at: float
+    first_start_at: float
+    held_since: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanInput:
+    """What a round plans for; `tasks` are in the order of urgency.
+
+    `kept` are the reservations of the round before, `resting` the ids of runners that
+    may not be reserved anew.
+    """
+
+    now: float
+    horizon_s: float
+    max_reservations: int
+    tasks: Sequence[PlanTask]
+    runners: Sequence[PlanRunner]
+    kept: Sequence[Reservation] = ()
+    resting: AbstractSet[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Starts to send now and reservations; `expired` ones were late or held too long.
+
+    `starts` maps tasks to ids of runners, in the order of urgency.
+    """
+
+    starts: dict[TaskId, str]
+    reservations: tuple[Reservation, ...] = ()
+    expired: tuple[Reservation, ...] = ()
+
+
+def make_plan(given: PlanInput) -> Plan:
+    """Plan one round."""
+    return _Round(given).plan()
+
+
+@dataclass(slots=True, eq=False)
+class _Room:
+    """A runner with the starts that were planned in this round."""
+
+    runner: PlanRunner
+    free: Resources
+    runs: list[PlanRun]
+    held: Reservation | None = None
+    spare: Resources | None = None
+
+    def count_of(self, task: TaskId) -> int:
+        """Return how many runs are of the same step."""
+        step = (task.job, task.step)
+        return sum((run.task.job, run.task.step) == step for run in self.runs)
+
+    def may_run(self, task: PlanTask) -> bool:
+        """Return whether the runner may run a task when it has free capacity."""
+        runner = self.runner
+        return (
+            runner.upstream == task.upstream
+            and runner.id not in task.avoid
+            and (not task.label or task.label in runner.labels)
+            and (
+                not task.most_per_runner
+                or self.count_of(task.task) < task.most_per_runner
+            )
+        )
+
+    def first_fit_at(self, size: Resources, now: float) -> float:
+        """Return when the runner is predicted to have enough free capacity."""
+        free = self.free
+        if free.can_fit(size):
+            return now
+        for run in sorted(self.runs, key=lambda run: run.end_after(now)):
+            end_at = run.end_after(now)
+            if end_at == NEVER:
+                break
+            free = free.plus(run.size)
+            if free.can_fit(size):
+                return end_at
+        return NEVER
+
+    def hold(self, held: Reservation, size: Resources, now: float) -> None:
+        """Hold the runner for a task of a size."""
+        free = self.free
+        for run in self.runs:
+            if run.end_after(now) <= held.start_at:
+                free = free.plus(run.size)
+        self.held, self.spare = held, free.minus(size)
+
+    def leaves_reserved(self, task: PlanTask, now: float) -> bool:
+        """Return whether a start now is not expected to delay the reserved task."""
+        if self.held is None or self.spare is None:
+            return True
+        if self.spare.can_fit(task.size):
+            return True
+        end_at = now + TIME_MARGIN * task.declared_s * self.runner.pace
+        return end_at <= self.held.start_at
+
+    def start(self, task: PlanTask, now: float) -> None:
+        """Take up capacity for a task that starts now."""
+        end_at = now + task.declared_s * self.runner.pace
+        self.free = self.free.minus(task.size)
+        self.runs.append(PlanRun(task.task, task.size, end_at))
+        if self.held is not None and self.spare is not None:
+            margin_s = (TIME_MARGIN - 1) * task.declared_s * self.runner.pace
+            if end_at + margin_s > self.held.start_at:
+                self.spare = self.spare.minus(task.size)
+
+    def is_in_time(self, task: PlanTask, start_at: float) -> bool:
+        """Return whether a task that starts then ends within its job's objective."""
+        run_s = TIME_MARGIN * task.declared_s * self.runner.pace
+        return start_at + run_s <= task.due_at
+
+
+def _free_cpu(room: _Room) -> int:
+    return room.free.cpu_milli
+
+
+@dataclass(slots=True)
+class _Round:
+    """The state of one round."""
+
+    given: PlanInput
+    rooms: dict[str, _Room] = field(init=False)
+    fast: list[_Room] = field(init=False)
+    slow: list[_Room] = field(init=False)
+    suspect: list[_Room] = field(init=False)
+    held: dict[TaskId, Reservation] = field(default_factory=dict)
+    held_since: dict[str, float] = field(default_factory=dict)
+    expired: list[Reservation] = field(default_factory=list)
+    best_pace: float = 1.0
+    resting: set[str] = field(default_factory=set)
+    searches_left: int = SEARCH_TASKS
+    _most_free: list[_Room] | None = None
+
+    def __post_init__(self) -> None:
+        rooms = [_Room(r, r.free, list(r.runs)) for r in self.given.runners]
+        self.rooms = {room.runner.id: room for room in rooms}
+        rooms.sort(key=_free_cpu)
+        self.fast = [k for k in rooms if not (k.runner.slow or k.runner.suspect)]
+        self.slow = [k for k in rooms if k.runner.slow and not k.runner.suspect]
+        self.suspect = [k for k in rooms if k.runner.suspect]
+        self.resting = set(self.given.resting)
+        self.best_pace = min((r.pace for r in self.given.runners), default=1.0)
+
+    def plan(self) -> Plan:
+        """Plan all tasks in their order."""
+        now, kept = self.given.now, self._still_valid()
+        starts: dict[TaskId, str] = {}
+        for task in self.given.tasks:
+            room = self._room_for(task, kept.get(task.task))
+            if room is None:
+                continue
+            group = self._group_of(room)
+            group.remove(room)
+            room.start(task, now)
+            bisect.insort(group, room, key=_free_cpu)
+            starts[task.task] = room.runner.id
+        return Plan(starts, tuple(self.held.values()), tuple(self.expired))
+
+    def _group_of(self, room: _Room) -> list[_Room]:
+        if room.runner.suspect:
+            return self.suspect
+        return self.slow if room.runner.slow else self.fast
+
+    def _still_valid(self) -> dict[TaskId, Reservation]:
+        """Return the reservations of the round before that are not late."""
+        now, horizon_s = self.given.now, self.given.horizon_s
+        valid = {}
+        for held in self.given.kept:
+            late = now > held.first_start_at + LATE_SHARE * horizon_s
+            if late or now - held.held_since >= horizon_s:
+                self.expired.append(held)
+                self.resting.add(held.runner)
+            else:
+                valid[held.task] = held
+                self.held_since[held.runner] = held.held_since
+        return valid
+
+    def _room_for(self, task: PlanTask, kept: Reservation | None) -> _Room | None:
+        """Return the runner on which a task starts now; reserve one if it waits."""
+        given = self.given
+        least_s = TIME_MARGIN * task.declared_s * self.best_pace
+        may_be_in_time = given.now + least_s <= task.due_at
+        if may_be_in_time:
+            room = self._first_fit(task, (self.slow, self.fast), in_time=True)
+            if room is not None:
+                return room
+        late = self._first_fit(task, (self.fast, self.slow, self.suspect), False)
+        if late is not None and not (task.waits_for_better and may_be_in_time):
+            return late
+        if len(self.held) < given.max_reservations:
+            held = self._reservation(task, kept, in_time_only=late is not None)
+            if held is not None:
+                self.held[task.task] = held
+                self.rooms[held.runner].hold(held, task.size, given.now)
+                return None
+        return late
+
+    def _first_fit(
+        self, task: PlanTask, groups: tuple[list[_Room], ...], in_time: bool
+    ) -> _Room | None:
+        """Return the runner with the least free capacity that can take a task."""
+        for group in groups:
+            fitting = self._fitting(task, group, in_time)
+            if not task.rack:
+                room = next(fitting, None)
+            else:
+                rooms = list(fitting)
+                near = (k for k in rooms if task.rack in k.runner.labels)
+                room = next(near, rooms[0] if rooms else None)
+            if room is not None:
+                return room
+        return None
+
+    def _fitting(
+        self, task: PlanTask, group: list[_Room], in_time: bool
+    ) -> Iterator[_Room]:
+        now = self.given.now
+        first = bisect.bisect_left(group, task.size.cpu_milli, key=_free_cpu)
+        for i in range(first, len(group)):
+            room = group[i]
+            if (
+                room.free.can_fit(task.size)
+                and room.may_run(task)
+                and (not in_time or room.is_in_time(task, now))
+                and room.leaves_reserved(task, now)
+            ):
+                yield room
+
+    def _reservation(
+        self, task: PlanTask, kept: Reservation | None, in_time_only: bool
+    ) -> Reservation | None:
+        """Keep the reservation of a task if it still holds, else search a new one."""
+        if kept is not None:
+            room = self.rooms.get(kept.runner)
+            if room is not None and room.held is None and room.may_run(task):
+                start_at = room.first_fit_at(task.size, self.given.now)
+                late = not room.is_in_time(task, start_at)
+                holds = start_at - kept.held_since <= self.given.horizon_s
+                if holds and not (late and in_time_only):
+                    return replace(kept, start_at=start_at)
+        if self.searches_left == 0:
+            return None
+        self.searches_left -= 1
+        return self._search(task, in_time_only)
+
+    def _search(self, task: PlanTask, in_time_only: bool) -> Reservation | None:
+        """Find the runner on which a task is in time, else the one it ends first on."""
+        now = self.given.now
+        if self._most_free is None:
+            rooms = (k for k in self.rooms.values() if not k.runner.suspect)
+            self._most_free = nlargest(SEARCH_RUNNERS, rooms, key=_free_cpu)
+        best: tuple[bool, float] | None = None
+        found: Reservation | None = None
+        for room in self._most_free:
+            id_ = room.runner.id
+            if room.held is not None or id_ in self.resting:
+                continue
+            if not room.may_run(task):
+                continue
+            start_at = room.first_fit_at(task.size, now)
+            since = self.held_since.get(id_, now)
+            if start_at - since > self.given.horizon_s:
+                continue
+            late = not room.is_in_time(task, start_at)
+            if late and in_time_only:
+                continue
+            rank = (late, start_at + task.declared_s * room.runner.pace)
+            if best is None or rank < best:
+                best = rank
+                found = Reservation(task.task, id_, start_at, start_at, since)
+        return found
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -15,7 +15,9 @@
 from monsoongap.coordination.coverage import Coverage
 from monsoongap.coordination.link import Link, LinkState
 from monsoongap.coordination.placement import best_runner
+from monsoongap.coordination.planned_placement import PlannedPlacement
 from monsoongap.coordination.ports import RunnerPort
+from monsoongap.coordination.time_budget import objective_s
 from monsoongap.coordination.waiting import Backlog, Waiting
 from monsoongap.coordination.work import Run, RunOutcome, Work
 from monsoongap.protocol.messages import (
@@ -64,7 +66,7 @@
 
     `on_dispatch` is called with each task that is given to a runner, `on_held` when a
     runner is newly held, `on_orphan_found` with the id of each job of which an orphan
-    run is found.
+    run is found. `planned` decides where tasks go if a horizon is set.
     """
 
     cfg: BoundsSection
@@ -79,6 +81,7 @@
     on_held: Callable[[], None] = lambda: None
     on_orphan_found: Callable[[str], None] = lambda job: None
     counts: PoolCounts = field(default_factory=PoolCounts)
+    planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
     _listed: dict[str, RunnerInfo] = field(default_factory=dict)
@@ -302,6 +305,10 @@
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
         upstream = self._upstream_of(work)
+        rule = self.directory.rule(work.queue)
+        if self.planned is not None and rule is not None:
+            # A lent task tells no objective; it counts from now.
+            work.due_at = self.timers.now() + objective_s(work.estimate_s, rule)
         link = self._best(work, upstream) if upstream else None
         if link is None:
             return False
@@ -394,7 +401,11 @@
         self._pump_due = False
         nowhere: set[tuple[str, Resources, str]] = set()
         tried = placed = 0
-        for work in self._waiting.first(PUMP_LIMIT):
+        works = list(self._waiting.first(PUMP_LIMIT))
+        full = len(works) == PUMP_LIMIT
+        if self.planned is not None:
+            works = self._plan(self.planned, works)
+        for work in works:
             tried += 1
             upstream = self._upstream_of(work)
             kind = (work.queue, work.size, work.label)
@@ -406,10 +417,24 @@
             nowhere.add(kind)
             if len(nowhere) >= SCAN_LIMIT:
                 break
-        if tried == PUMP_LIMIT and placed:
+        if full and tried == len(works) and placed:
             self.schedule_placement()
         self.on_capacity_change()
 
+    def _plan(self, planned: PlannedPlacement, works: list[Work]) -> list[Work]:
+        """Return the tasks of a planned round to start or to borrow for."""
+        now = self.timers.now()
+        if not self.directory.list_age.allows_placement(now):
+            return works
+        return planned.select(
+            works,
+            self._upstream_of,
+            self.links,
+            now,
+            self.usual_slowness,
+            self.borrowing.has_capacity(),
+        )
+
     def _place(self, work: Work, upstream: str) -> bool:
         """Start a task here, or with another owner; tell whether it has room.
 
@@ -445,6 +470,10 @@
         links, now = self.links.values(), self.timers.now()
         if not self.directory.list_age.allows_placement(now):
             return None
+        if self.planned is not None:
+            return self.planned.best_link(
+                work, upstream, self.links, now, self.usual_slowness
+            )
         return best_runner(work, upstream, links, now, self.usual_slowness)
 
     def _launch(self, work: Work, link: Link) -> None:
@@ -452,6 +481,8 @@
             work.task, work.run_number, work.size, None, estimate_s=work.estimate_s
         )
         self.counts.placed += 1
+        if self.planned is not None:
+            self.planned.record_start(link, run)
         self._bind(work, link, run)
         log.info(
             "task placed",
@@ -477,6 +508,8 @@
 
         def over(run: Run, how: RunOutcome) -> None:
             match how:
+                case RunOutcome.DONE if self.planned is not None:
+                    self.planned.record_done(link, run, self.timers.now())
                 case RunOutcome.FAILED:
                     self.counts.failed += 1
                 case RunOutcome.NO_ROOM:
--- a/monsoongap/coordination/steps.py
+++ b/monsoongap/coordination/steps.py
@@ -6,6 +6,7 @@
 
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.pool import Pool
+from monsoongap.coordination.time_budget import path_after_s
 from monsoongap.coordination.work import RunOutcome, Work
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import JobReply, TaskId
@@ -30,14 +31,16 @@
             if not all(rec.is_step_done(before) for before in step.after):
                 continue
             rec.started_steps.add(number)
+            after_s = path_after_s(rec.job, number)
+            due_at = rec.arrived_at + rec.budget.objective_s - after_s
             for index in range(step.count):
                 task = TaskId(rec.job.id, number, index)
                 if task not in rec.done_tasks:
-                    self._start_task(rec, task)
+                    self._start_task(rec, task, due_at)
         if rec.all_done:
             self.end(rec, JobReply(AnswerKind.COMPLETED))
 
-    def _start_task(self, rec: JobRecord, task: TaskId) -> None:
+    def _start_task(self, rec: JobRecord, task: TaskId, due_at: float) -> None:
         step = rec.job.steps[task.step]
         work = Work(
             task,
@@ -53,6 +56,7 @@
             rack=step.near_rack,
             most_per_runner=step.most_per_runner,
             run_number=rec.run_numbers.get(task, 0) + 1,
+            due_at=due_at,
         )
         rec.works[task] = work
         if not self.pool.adopt(work):
--- a/monsoongap/coordination/time_budget.py
+++ b/monsoongap/coordination/time_budget.py
@@ -56,9 +56,14 @@
     For a queue without an objective, the timeout takes its place.
     """
     path_s = critical_path_s(job)
+    return TimeBudget(path_s, objective_s(path_s, rule), wait_s)
+
+
+def objective_s(path_s: float, rule: QueueRule) -> float:
+    """Return the objective of a job with a longest chain of `path_s` seconds."""
     if rule.grace_s <= 0:
-        return TimeBudget(path_s, max(rule.timeout_s, rule.stretch * path_s), wait_s)
-    return TimeBudget(path_s, rule.stretch * path_s + rule.grace_s, wait_s)
+        return max(rule.timeout_s, rule.stretch * path_s)
+    return rule.stretch * path_s + rule.grace_s
 
 
 def critical_path_s(job: Job) -> float:
@@ -70,6 +75,16 @@
     return max(ends)
 
 
+def path_after_s(job: Job, number: int) -> float:
+    """Return the declared time of the longest chain of steps after a step."""
+    after = [0.0] * len(job.steps)
+    for i in range(len(job.steps) - 1, number, -1):
+        path_s = job.steps[i].estimate_s + after[i]
+        for before in job.steps[i].after:
+            after[before] = max(after[before], path_s)
+    return after[number]
+
+
 def exceeds_slack(budget: TimeBudget, waited_s: float, ahead_s: float) -> bool:
     """Return whether a job's expected wait exceeds its slack so far that it is refused.
 
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -58,8 +58,9 @@
     `work` and `on_end` are None for an orphan run, which a previous owner started.
     `started_at` is when the start was requested, or an orphan run was found.
     `confirmed_at` is when the runner first confirmed that it knows the run; infinite
-    until then. `progressed_at` is when `progress`, in percent, last changed. Times are
-    seconds on the clock of `TimerService`.
+    until then. `progressed_at` is when `progress`, in percent, last changed.
+    `predicted_s` is the run time that planned placement expects, 0 without it. Times
+    are seconds on the clock of `TimerService`.
     """
 
     task: TaskId
@@ -73,6 +74,7 @@
     progressed_at: float = 0.0
     estimate_s: float = 0.0
     work: "Work | None" = None
+    predicted_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -86,7 +88,8 @@
     here for a borrower. `run_number` is the number of the latest run. `avoid` holds the
     ids of runners on which the task failed or was lost. `active_run` and `link` are
     the run on a runner of this host. `borrowed_from` is the name of the lender that
-    runs the task, empty if it waits or runs here.
+    runs the task, empty if it waits or runs here. `due_at` is when the run must end for
+    the job to meet its objective.
     """
 
     task: TaskId
@@ -107,3 +110,4 @@
     link: "Link | None" = None
     borrowed_from: str = ""
     waiting: bool = False
+    due_at: float = float("inf")
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -115,6 +115,23 @@
         return self.resend_ms / MS_PER_S
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementSection:
+    """How tasks are placed.
+
+    With `horizon_ms` above 0, placement plans that far ahead: it predicts the ends of
+    runs and holds a runner for a task that fits nowhere yet, never for longer than
+    that. With 0 each task goes to the runner that is left with the least capacity.
+    """
+
+    horizon_ms: Annotated[float, Meta(ge=0, le=10_000)] = 0.0
+
+    @property
+    def horizon_s(self) -> float:
+        """How far ahead placement plans, in seconds; 0 if it does not."""
+        return self.horizon_ms / MS_PER_S
+
+
 @dataclass(frozen=True, slots=True)
 class LogSection:
     """Level and rate limit of the log lines of this process.
@@ -137,6 +154,7 @@
     peers: PeersSection = field(default_factory=PeersSection)
     bounds: BoundsSection = field(default_factory=BoundsSection)
     log: LogSection = field(default_factory=LogSection)
+    placement: PlacementSection = field(default_factory=PlacementSection)
 
 
 def load_settings(path: Path, overrides: dict[str, str] | None = None) -> EntrySettings:
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -43,6 +43,7 @@
     EntrySettings,
     HostSection,
     ListenSection,
+    PlacementSection,
     StoreSection,
 )
 from monsoongap.standin.runner_model import (
@@ -108,6 +109,7 @@
     strong_per_dc: int = 0
     strong_cores: float = 2.15
     room: Resources = ROOM
+    horizon_ms: float = 0.0
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
     models: dict[str, RunnerModel] = field(default_factory=dict)
@@ -193,7 +195,8 @@
         ports = HostPorts(
             _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
         )
-        host = Host(_settings(card), card, ports, WorldTimers(thawed), _decode)
+        cfg = _settings(card, self.horizon_ms)
+        host = Host(cfg, card, ports, WorldTimers(thawed), _decode)
         self.hosts[name] = host
         host.members.add_hosts(tuple(self._cards.values()))
         host.start()
@@ -476,12 +479,13 @@
     return place, place.partition("-")[0]
 
 
-def _settings(card: HostCard) -> EntrySettings:
+def _settings(card: HostCard, horizon_ms: float) -> EntrySettings:
     address = "127.0.0.1:1"
     return EntrySettings(
         HostSection(card.name, card.dc),
         ListenSection(address, address, address),
         StoreSection(address),
+        placement=PlacementSection(horizon_ms),
     )
 
 
