--- a/monsoongap/coordination/plan_data.py
+++ b/monsoongap/coordination/plan_data.py
@@ -174,7 +174,8 @@
             if end_at + margin_s > self.held.start_at:
                 self.spare = self.spare.minus(task.size)
 
-    def is_in_time(self, task: PlanTask, start_at: float) -> bool:
+    def is_in_time(
+        self, task: PlanTask, start_at: float, margin: float = TIME_MARGIN
+    ) -> bool:
         """Return whether a task that starts then ends within its job's objective."""
-        run_s = TIME_MARGIN * task.declared_s * self.runner.pace
-        return start_at + run_s <= task.due_at
+        return start_at + margin * task.declared_s * self.runner.pace <= task.due_at
