Planned placement: clear what tasks avoid, and check a start's capacity when it is sent

A task that had failed on most runners was never selected, so the runners that it avoids were not cleared and it waited until its job was given up. An adopted run may be larger than was assumed when the round was planned, and a planned start could then exceed the runner. Both tests failed before.

--- a/monsoongap/coordination/planned_placement.py
+++ b/monsoongap/coordination/planned_placement.py
@@ -32,6 +32,8 @@
 # data centres is not sent to another owner.
 BORROW_S = 0.02
 LOG_INTERVAL_S = 5.0
+# Above this, tasks that no longer wait are dropped from the set of impatient ones.
+MAX_IMPATIENT = 256
 # Rounds of at most so many tasks are planned on free runners first.
 FEW_TASKS = 8
 
@@ -123,7 +125,10 @@
         least urgent one, after the tasks that hold reservations.
         """
         if work.share is not None:
-            return links.get(self._chosen.get(work.task, ""))
+            link = links.get(self._chosen.get(work.task, ""))
+            # A run that was adopted in this round may be larger than was assumed.
+            fits = link is not None and link.table.free.can_fit(work.size)
+            return link if fits else None
         is_open = open_links(links, now, work.size.cpu_milli)
         if not is_open:
             return None
@@ -189,6 +194,8 @@
             (r.task, r.runner) not in before for r in plan.reservations
         )
         self._impatient.difference_update(plan.starts)
+        if len(self._impatient) > MAX_IMPATIENT:
+            self._impatient &= {task.task for task in tasks}
         self._kept = plan.reservations
         self._holders = [task for task in tasks if task.task in held]
         if plan.expired and now - self._logged_at >= LOG_INTERVAL_S:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -305,8 +305,7 @@
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
         upstream = self._upstream_of(work)
-        rule = self.directory.rule(work.queue)
-        if self.planned is not None and rule is not None:
+        if self.planned is not None and (rule := self.directory.rule(work.queue)):
             # A lent task tells no objective; it counts from now.
             work.due_at = self.timers.now() + objective_s(work.estimate_s, rule)
         link = self._best(work, upstream) if upstream else None
@@ -426,6 +425,8 @@
         now = self.timers.now()
         if not self.directory.list_age.allows_placement(now):
             return works
+        for work in works:
+            self._limit_avoided(work)
         return planned.select(
             works,
             self._upstream_of,
@@ -465,8 +466,7 @@
         return self.directory.upstream_of(work.queue) or work.upstream
 
     def _best(self, work: Work, upstream: str) -> Link | None:
-        if 2 * len(work.avoid) > len(self.links):
-            work.avoid.clear()
+        self._limit_avoided(work)
         links, now = self.links.values(), self.timers.now()
         if not self.directory.list_age.allows_placement(now):
             return None
@@ -476,6 +476,11 @@
             )
         return best_runner(work, upstream, links, now, self.usual_slowness)
 
+    def _limit_avoided(self, work: Work) -> None:
+        """Let a task try all runners again if it avoids most of them."""
+        if 2 * len(work.avoid) > len(self.links):
+            work.avoid.clear()
+
     def _launch(self, work: Work, link: Link) -> None:
         run = Run(
             work.task, work.run_number, work.size, None, estimate_s=work.estimate_s
--- a/tests/coordination/test_planned_placement.py
+++ b/tests/coordination/test_planned_placement.py
@@ -182,3 +182,42 @@
             raise AssertionError(f"{exc}\n" + "\n".join(scenario.events)) from exc
 
     run_virtual(main())
+
+
+def test_a_task_that_failed_on_every_runner_is_tried_again() -> None:
+    """Guards against a task that waits for ever as it avoids all runners."""
+
+    async def main() -> None:
+        world = world_of(HORIZON_MS, (FAST,))
+        await world.start()
+        model = world.models["a-r0"]
+        model.faults.fails = True
+        job = asyncio.create_task(submit(world, 1, 1, 0.05, 30))
+        await asyncio.sleep(0.03)
+        assert len(world.ledger) == 1
+        await asyncio.sleep(0.02)
+        model.faults.fails = False
+        assert await asyncio.wait_for(job, 3.0) == AnswerKind.COMPLETED.value
+
+    run_virtual(main())
+
+
+def test_a_start_of_a_plan_is_not_sent_if_its_runner_has_filled_meanwhile() -> None:
+    """Guards against an adopted run, larger than assumed, beside a planned start."""
+
+    async def main() -> None:
+        world = world_of(HORIZON_MS, (FAST,))
+        await world.start()
+        pool = world.hosts["a-h0"].pool
+        assert pool.planned is not None
+        job = asyncio.create_task(submit(world, 1, 1, 0.05, 40))
+        await asyncio.sleep(0.02)
+        link = pool.links["a-r0"]
+        (run,) = link.table.runs.values()
+        assert run.work is not None
+        pool.planned._chosen = {run.task: "a-r0"}
+        best = pool.planned.best_link(run.work, UPSTREAM, pool.links, 0.0, 1.0)
+        assert best is None
+        await job
+
+    run_virtual(main())
