--- a/monsoongap/coordination/plan.py
+++ b/monsoongap/coordination/plan.py
@@ -74,7 +74,7 @@
         now, kept = self.given.now, self._still_valid()
         starts: dict[TaskId, str] = {}
         for task in self.given.tasks:
-            room = self._room_for(task, kept.get(task.task))
+            room = self._room_for(task, kept.get(task.task) if kept else None)
             if room is None:
                 continue
             self.late += not room.is_in_time(task, now)
@@ -105,17 +105,19 @@
         given = self.given
         left_s = task.due_at - given.now
         least_s = task.declared_s * self.best_pace
-        if TIME_MARGIN * least_s <= left_s:
-            room = self._first_fit(
-                task, self.sound, SLOW_MARGIN, slow=True
-            ) or self._first_fit(task, self.sound, TIME_MARGIN)
-            if room is not None:
-                return room
-        late = (
-            self._first_fit(task, self.sound, slow=False)
-            or self._first_fit(task, self.sound)
-            or self._first_fit(task, self.suspect)
-        )
+        late: Room | None = None
+        if self._may_fit(task):
+            if TIME_MARGIN * least_s <= left_s:
+                room = self._first_fit(
+                    task, self.sound, SLOW_MARGIN, slow=True
+                ) or self._first_fit(task, self.sound, TIME_MARGIN)
+                if room is not None:
+                    return room
+            late = (
+                self._first_fit(task, self.sound, slow=False)
+                or self._first_fit(task, self.sound)
+                or self._first_fit(task, self.suspect)
+            )
         # Waiting instead of a late start has to be worth it in spite of wrong times.
         margin = 1.0 if late is None else TIME_MARGIN
         may_wait = margin * least_s <= left_s and (
@@ -129,6 +131,13 @@
                 return None
         return late
 
+    def _may_fit(self, task: PlanTask) -> bool:
+        """Return whether a runner has as much free; in a burst most tasks find none."""
+        cpu_milli, sound, suspect = task.size.cpu_milli, self.sound, self.suspect
+        if sound and sound[-1].free.cpu_milli >= cpu_milli:
+            return True
+        return bool(suspect) and suspect[-1].free.cpu_milli >= cpu_milli
+
     def _first_fit(
         self,
         task: PlanTask,
--- a/monsoongap/coordination/planned_placement.py
+++ b/monsoongap/coordination/planned_placement.py
@@ -104,7 +104,8 @@
         self._take(plan, tasks, now)
         self._chosen = plan.starts
         first = _orphaned(works, links)
-        first += [w for w in works if w.task in plan.starts and w not in first]
+        if plan.starts:
+            first += [w for w in works if w.task in plan.starts and w not in first]
         if not can_borrow:
             return first
         soon = {r.task for r in plan.reservations if r.start_at - now <= BORROW_S}
@@ -222,7 +223,7 @@
             work.rack,
             work.most_per_runner,
             work.avoid,
-            work.task not in self._impatient,
+            not self._impatient or work.task not in self._impatient,
             work.useless_at,
         )
 
@@ -230,4 +231,6 @@
 def _orphaned(works: Sequence[Work], links: Mapping[str, Link]) -> list[Work]:
     """Return the tasks of which a run of a previous owner was found meanwhile."""
     orphans = [link.table.orphans for link in links.values() if link.table.orphans]
+    if not orphans:
+        return []
     return [work for work in works if any(work.task in some for some in orphans)]
