--- a/tests/coordination/test_planned_placement.py
+++ b/tests/coordination/test_planned_placement.py
@@ -9,6 +9,7 @@
 from monsoongap.coordination import planned_placement
 from monsoongap.coordination.plan_data import Plan, PlanInput
 from monsoongap.errors import AnswerKind
+from monsoongap.metrics import Metrics
 from monsoongap.protocol.messages import (
     Configuration,
     Job,
@@ -84,6 +85,26 @@
     assert run_virtual(main(HORIZON_MS)) == ["a-r1"]
 
 
+def test_nothing_is_planned_without_a_horizon() -> None:
+    """Guards against planned placement in a deployment that did not ask for it."""
+
+    async def main() -> None:
+        world = world_of(0.0, (FAST,))
+        await world.start()
+        assert world.hosts["a-h0"].pool.planned is None
+
+    run_virtual(main())
+
+
+def test_predictions_are_published_beside_response_times() -> None:
+    """Guards against a histogram that hides or breaks the other metrics."""
+    metrics = Metrics("h", "a")
+    metrics.add_predictions()(1.1)
+    text = metrics.render()[0].decode()
+    assert 'run_time_over_predicted_bucket{dc="a",host="h",le="1.2"} 1' in text
+    assert text.index("response_seconds") < text.index("run_time_over_predicted")
+
+
 def test_a_wide_task_is_not_overtaken_for_ever_by_smaller_ones() -> None:
     """Guards against small tasks that take each gap before a wide one fits."""
 
