--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -16,7 +16,9 @@
 from monsoongap.coordination.link import Link, LinkState
 from monsoongap.coordination.lost_replies import LostReplies
 from monsoongap.coordination.placement import best_runner
+from monsoongap.coordination.planned_placement import PlannedPlacement
 from monsoongap.coordination.ports import RunnerPort
+from monsoongap.coordination.time_budget import objective_s
 from monsoongap.coordination.waiting import Backlog, Waiting
 from monsoongap.coordination.work import Run, RunOutcome, Work
 from monsoongap.protocol.messages import (
@@ -65,7 +67,7 @@
 
     `on_dispatch` is called with each task that is given to a runner, `on_held` when a
     runner is newly held, `on_orphan_found` with the id of each job of which an orphan
-    run is found.
+    run is found. `planned` decides where tasks go if a horizon is set.
     """
 
     cfg: BoundsSection
@@ -80,6 +82,7 @@
     on_held: Callable[[], None] = lambda: None
     on_orphan_found: Callable[[str], None] = lambda job: None
     counts: PoolCounts = field(default_factory=PoolCounts)
+    planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
     _listed: dict[str, RunnerInfo] = field(default_factory=dict)
@@ -306,6 +309,9 @@
     def place_now(self, work: Work) -> bool:
         """Start a task at once if a runner has room; tell whether it did."""
         upstream = self._upstream_of(work)
+        if self.planned is not None and (rule := self.directory.rule(work.queue)):
+            # A lent task tells no objective; it counts from now.
+            work.due_at = self.timers.now() + objective_s(work.estimate_s, rule)
         link = self._best(work, upstream) if upstream else None
         if link is None:
             return False
@@ -403,7 +409,11 @@
         self._pump_due = False
         nowhere: set[tuple[str, Resources, str]] = set()
         tried = placed = 0
-        for work in self._waiting.first(PUMP_LIMIT):
+        works = list(self._waiting.first(PUMP_LIMIT))
+        full = len(works) == PUMP_LIMIT
+        if self.planned is not None and not self.planned.failed:
+            works = self._plan(self.planned, works)
+        for work in works:
             tried += 1
             upstream = self._upstream_of(work)
             kind = (work.queue, work.size, work.label)
@@ -415,10 +425,26 @@
             nowhere.add(kind)
             if len(nowhere) >= SCAN_LIMIT:
                 break
-        if tried == PUMP_LIMIT and placed:
+        if full and tried == len(works) and placed:
             self.schedule_placement()
         self.on_capacity_change()
 
+    def _plan(self, planned: PlannedPlacement, works: list[Work]) -> list[Work]:
+        """Return the tasks of a planned round to start or to borrow for."""
+        now = self.timers.now()
+        if not self.directory.list_age.allows_placement(now):
+            return works
+        for work in works:
+            self._limit_avoided(work)
+        return planned.select(
+            works,
+            self._upstream_of,
+            self.links,
+            now,
+            self.usual_slowness,
+            self.borrowing.has_capacity(),
+        )
+
     def _place(self, work: Work, upstream: str) -> bool:
         """Start a task here, or with another owner; tell whether it has room.
 
@@ -456,17 +482,27 @@
         return self.directory.upstream_of(work.queue) or work.upstream
 
     def _best(self, work: Work, upstream: str) -> Link | None:
-        if 2 * len(work.avoid) > len(self.links):
-            work.avoid.clear()
+        self._limit_avoided(work)
         links, now = self.links.values(), self.timers.now()
         if not self.directory.list_age.allows_placement(now):
             return None
+        if self.planned is not None and not self.planned.failed:
+            return self.planned.best_link(
+                work, upstream, self.links, now, self.usual_slowness
+            )
         return best_runner(work, upstream, links, now, self.usual_slowness)
 
+    def _limit_avoided(self, work: Work) -> None:
+        """Let a task try all runners again if it avoids most of them."""
+        if 2 * len(work.avoid) > len(self.links):
+            work.avoid.clear()
+
     def _launch(self, work: Work, link: Link) -> None:
         estimate_s = link.expected_s(work.estimate_s)
         run = Run(work.task, work.run_number, work.size, None, estimate_s=estimate_s)
         self.counts.placed += 1
+        if self.planned is not None:
+            self.planned.record_start(link, run)
         self._bind(work, link, run)
         log.info(
             "task placed",
@@ -492,6 +528,8 @@
 
         def over(run: Run, how: RunOutcome) -> None:
             match how:
+                case RunOutcome.DONE if self.planned is not None:
+                    self.planned.record_done(link, run, self.timers.now())
                 case RunOutcome.FAILED:
                     self.counts.failed += 1
                 case RunOutcome.NO_ROOM:
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -169,6 +169,9 @@
         metrics.add_counters("connections", lambda: self._http.counts)
         metrics.add_counters("received_refused", self._guard.counters)
         metrics.add_counters("evacuation", lambda: host.directory.evacuation.counts)
+        if (planned := host.pool.planned) is not None:
+            metrics.add_counters("plan", lambda: planned.counts)
+            planned.on_prediction = metrics.add_predictions()
         metrics.add_counters("log", lambda: {"lines_dropped": dropped_lines()})
         metrics.add_gauge(
             "config_version",
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -45,6 +45,7 @@
     EntrySettings,
     HostSection,
     ListenSection,
+    PlacementSection,
     StoreSection,
 )
 from monsoongap.standin.runner_model import (
@@ -112,6 +113,7 @@
     room: Resources = ROOM
     # Limit for evacuating a data centre; 0 for none.
     evac_ms: float = 0.0
+    horizon_ms: float = 0.0
     ledger: list[LedgerEntry] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
     models: dict[str, RunnerModel] = field(default_factory=dict)
@@ -199,7 +201,7 @@
         ports = HostPorts(
             _Runners(self, name), _Peers(self, name), _Datagrams(self, name)
         )
-        cfg = _settings(card, self.evac_ms)
+        cfg = _settings(card, self.evac_ms, self.horizon_ms)
         host = Host(cfg, card, ports, WorldTimers(thawed), _decode)
         self.hosts[name] = host
         host.members.add_hosts(tuple(self._cards.values()))
@@ -488,13 +490,14 @@
     return place, place.partition("-")[0]
 
 
-def _settings(card: HostCard, evac_ms: float) -> EntrySettings:
+def _settings(card: HostCard, evac_ms: float, horizon_ms: float) -> EntrySettings:
     address = "127.0.0.1:1"
     return EntrySettings(
         HostSection(card.name, card.dc),
         ListenSection(address, address, address),
         StoreSection(address),
         bounds=BoundsSection(evac_ms=evac_ms),
+        placement=PlacementSection(horizon_ms),
     )
 
 
