Take a value that a template renders as null for left out

Callers saw: no answer, every host of a deployment without evacuations ended at its start.

Cause: the platform renders a field that it lacks as null in the form |json, and evac_ms of null is no number.

--- a/monsoongap/util/ini.py
+++ b/monsoongap/util/ini.py
@@ -94,10 +94,10 @@
 def _is_left_out(text: str) -> bool:
     """Return whether a template had no value for a key.
 
-    Where a platform lacks the field, some renderers leave nothing, others the
-    placeholder.
+    Where a platform lacks the field, renderers leave nothing, null or the placeholder.
     """
-    return not text or (text.startswith("{{") and text.endswith("}}"))
+    is_placeholder = text.startswith("{{") and text.endswith("}}")
+    return text in ("", "null") or is_placeholder
 
 
 def _build(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -123,7 +123,8 @@
 # Guards against evacuations switched on where the platform has none, and off where a
 # renderer leaves the field out.
 @pytest.mark.parametrize(
-    ("rendered", "evac_s"), [("5000", 5.0), ("", 0.0), ("{{bounds.evacMs|json}}", 0.0)]
+    ("rendered", "evac_s"),
+    [("5000", 5.0), ("", 0.0), ("null", 0.0), ("{{bounds.evacMs|json}}", 0.0)],
 )
 def test_the_limit_for_evacuations_is_that_of_the_platform(
     rendered: str, evac_s: float
