Do not take a repetition up on a share that was released meanwhile

What callers saw: a task that ran twice, at two owners.

Cause: a repetition of a cancelled job waits until the runs of its first try have ended. The release of the share ends that wait, as the runs go on under the next owner. The repetition was then taken up by the host that had just released the share. Nothing handed its record over, and its tasks began when the host owned the share again, beside those of the owner in between.

Change: after the wait, the job is declined unless the share is still owned. The host that forwarded it asks the next owner.

The new test fails without the change: the answer does not come, as a record is opened and held.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -160,6 +160,9 @@
         rec = self.records.get(job.id)
         if rec is not None and rec.closed and not rec.runs_ended.is_set():
             await rec.runs_ended.wait()
+            if not call.here and not self.pool.owns(call.share):
+                # Released meanwhile, with what was left of the runs.
+                return JobReply(AnswerKind.HANDED_ON, "not an owner")
             rec = self.records.get(job.id)
         if rec is not None and rec.applies_to(call, self.timers.now()):
             self.counts.joined += 1
--- a/tests/coordination/test_released_shares.py
+++ b/tests/coordination/test_released_shares.py
@@ -167,6 +167,35 @@
     run_virtual(main())
 
 
+# A repetition that waited for the runs of a cancelled job to end opened a record when
+# the share was released. Its tasks began when the host owned the share again.
+def test_a_repetition_that_waited_for_runs_opens_no_record_after_the_release() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        host = world.hosts[owner]
+        call = asyncio.create_task(world.submit_job(owner, job_of(1, 2, 3.0)))
+        await until(lambda: bool(world.ledger))
+        (share,) = host.ownership.claims
+        for model in world.models.values():
+            # No stop is confirmed, so the runs do not end.
+            model.faults.dark = True
+        host.cancel(JOB)
+        assert (await call).kind is AnswerKind.BROKEN
+        repeated = SubmitCall(job_of(1, 2, 3.0), owner, 1, share)
+        again = asyncio.create_task(host.jobs.submit(repeated))
+        await asyncio.sleep(0.1)
+        assert not again.done()
+        host.ownership.yield_to_fence(share)
+        reply = await asyncio.wait_for(again, 1)
+        assert reply.kind is AnswerKind.HANDED_ON
+        assert host.jobs.in_flight == 0
+
+    run_virtual(main())
+
+
 class FullPool:
     """A pool with an hour of work ahead of any task."""
 
