Count the wait for leases from the last start of any host

What callers saw: after a loss of power of all hosts, the first task started 1.45 s after the first owner's claim, while every runner was idle.

Cause: an owner that does not know which runners earlier owners used waits for their leases to lapse. It counted from its own start only if no owner of the data centre had been heard since. With two shares, the owner of the second one has heard that of the first, which has just started too, and counted from its own claim.

Change: an owner in doubt asks every known host until when it owned a runner of the share. Once all have answered, the wait counts from the latest answer; a host that has just started answers with its start. A host that is down, cut off, paused, of an earlier version or not known leaves the wait as it was, and so does one that shows itself as an earlier owner after it was asked. The list of hosts must have been read from the store since the start. A host that has answered does not acquire the share for 0.5 s, until it has heard of the claim.

Why it works: an earlier process of a host that has started anew grants no leases, and nobody owned the share in between.

The leases that may have been granted until the last start lapse 1.05 s after it, so that is the least without a record of the runners that were used.

--- a/monsoongap/coordination/coverage.py
+++ b/monsoongap/coordination/coverage.py
@@ -51,6 +51,13 @@
     return None
 
 
+def _may_overlap(claim: Claim, share: ShareId, share_count: int) -> bool:
+    """Return whether a claim and a share of some division may have a common runner."""
+    if claim.share.dc != share.dc:
+        return False
+    return claim.share_count != share_count or claim.share.index == share.index
+
+
 def _hash_of(runner: str) -> int:
     return zlib.crc32(runner.encode())
 
@@ -104,6 +111,8 @@
     _started_at: float = field(init=False)
     _previous: dict[ShareId, _PreviousClaim] = field(default_factory=dict)
     _owned: dict[ShareId, _OwnedShare] = field(default_factory=dict)
+    # When this host's earlier claims ended, by share and number of shares.
+    _ended: dict[tuple[ShareId, int], float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._started_at = self.timers.now()
@@ -151,12 +160,51 @@
 
         Digests from before this host's own claim say nothing about the next owner.
         """
-        self._owned.pop(claim.share, None)
+        if self._owned.pop(claim.share, None) is not None:
+            self._ended[claim.share, claim.share_count] = self.timers.now()
         previous = self._previous.get(claim.share)
         if previous is None or previous.claim.fence < claim.fence:
             now = self.timers.now()
             self._previous[claim.share] = _PreviousClaim(claim, None, now)
 
+    def unowned_since(self, claim: Claim) -> float:
+        """Return until when this process owned runners of a claim by another one.
+
+        That is the start of the process if it never did, and now if it still does.
+        """
+        owned = (o.claim for o in self._owned.values() if o.claim != claim)
+        if any(_may_overlap(claim, c.share, c.share_count) for c in owned):
+            return self.timers.now()
+        ended = self._ended.items()
+        ends = [at for key, at in ended if _may_overlap(claim, *key)]
+        return max(ends, default=self._started_at)
+
+    def in_doubt_since(self, claim: Claim) -> float:
+        """Return until when previous owners may have granted leases; 0 if not owned."""
+        owned = self._owned.get(claim.share)
+        return owned.in_doubt_since if owned is not None else 0.0
+
+    def in_doubt_s(self, claim: Claim, runners: Collection[str]) -> float:
+        """Return for how long a previous owner may have runs on other runners."""
+        owned = self._owned.get(claim.share)
+        return max(self._in_doubt_s(owned, runners), 0.0) if owned else self.lease_s
+
+    def confirm_unowned(self, claim: Claim, asked_at: float, since: float) -> bool:
+        """Count leases from `since`, as all hosts said so after `asked_at`.
+
+        Returns whether that shortens the wait. It does not if an earlier owner showed
+        itself since they were asked.
+        """
+        owned = self._owned.get(claim.share)
+        if owned is None or owned.claim != claim or owned.in_doubt_since > asked_at:
+            return False
+        # No owner is left that would renew leases until it hears of its successor.
+        since = max(since, self.unowned_since(claim)) - RELEASE_DELAY_S
+        if since >= owned.in_doubt_since:
+            return False
+        owned.in_doubt_since = since
+        return True
+
     def is_complete(self, claim: Claim, runners: Collection[str]) -> bool:
         """Return whether no previous owner can have a run on any other runner."""
         owned = self._owned.get(claim.share)
@@ -168,10 +216,7 @@
 
     def digest(self, claim: Claim, runners: Collection[str]) -> RunnerDigest:
         """Return the digest of the runners that this owner holds by a claim."""
-        owned = self._owned.get(claim.share)
-        in_doubt_s = (
-            max(self._in_doubt_s(owned, runners), 0.0) if owned else self.lease_s
-        )
+        in_doubt_s = self.in_doubt_s(claim, runners)
         return RunnerDigest(digest_of(runners), round(in_doubt_s * MS_PER_S))
 
     def _in_doubt_s(self, owned: _OwnedShare, runners: Collection[str]) -> float:
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -25,6 +25,7 @@
     PeerDown,
     RunnerPort,
 )
+from monsoongap.coordination.prior_owners import PriorOwners
 from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.settling import Reconciler
 from monsoongap.coordination.time_budget import critical_path_s
@@ -126,6 +127,10 @@
         self.reconciler = Reconciler(
             self.pool, self.ownership, self.lending, timers, ports.peers
         )
+        self.prior_owners = PriorOwners(
+            self.members, self.ownership, self.pool, timers, ports.peers
+        )
+        self.prior_owners.on_confirmed = self.members.send_heartbeats_to_owners
         self.jobs = Jobs(
             self.pool, timers, self.directory.rule, self.reconciler.reconcile_everywhere
         )
@@ -205,6 +210,7 @@
         """Stop at once without notifying other hosts, like a killed process."""
         self.timers.close()
         self.pool.abandon()
+        self.prior_owners.close()
         self.config_fetcher.close()
         self._background.cancel_all()
 
@@ -490,6 +496,7 @@
         self.jobs.in_doubt_since[claim.share] = self.timers.now()
         self.lending.record_claims((claim,))
         self.pool.acquire(claim)
+        self.prior_owners.acquired(claim)
 
     def _released(self, share: ShareId) -> None:
         if not self.ownership.claims:
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -20,6 +20,7 @@
     RunnersCall,
     RunnersReply,
     SubmitCall,
+    UnownedCall,
 )
 from monsoongap.state.job_locations import job_number
 
@@ -81,6 +82,8 @@
                 if accepts_packed:
                     return ConfigReply(directory.version, b"", directory.packed_text())
                 return ConfigReply(directory.version, directory.text)
+            case UnownedCall():
+                return host.prior_owners.answer(request)
             case RunnersCall():
                 age_s = host.timers.now() - host.directory.list_age.read_at
                 return RunnersReply(age_s, host.directory.runners)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -37,6 +37,7 @@
 # this is well below the lease.
 POLL_WAIT_S = 0.4
 RETRY_S = 0.1
+FIRST_POLL_S = 0.02
 # After a refusal: the runner has less capacity than its owner counts, or is unhealthy.
 REFUSED_PAUSE_S = 0.06
 # Ends on an idle runner are acknowledged after this, or with the poll after a start.
@@ -122,6 +123,12 @@
             lapsed_at = self.timers.now() + longest_lease_s(self.cfg.lease_s)
             self._lease.lapsed_at = max(self._lease.lapsed_at, lapsed_at)
 
+    def confirm_unowned(self, since: float) -> None:
+        """Count a previous owner's lease from `since` if the runner is not reached."""
+        if self.state is LinkState.NEW:
+            lapsed_at = since + longest_lease_s(self.cfg.lease_s)
+            self._lease.lapsed_at = min(self._lease.lapsed_at, lapsed_at)
+
     def is_placeable(self, now: float) -> bool:
         """Return whether new runs may be placed here.
 
@@ -150,6 +157,17 @@
         held = self.state is not LinkState.NEW
         return held or self.timers.now() >= self._lease.lapsed_at
 
+    @property
+    def in_doubt_s(self) -> float:
+        """For how long previous owners may have unknown runs here, as is expected.
+
+        The first poll is answered within milliseconds unless the runner is cut off.
+        """
+        if self.is_reconciled:
+            return 0.0
+        left_s = max(self._lease.lapsed_at - self.timers.now(), 0.0)
+        return left_s if self.polls > 1 else min(left_s, FIRST_POLL_S)
+
     def start(self, run: Run, payload: str) -> None:
         """Request a start; `run.on_end` is called when the run has ended."""
         self.starts += 1
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -75,6 +75,8 @@
     on_owner_lost: Callable[[], None] = lambda: None
     has_news: Callable[[], bool] = lambda: True
     counts: MemberCounts = field(default_factory=MemberCounts)
+    # Whether the list of all hosts was read from the store since the start.
+    lists_all_hosts: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
     _schedule: Schedule = field(default_factory=Schedule)
 
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -41,6 +41,9 @@
 REMOTE_WAIT_S = 8.0
 # After a runner accepted a higher fence, its holder's heartbeat takes time to arrive.
 YIELD_WAIT_S = 1.0
+# A host that told a claimant that it does not own the share hears of the claim within
+# this time, even if four heartbeats are lost.
+CLAIM_HEARD_S = 0.5
 FENCE_HOSTS = 1024
 # The clocks of two hosts differ by at most this much.
 MAX_CLOCK_SKEW_MS = 3000
@@ -169,6 +172,13 @@
             self._highest_fence += FENCE_HOSTS * MAX_CLOCK_SKEW_MS
             self._release(share, "runner accepted a higher fence")
 
+    def yield_to_claim(self, claim: Claim) -> None:
+        """Do not acquire a share before its claimant's heartbeats have arrived."""
+        self._highest_fence = max(self._highest_fence, claim.fence)
+        until = self.timers.now() + CLAIM_HEARD_S
+        share = claim.share
+        self._yield_until[share] = max(self._yield_until.get(share, 0.0), until)
+
     def claims_changed(self) -> None:
         """Check shares now: another host's claims changed, or it is lost or leaves."""
         self._owners_updated_at = -1e9
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -144,6 +144,28 @@
             if link.share == share:
                 link.mark_in_doubt()
 
+    def confirm_unowned(self, claim: Claim, asked_at: float, since: float) -> bool:
+        """Count leases from `since`; see `Coverage.confirm_unowned`."""
+        if not self.coverage.confirm_unowned(claim, asked_at, since):
+            return False
+        for link in self.links.values():
+            if link.share == claim.share:
+                link.confirm_unowned(since)
+        return True
+
+    def is_in_doubt(self, claim: Claim) -> bool:
+        """Return whether runs of previous owners of a claimed share may be unknown."""
+        return self.in_doubt_s(claim.share) > 0
+
+    def in_doubt_s(self, share: ShareId) -> float:
+        """Return for how long runs of previous owners may be unknown, in seconds."""
+        claim = self._claims.get(share)
+        if claim is None or not self._listed:
+            return self.cfg.lease_s
+        waits = (k.in_doubt_s for k in self.links.values() if k.share == share)
+        in_doubt_s = self.coverage.in_doubt_s(claim, self._held(share))
+        return max(waits, default=0.0) if in_doubt_s <= 0 else in_doubt_s
+
     def is_reconciled(self, share: ShareId) -> bool:
         """Tell whether all that runs in a share is known here."""
         claim = self._claims.get(share)
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -153,6 +153,7 @@
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
         metrics.add_counters("jobs", lambda: host.jobs.counts)
+        metrics.add_counters("prior_owners", lambda: host.prior_owners.counts)
         metrics.add_counters("members", lambda: host.members.counts)
         metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -192,6 +192,7 @@
                 await pause(failures)
                 continue
             self._host.members.add_hosts(tuple(_decode_host_cards(topic)))
+            self._host.members.lists_all_hosts = True
             return
 
     def _decode_runners(self, topic: Topic) -> tuple[RunnerInfo, ...]:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -504,6 +504,23 @@
     settled: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UnownedCall:
+    """Asks for how long the callee has owned no runner of the caller's new claim."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class UnownedReply:
+    """The callee's process has owned none for `unowned_ms`; 0 if it still owns some.
+
+    The time ends with the reply and begins at the earliest with the process.
+    """
+
+    unowned_ms: Natural
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigCall:
     """Asks for the configuration; `accepts_packed` allows a compressed text."""
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -40,6 +40,7 @@
     messages.FindCall,
     messages.ConfigCall,
     messages.RunnersCall,
+    messages.UnownedCall,
 )
 _CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
 MAX_BODY_BYTES = 16_000_000
--- a/tests/coordination/test_coverage.py
+++ b/tests/coordination/test_coverage.py
@@ -167,3 +167,56 @@
     last_claim = Claim(SHARE, 1, 60)
     coverage.acquire(last_claim)
     assert coverage.is_complete(last_claim, HELD)
+
+
+# Guards against a wait from the claim although every host has just started.
+def test_answers_of_all_hosts_shorten_the_wait(
+    coverage: Coverage, clock: Clock
+) -> None:
+    coverage.record_claims((Claim(ShareId("a", 1), 2, 15),), ())
+    new = Claim(SHARE, 2, 20)
+    coverage.acquire(new)
+    started_at, claimed_at = clock.at - 0.7, clock.at
+    assert coverage.confirm_unowned(new, claimed_at, started_at)
+    clock.at = started_at + longest_lease_s(LEASE_S) - 0.01
+    assert not coverage.is_complete(new, HELD)
+    clock.at += 0.02
+    assert coverage.is_complete(new, HELD)
+
+
+# Guards against answers from before an earlier owner showed itself.
+def test_answers_from_before_a_contest_are_ignored(
+    coverage: Coverage, clock: Clock
+) -> None:
+    coverage.acquire(NEW)
+    asked_at = clock.at
+    clock.at += 0.1
+    coverage.record_claims((OLD,), ())
+    assert not coverage.confirm_unowned(NEW, asked_at, clock.at - 5.0)
+    assert not coverage.confirm_unowned(OLD, clock.at, clock.at - 5.0)
+    clock.at += LAPSED_S - 0.01
+    assert not coverage.is_complete(NEW, HELD)
+
+
+# Guards against a host that answers only for the same division of the data centre, or
+# forgets that it owned the runners itself.
+def test_a_host_answers_until_when_it_owned_any_of_the_runners(
+    coverage: Coverage, clock: Clock
+) -> None:
+    started_at = clock.at - 10.0
+    other_half = Claim(ShareId("a", 1), 2, 30)
+    assert coverage.unowned_since(other_half) == started_at
+    coverage.acquire(NEW)
+    clock.at += 1.0
+    assert coverage.unowned_since(other_half) == clock.at
+    assert coverage.unowned_since(Claim(ShareId("b", 0), 1, 30)) == started_at
+    coverage.release(NEW)
+    released_at = clock.at
+    clock.at += 1.0
+    half = Claim(SHARE, 2, 25)
+    coverage.acquire(half)
+    assert coverage.unowned_since(other_half) == released_at
+    # Its own earlier claim counts for this host's wait, too.
+    assert coverage.confirm_unowned(half, clock.at, started_at)
+    clock.at = released_at + longest_lease_s(LEASE_S) - 0.01
+    assert not coverage.is_complete(half, HELD)
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -125,6 +125,8 @@
     # Of the link of each host, on which replies queue; None for no limit.
     link_bytes_per_s: float | None = None
     unlisted: set[str] = field(default_factory=set)
+    # Hosts without power: connections to them get no answer, and are not refused.
+    powered_off: set[str] = field(default_factory=set)
     replies: dict[str, list[JobReply]] = field(default_factory=dict)
     config: Configuration = field(
         default_factory=lambda: Configuration(
@@ -187,6 +189,7 @@
     def start_host(self, name: str, listed: bool = True) -> Host:
         """Start a host, or start it again, with a list of runners or without."""
         self._boots += 1
+        self.powered_off.discard(name)
         thawed = self._thawed[name] = asyncio.Event()
         thawed.set()
         card = msgspec.structs.replace(self._cards[name], boot_ms=self._boots)
@@ -196,6 +199,7 @@
         host = Host(_settings(card), card, ports, WorldTimers(thawed), _decode)
         self.hosts[name] = host
         host.members.add_hosts(tuple(self._cards.values()))
+        host.members.lists_all_hosts = listed
         host.start()
         host.directory.accept_text(msgspec.json.encode(self.config), "test")
         if listed:
@@ -220,6 +224,11 @@
         for task in self._tasks.pop(name, {}):
             task.cancel()
 
+    def power_off(self, name: str) -> None:
+        """Cut a host's power: it stops at once, and its connections stay silent."""
+        self.powered_off.add(name)
+        self.kill(name)
+
     def name_at(self, ip: str) -> str:
         """Return the name of the host with an address; the address if it has none."""
         return self._names_by_ip.get(ip, ip)
@@ -248,12 +257,12 @@
         step = Step(plans, Resources(plan.cpu_milli, plan.mem_mb), work_ms / 1000)
         return await self.submit_job(host, Job(id_, QUEUE, payload, (step,)))
 
-    async def submit_job(self, host: str, job: Job) -> JobReply:
+    async def submit_job(self, host: str, job: Job, wait_s: float = 0.0) -> JobReply:
         """Submit a job at a host as a caller would; a paused one reads it later."""
         target = self.hosts[host]
         await self.thawed(host)
         await target.timers.read_first()
-        task = asyncio.create_task(target.submit(job))
+        task = asyncio.create_task(target.submit(job, wait_s))
         self._tasks.setdefault(host, {})[task] = None
         try:
             reply = await task
@@ -303,6 +312,9 @@
         if not self.reachable(source, target):
             await asyncio.sleep(CONNECT_S)
             raise PeerCallFailed("cut")
+        if host is None and target in self.powered_off:
+            await asyncio.sleep(CONNECT_S)
+            raise PeerCallFailed("no power")
         if host is None:
             raise PeerDown("refused")
         await self.thawed(target)
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -67,6 +67,7 @@
     messages.FindCall(JOB_ID, SHARE, CLAIM, TASK, 1),
     messages.ConfigCall(True),
     messages.RunnersCall(),
+    messages.UnownedCall(CLAIM),
 )
 REPLIES = (
     JobReply(AnswerKind.REFUSED, "no capacity", 1.0),
@@ -74,6 +75,7 @@
     messages.FindReply(True),
     messages.ConfigReply(3, b"", b"x\x9c"),
     messages.RunnersReply(0.5, (RUNNER,)),
+    messages.UnownedReply(1300),
 )
 
 many = settings(
