Hold jobs until the runs of earlier owners are known

What callers saw: after a loss of power, jobs were refused as "no capacity" after 0.45 of their callers' wait, with a Retry-After of 1 s whatever was awaited, though the runners were idle and all would have been served a moment later. A host that had just started refused jobs as "no owner" after 0.7 s, before the first owners claim their shares.

Cause: the limit for a wait for capacity also ended jobs whose previous runs were not reconciled yet. Each of them asked all owners again and again, up to 0.1 s apart, though the owners' heartbeats tell how long they are in doubt.

Change: a job is held as long as that time is known and its caller waits, and refused at once, with that time as its Retry-After, when it is not. The time in which it was held does not count as a wait for capacity. Owners are asked when none is known to be in doubt. Hosts wait 1.2 s after their start for the first owner.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -26,6 +26,7 @@
     RunnerPort,
 )
 from monsoongap.coordination.prior_owners import PriorOwners
+from monsoongap.coordination.readiness import Readiness
 from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.settling import Reconciler
 from monsoongap.coordination.time_budget import critical_path_s
@@ -54,6 +55,9 @@
 # A takeover takes about 0.5 s; after this the caller is answered and should retry.
 OWNER_WAIT_S = 0.7
 OWNER_POLL_S = 0.05
+# After a start of all hosts the first owners claim their shares 0.6 s after their own
+# start, and hosts start within 0.3 s of each other.
+STARTUP_OWNER_WAIT_S = 1.2
 # Owners that decline a job are asked again for this long; callers give up after 1.5 s.
 DECLINED_WAIT_S = 2.0
 # A forwarded job is answered within its deadline; this only bounds leaked calls.
@@ -89,6 +93,7 @@
         self.card = card
         self.timers = timers
         self.leaving = False
+        self._started_at = timers.now()
         self.peers = ports.peers
         self._heartbeat_serial = 0
         self._request_count = 0
@@ -132,7 +137,11 @@
         )
         self.prior_owners.on_confirmed = self.members.send_heartbeats_to_owners
         self.jobs = Jobs(
-            self.pool, timers, self.directory.rule, self.reconciler.reconcile_everywhere
+            self.pool,
+            timers,
+            self.directory.rule,
+            self.reconciler.reconcile_everywhere,
+            Readiness(self.pool, self.ownership, timers),
         )
         self.pool.on_dispatch = self.jobs.record_dispatch
         self.pool.on_held = self.members.send_heartbeats
@@ -253,7 +262,8 @@
             call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
             if owner is None:
-                if waited_s >= OWNER_WAIT_S:
+                age_s = self.timers.now() - self._started_at
+                if waited_s >= OWNER_WAIT_S and age_s >= STARTUP_OWNER_WAIT_S:
                     return self._no_owner(call)
             else:
                 try:
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -33,7 +33,8 @@
     over; `late` that it waited longer than its slack. `requests` holds the origin and
     number of each caller's request for the job. `in_doubt_since` is when contact was
     lost with an owner that may have runs of the job. `runs_ended` is set when no run is
-    left.
+    left. `reconciling` says that runs of previous owners are awaited, `held_s` for how
+    long they were.
     """
 
     job: Job
@@ -55,6 +56,8 @@
     in_doubt_since: float = NEVER
     answered_at: float = NEVER
     runs_ended: asyncio.Event = field(default_factory=asyncio.Event)
+    reconciling: bool = False
+    held_s: float = 0.0
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
 
     @property
@@ -84,6 +87,19 @@
             case _:
                 return False
 
+    @property
+    def capacity_timeout_s(self) -> float:
+        """Age at which the job is refused if none of its tasks was dispatched.
+
+        Runners were idle while it was held, so that time does not count as long as its
+        caller still waits for it.
+        """
+        timeout_s = self.budget.capacity_timeout_s
+        if not self.held_s:
+            return timeout_s
+        extended_s = timeout_s + self.held_s
+        return max(timeout_s, min(extended_s, self.budget.latest_start_s))
+
     @property
     def task_count(self) -> int:
         """Number of tasks in all steps."""
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -12,12 +12,12 @@
 from dataclasses import dataclass, field, replace
 
 from monsoongap.coordination.admission_control import (
-    RETRY_AFTER_S,
     AdmissionControl,
     capacity_timeout_refusal,
 )
 from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.pool import Pool
+from monsoongap.coordination.readiness import Readiness
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.time_budget import budget_of
 from monsoongap.coordination.work import Work
@@ -43,8 +43,6 @@
 RECONCILE_FIRST_RETRY_S = 0.01
 RECONCILE_RETRY_S = 0.1
 MAX_DOUBLINGS = 4
-# Longer than a lease, after which no run of a previous owner is left here.
-RECONCILE_TIMEOUT_S = 1.5
 # Long enough for three heartbeats to announce a job.
 ANNOUNCE_S = 0.35
 TICK_S = 0.05
@@ -80,6 +78,7 @@
     timers: TimerService
     rule_of: Callable[[str], QueueRule | None]
     reconcile: Callable[[str, ShareId], Awaitable[bool]]
+    readiness: Readiness
     in_doubt_since: dict[ShareId, float] = field(default_factory=dict)
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
@@ -194,13 +193,12 @@
         if overload_refusal is not None and not call.again and not call.here:
             self._answer(new_rec, overload_refusal)
             return new_rec.answer.result()
-        reconciled = await self._reconcile_previous_runs(new_rec)
+        reconciled = await self._hold_until_reconciled(new_rec)
         if new_rec.closed:
             # Cancelled meanwhile, or handed over to the next owner, which answers.
             return await asyncio.shield(new_rec.answer)
         if not reconciled:
-            detail = "runs of a previous owner are not reconciled"
-            self._answer(new_rec, JobReply(AnswerKind.REFUSED, detail, RETRY_AFTER_S))
+            self._answer(new_rec, self._unreconciled_refusal())
             return new_rec.answer.result()
         self.admission_control.add(new_rec)
         self.steps.start(new_rec)
@@ -293,9 +291,9 @@
         now = self.timers.now()
         for rec in list(self._unanswered.values()):
             age = now - rec.arrived_at
-            if rec.dispatched or rec.is_borrowing:
+            if rec.dispatched or rec.is_borrowing or rec.reconciling:
                 continue
-            if age > rec.budget.capacity_timeout_s:
+            if age > rec.capacity_timeout_s:
                 self._end(rec, capacity_timeout_refusal(rec, now))
             elif age > rec.budget.slack_s and not rec.late:
                 rec.late = True
@@ -318,10 +316,25 @@
         for job in [j for j, (at, _) in self._handed_over.items() if at < old]:
             del self._handed_over[job]
 
+    async def _hold_until_reconciled(self, rec: JobRecord) -> bool:
+        """Make sure that no unknown run is left; the time does not count as a wait."""
+        rec.reconciling = True
+        try:
+            return await self._reconcile_previous_runs(rec)
+        finally:
+            rec.reconciling = False
+            rec.held_s = self.timers.now() - rec.arrived_at
+
+    def _unreconciled_refusal(self) -> JobReply:
+        """Return the refusal of a job; it tells when all runs should be known."""
+        detail = "runs of a previous owner are not reconciled"
+        return JobReply(AnswerKind.REFUSED, detail, self.readiness.retry_after_s)
+
     async def _reconcile_previous_runs(self, rec: JobRecord) -> bool:
         """Make sure that no unknown run of a job is left; return whether that is so."""
         started_at = self.timers.now()
         tries = 0
+        known_s = 0.0
         while True:
             now = self.timers.now()
             in_doubt = self.is_in_doubt(rec.share)
@@ -333,19 +346,26 @@
                     )
                 return True
             tries += 1
-            if await self.reconcile(rec.job.id, rec.share):
+            expected_s = self.readiness.expected_s()
+            if expected_s <= 0 and await self.reconcile(rec.job.id, rec.share):
                 rec.in_doubt_since = NEVER
                 self.counts.past_found += 1
                 self._log_reconciliation(
                     rec, "previous runs reconciled", "owners", started_at, tries
                 )
                 return True
-            if self.timers.now() - started_at > RECONCILE_TIMEOUT_S:
+            now = self.timers.now()
+            if self.readiness.refuses(rec, now - started_at, known_s):
                 self.counts.past_unsettled += 1
                 self._log_reconciliation(
                     rec, "previous runs not reconciled", None, started_at, tries
                 )
                 return False
+            if expected_s > 0:
+                ends_soon = self.readiness.ends_soon
+                await self.readiness.wait(RECONCILE_RETRY_S)
+                known_s += self.timers.now() - now if ends_soon else 0.0
+                continue
             pause_s = RECONCILE_FIRST_RETRY_S * 2 ** min(tries - 1, MAX_DOUBLINGS)
             await self.timers.sleep(min(pause_s, RECONCILE_RETRY_S))
 
--- a/monsoongap/coordination/prior_owners.py
+++ b/monsoongap/coordination/prior_owners.py
@@ -83,6 +83,9 @@
         await self.timers.sleep(FIRST_WAIT_S)
         answers: dict[str, _Answer] = {}
         while self._is_current(claim) and self.pool.is_in_doubt(claim):
+            missing = sorted(self._addresses() - answers.keys())
+            found = await asyncio.gather(*(self._ask(a, claim) for a in missing))
+            answers |= {a: v for a, v in zip(missing, found, strict=True) if v}
             # An answer is out of date if an earlier owner showed itself since, or if
             # its host may have acquired the share since.
             oldest = max(
@@ -90,9 +93,6 @@
                 self.pool.coverage.in_doubt_since(claim),
             )
             answers = {a: v for a, v in answers.items() if v.asked_at >= oldest}
-            missing = sorted(self._addresses() - answers.keys())
-            found = await asyncio.gather(*(self._ask(a, claim) for a in missing))
-            answers |= {a: v for a, v in zip(missing, found, strict=True) if v}
             if self.members.lists_all_hosts and self._addresses() <= answers.keys():
                 self._confirm(claim, list(answers.values()))
                 return
--- a/monsoongap/coordination/time_budget.py
+++ b/monsoongap/coordination/time_budget.py
@@ -42,6 +42,12 @@
         """Time until which the job may be refused because of the backlog."""
         return self.objective_s * DECISION_FRACTION
 
+    @property
+    def latest_start_s(self) -> float:
+        """Age at which the job must start to end while its caller waits, if known."""
+        wait_s = self.wait_s or float("inf")
+        return max(wait_s - self.critical_path_s, 0.0)
+
     @property
     def capacity_timeout_s(self) -> float:
         """Time after which a job is refused if none of its tasks was dispatched."""
