--- a/monsoongap/__init__.py
+++ b/monsoongap/__init__.py
@@ -6,4 +6,9 @@
 and `util`. A module imports only from its own layer and from lower layers.
 """
 
+import time
+
 __version__ = "0.2.0"
+# Read before the imports, which take a weak host up to a second. An earlier process of
+# the host had ended by then.
+PROCESS_STARTED_AT = time.monotonic()
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -26,6 +26,8 @@
     PeerDown,
     RunnerPort,
 )
+from monsoongap.coordination.prior_owners import PriorOwners
+from monsoongap.coordination.readiness import Readiness
 from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.rerouting import Rerouting
 from monsoongap.coordination.settling import Reconciler
@@ -56,6 +58,9 @@
 # A takeover takes about 0.5 s; after this the caller is answered and should retry.
 OWNER_WAIT_S = 0.7
 OWNER_POLL_S = 0.05
+# After a start of all hosts the first owners claim their shares 0.6 s after their own
+# start, and hosts start within 0.3 s of each other.
+STARTUP_OWNER_WAIT_S = 1.2
 # Owners that decline a job are asked again for this long; callers give up after 1.5 s.
 DECLINED_WAIT_S = 2.0
 # A forwarded job is answered within its deadline; this only bounds leaked calls.
@@ -91,6 +96,7 @@
         self.card = card
         self.timers = timers
         self.leaving = False
+        self._started_at = timers.now()
         self.peers = ports.peers
         self._heartbeat_serial = 0
         self._request_count = 0
@@ -138,8 +144,16 @@
         self.reconciler = Reconciler(
             self.pool, self.ownership, self.lending, timers, ports.peers
         )
+        self.prior_owners = PriorOwners(
+            self.members, self.ownership, self.pool, timers, ports.peers
+        )
+        self.prior_owners.on_confirmed = self.members.send_heartbeats_to_owners
         self.jobs = Jobs(
-            self.pool, timers, self.directory.rule, self.reconciler.reconcile_everywhere
+            self.pool,
+            timers,
+            self.directory.rule,
+            self.reconciler.reconcile_everywhere,
+            Readiness(self.pool, self.ownership, timers),
         )
         self.jobs.admission_control.is_evacuated = self.directory.is_evacuated
         self.pool.on_dispatch = self.jobs.record_dispatch
@@ -218,6 +232,7 @@
         """Stop at once without notifying other hosts, like a killed process."""
         self.timers.close()
         self.pool.abandon()
+        self.prior_owners.close()
         self.config_fetcher.close()
         self._background.cancel_all()
 
@@ -275,7 +290,8 @@
             call = replace(call, share=share, delayed=delayed)
             owner = self.ownership.owner_of(share)
             if owner is None:
-                if waited_s >= OWNER_WAIT_S:
+                age_s = self.timers.now() - self._started_at
+                if waited_s >= OWNER_WAIT_S and age_s >= STARTUP_OWNER_WAIT_S:
                     return self._no_owner(call)
             else:
                 if not asked and share.dc != self.card.dc:
@@ -536,6 +552,7 @@
         self.jobs.in_doubt_since[claim.share] = self.timers.now()
         self.lending.record_claims((claim,))
         self.pool.acquire(claim)
+        self.prior_owners.acquired(claim)
 
     def _released(self, share: ShareId) -> None:
         if not self.ownership.claims:
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -77,6 +77,8 @@
     has_news: Callable[[], bool] = lambda: True
     evacuated: Callable[[], frozenset[str]] = frozenset
     counts: MemberCounts = field(default_factory=MemberCounts)
+    # Whether the list of all hosts was read from the store since the start.
+    lists_all_hosts: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
     _schedule: Schedule = field(default_factory=Schedule)
 
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -17,6 +17,7 @@
 
 import uvloop
 
+from monsoongap import PROCESS_STARTED_AT
 from monsoongap.coordination.host import Host, HostPorts
 from monsoongap.coordination.status import status_of
 from monsoongap.errors import UserError
@@ -71,7 +72,7 @@
         self._cfg = cfg
         # The loop's own time stands still within one round of callbacks, also while the
         # process is paused.
-        self._timers = TimerService(time.monotonic)
+        self._timers = TimerService(time.monotonic, PROCESS_STARTED_AT)
         self._guard = ReceiveGuard(cfg.limits)
         self._http = HttpClient(self._guard)
         self._heartbeats = HeartbeatSocket()
@@ -163,6 +164,7 @@
             "replies", lambda: {"lost": losses.count, "probes": losses.probes}
         )
         metrics.add_counters("jobs", lambda: host.jobs.counts)
+        metrics.add_counters("prior_owners", lambda: host.prior_owners.counts)
         metrics.add_counters("members", lambda: host.members.counts)
         metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -119,8 +119,13 @@
     its next period, so that one failing part does not stop the others.
     """
 
-    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] | None = None,
+        process_started_at: float | None = None,
+    ) -> None:
         self._clock = clock
+        self._process_started_at = process_started_at
         self._subscriptions: set[Subscription] = set()
         self._pause_callbacks: list[Callable[[Pause], None]] = []
         self._ran_at: float | None = None
@@ -130,6 +135,13 @@
         """Return the monotonic time in seconds, by the given clock or the loop's."""
         return self._clock() if self._clock else asyncio.get_running_loop().time()
 
+    @property
+    def process_started_at(self) -> float:
+        """When this process started; by default, when it was first asked for."""
+        if self._process_started_at is None:
+            self._process_started_at = self.now()
+        return self._process_started_at
+
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds; it may jump when the clock is set."""
         return int(time.time() * MS_PER_S)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -43,6 +43,7 @@
     messages.FindCall,
     messages.ConfigCall,
     messages.RunnersCall,
+    messages.UnownedCall,
 )
 _CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
 # A job's payload has up to 65,536 characters; its 280 tasks and their runs add 30 kB.
