Check the announced size of a reply only if it comes in parts; answer offers to upgrade

Nearly all replies come in one block, so only those that don't are counted.

A request that offers an upgrade is answered and its connection closed; a second response, 400, followed before.

--- a/monsoongap/transport/http_conn.py
+++ b/monsoongap/transport/http_conn.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 import socket
 import struct
 from collections.abc import Callable
@@ -25,6 +26,8 @@
 MAX_REPLY_BYTES = LimitsSection().reply_bytes
 # The head of a reply; the parser gathers a header without a limit.
 MAX_REPLY_HEAD_BYTES = 65_536
+# Up to 18 digits; the parser checks the number.
+ANNOUNCED_SIZE = re.compile(rb"\r\nContent-Length: *(\d{1,18})\r", re.IGNORECASE)
 # SO_LINGER's two integers, enabled and 0 s: closing discards data not yet sent.
 LINGER_DISCARD = struct.pack("ii", 1, 0)
 # Connections are reused after at most 8 s of idle time. A connection whose data is not
@@ -89,6 +92,7 @@
         self._address = address
         self._guard = guard
         self._holding = Holding(Source.REPLIES, self._refuse)
+        self._is_counted = False
         self._max_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -191,29 +195,35 @@
         if self._pending_reply is None:
             self.close()
             return
-        if not self._received_bytes:
-            self._begin_reply()
+        is_first = not self._received_bytes
+        if is_first:
+            self._extend_limit()
         self._received_bytes += len(data)
-        head_limit = MAX_REPLY_HEAD_BYTES + len(data) if self._in_head else 0
-        if self._received_bytes > (head_limit or self._max_bytes):
-            self._refuse(Cause.REPLY_SIZE)
-            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"malformed reply: {exc}")
             return
+        # Most replies are complete in one block, and cost nothing of what follows.
         if self._received_bytes:
-            self._account()
-
-    def _begin_reply(self) -> None:
-        self._extend_limit()
-        self._holding.began_s = self._guard.now_s
-        self._guard.budget.add(self._holding)
-
-    def _account(self) -> None:
-        """Report what the incomplete reply holds."""
-        self._holding.received_s = self._guard.now_s
+            self._check_incomplete(data if is_first else b"")
+
+    def _check_incomplete(self, first_block: bytes) -> None:
+        """Limit an incomplete reply, if possible by the size that it announces."""
+        now_s = self._guard.now_s
+        announced = 0
+        if first_block:
+            self._holding.began_s = now_s
+            self._guard.budget.add(self._holding)
+            self._is_counted = True
+            head = first_block[: first_block.find(b"\r\n\r\n") + 1]
+            found = ANNOUNCED_SIZE.search(head)
+            announced = int(found[1]) if found else 0
+        limit = MAX_REPLY_HEAD_BYTES if self._in_head else self._max_bytes
+        if max(self._received_bytes, announced) > limit:
+            self._refuse(Cause.REPLY_SIZE)
+            return
+        self._holding.received_s = now_s
         left = max(self._max_bytes - self._received_bytes, 1)
         self._guard.hold(self._holding, self._received_bytes, 0, left)
 
@@ -248,15 +258,12 @@
         self._body.clear()
         self._received_bytes = 0
         self._in_head = True
-        self._guard.budget.remove(self._holding)
+        if self._is_counted:
+            self._is_counted = False
+            self._guard.budget.remove(self._holding)
 
     # Callbacks of the parser.
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Refuse a reply that is announced with too many bytes."""
-        if name.lower() == b"content-length" and int(value) > self._max_bytes:
-            self._refuse(Cause.REPLY_SIZE)
-
     def on_headers_complete(self) -> None:
         """Count what follows as the body."""
         self._in_head = False
--- a/monsoongap/transport/request_receiver.py
+++ b/monsoongap/transport/request_receiver.py
@@ -174,7 +174,13 @@
         self._is_part_new = False
         try:
             self._parser.feed_data(part)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+        except httptools.HttpParserUpgrade:
+            # No upgrade is offered: the request is answered and the connection closed.
+            if self._complete:
+                self._complete[-1].keeps_alive = False
+            self._fail(Cause.MALFORMED, "upgrade")
+            return
+        except httptools.HttpParserError as exc:
             self._fail(Cause.MALFORMED, repr(exc.__context__ or exc))
             return
         if self._error is not None:
--- a/tests/transport/test_received_limits.py
+++ b/tests/transport/test_received_limits.py
@@ -133,6 +133,18 @@
     run(test)
 
 
+# The answer to a request that offers an upgrade was lost.
+def test_a_request_to_upgrade_is_answered_and_ends_the_connection() -> None:
+    async def test(bench: Bench) -> None:
+        reader, _ = await bench.connect(
+            b"GET /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        )
+        assert await status_of(reader) == 200
+        assert await reader.read() == b""
+
+    run(test)
+
+
 def test_slow_clients_are_served_and_stopped_ones_refused() -> None:
     async def test(bench: Bench) -> None:
         slow_reader, slow = await bench.connect(BODY_HEAD + b"x" * 4500)
