--- a/monsoongap/transport/receive_budget.py
+++ b/monsoongap/transport/receive_budget.py
@@ -90,7 +90,6 @@
 
     limit_bytes: int
     used_bytes: int = 0
-    peak_bytes: int = 0
     _used_by: dict[Source, int] = field(
         default_factory=lambda: dict.fromkeys(Source, 0)
     )
@@ -117,7 +116,6 @@
         if change:
             self.used_bytes += change
             self._used_by[holding.source] += change
-            self.peak_bytes = max(self.peak_bytes, self.used_bytes)
 
     def used_by(self, source: Source) -> int:
         """Return what the connections of a source hold, in bytes."""
--- a/monsoongap/transport/receive_guard.py
+++ b/monsoongap/transport/receive_guard.py
@@ -8,7 +8,7 @@
 import logging
 import resource
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
 from monsoongap.settings import LimitsSection
@@ -156,10 +156,6 @@
         """Return the number of refusals by cause, for the metrics."""
         return {cause.value: self.counts[cause.value] for cause in Cause}
 
-    def connections(self, source: Source) -> Iterable[Conn]:
-        """Return the connections of a listener."""
-        return self._conns[source]
-
     def _make_room(self, conns: set[Conn], count: int) -> None:
         idle = sorted((c for c in conns if not c.is_busy), key=_order_of_closing)
         for conn in idle[:count]:
