Take a host that is listed again for one that stays

Callers saw: after a rolling stop of a data centre, the next owner that failed was followed by weak hosts, and the runners were divided among them, although strong hosts had started again.

Cause: a host that owns nothing reports to the owners only. The others keep its last heartbeat, "leaving", for as long as an owner lists it as live, and count it out.

Change: a host that an owner lists as live, half a second after its heartbeat said that it leaves, no longer counts as leaving. Owners list no host that leaves, and an owner is told of it as soon as the others.

The test fails without the change.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -85,6 +85,11 @@
         """Forget its last signs of life."""
         self.last_heartbeat_at = self.listed_until = NEVER
 
+    def forget_leaving(self) -> None:
+        """Forget a heartbeat that said that it leaves: it has started again since."""
+        if self.is_leaving:
+            self.heartbeat = None
+
     def record(self, heartbeat: Heartbeat, now: float, timeout_s: float) -> None:
         """Record a heartbeat that came at `now`."""
         self.heartbeat = heartbeat
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -41,6 +41,8 @@
 REMOVE_TICKS = 50
 # A list of live hosts tells whether a silent owner is heard by others only this long.
 LIST_FRESH_S = 0.5
+# An owner that lists a host heard that it does not leave, or not that it leaves yet.
+RETURNED_S = 0.5
 # Replies to hosts that do not hear an owner are not sent more often than this.
 REPLY_INTERVAL_S = 0.1
 # Cards of other hosts are included in one of this many rounds of heartbeats.
@@ -204,6 +206,8 @@
                 listed = self._peers.get(name)
                 if listed is not None and not listed.claims:
                     listed.listed_until = now + LOCAL_TIMEOUT_S
+                    if now - listed.last_heartbeat_at > RETURNED_S:
+                        listed.forget_leaving()
             return
         is_reply_due = now - peer.replied_at >= REPLY_INTERVAL_S
         hears_all = all(
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -166,6 +166,23 @@
     assert harness.peer("a-h1").card.ip == "10.9.9.9"
 
 
+# A host that started again, after it had left, reports to the owner only. Others took
+# it for one that still leaves, and chose weaker hosts as the next owner.
+def test_a_host_that_left_and_is_listed_by_an_owner_does_not_leave() -> None:
+    harness = Harness()
+    card = HostCard("a-h1", "a", ip_of("a-h1"), 1, 1)
+    owner = HostCard("a-h2", "a", ip_of("a-h2"), 1, 1)
+    claims = (Claim(ShareId("a"), 1, 7),)
+    left = Heartbeat(card, 9, True, 3)
+    harness.members.receive(msgspec.msgpack.encode(left))
+    for serial, pause_s, leaves in ((1, 0.1, True), (2, 1.0, False)):
+        harness.clock.at += pause_s
+        beat = Heartbeat(owner, serial, False, 3, claims, ("a-h1",))
+        harness.members.receive(msgspec.msgpack.encode(beat))
+        assert harness.members.is_live("a-h1")
+        assert harness.peer("a-h1").is_leaving is leaves
+
+
 # Guards against an upgrade in which hosts take those of the other version for dead.
 def test_heartbeats_of_neighbouring_versions_are_understood() -> None:
     card = HostCard("a-h1", "a", ip_of("a-h1"), 1, 1)
