Keep the number of shares while the hosts that stay can carry them

Callers saw: for 1.3 to 2.3 s after an owner left, jobs of its data centre were refused ("no capacity within N ms", "runs of a previous owner are not reconciled") while every runner was idle.

Cause: the number of shares allows for the loss of one strong host. When the owner left and one strong host stayed, it rose from 1 to 3. Weaker hosts acquired the new shares, the strong one released what it had just acquired, and as digests are of shares of another number, each owner waited for the leases of previous owners to lapse.

Change: when the owner leaves, or there is none for the moment, the number is kept if the hosts that stay can carry that many shares, without a spare.

The test fails without the change, for an owner that leaves and for one that is killed.

--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -80,6 +80,7 @@
     _unowned_since: dict[ShareId, float] = field(default_factory=dict)
     _yield_until: dict[ShareId, float] = field(default_factory=dict)
     _last_owner: dict[ShareId, str] = field(default_factory=dict)
+    _last_count: dict[str, int] = field(default_factory=dict)
     _runner_counts: Counter[str] = field(default_factory=Counter)
     _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
@@ -106,11 +107,17 @@
         of_dc = [owner for owner in owners if owner.claim.share.dc == dc]
         newest = max(of_dc, key=lambda owner: owner.claim.fence, default=None)
         if newest is None:
-            count = self._share_count(dc)
+            # Between two owners the number is kept, as while one of them leaves.
+            kept = self._last_count.get(dc, 0)
+            carried = kept > 0 and self._can_carry(dc, kept)
+            count = kept if carried else self._share_count(dc)
         else:
-            count = newest.claim.share_count
-            if newest.peer is not None and newest.peer.is_leaving:
-                # The hosts that stay may be weaker than the one that leaves.
+            count = self._last_count[dc] = newest.claim.share_count
+            peer = newest.peer
+            # The hosts that stay may be weaker than the one that leaves. A change of
+            # the number makes every owner release its shares, so it is kept while they
+            # can carry them.
+            if peer is not None and peer.is_leaving and not self._can_carry(dc, count):
                 count = max(count, self._share_count(dc))
         return [ShareId(dc, index) for index in range(count)]
 
@@ -126,12 +133,29 @@
         cores = sorted((card.cores for card in cards), reverse=True) or [1.0]
         runners = self._runner_counts[dc]
         for count in range(1, runners):
-            weakest = cores[min(count, len(cores) - 1)]
-            needed = -(-runners // count) * CORES_PER_RUNNER
-            if needed <= OWNER_CPU_FRACTION * weakest:
+            if self._carries(dc, count, cores[min(count, len(cores) - 1)]):
                 return count
         return max(runners, 1)
 
+    def _can_carry(self, dc: str, count: int) -> bool:
+        """Return whether the hosts that stay in a data centre can carry its shares.
+
+        Unlike in `_share_count`, none of them may be lost meanwhile: the hosts that
+        leave return.
+        """
+        cards = self._hosts_of(dc)
+        if dc == self.members.card.dc and not self.leaving:
+            cards.append(self.members.card)
+        cores = sorted((card.cores for card in cards), reverse=True)
+        return len(cores) >= count and self._carries(dc, count, cores[count - 1])
+
+    def _carries(
+        self, dc: str, count: int, cores: float, fraction: float = OWNER_CPU_FRACTION
+    ) -> bool:
+        """Return whether a fraction of a host's cores is enough for a share."""
+        needed = -(-self._runner_counts[dc] // count) * CORES_PER_RUNNER
+        return needed <= fraction * cores
+
     def all_shares(self) -> list[ShareId]:
         """Return the shares of every data centre that has runners or an owner."""
         owned = {share.dc for share in self._owners_by_share()}
--- a/tests/coordination/test_many_hosts.py
+++ b/tests/coordination/test_many_hosts.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Iterator
 
+import pytest
+
 from monsoongap.coordination.host import Host
 from tests.clock import run_virtual
 from tests.host_world import World
@@ -117,6 +119,30 @@
     run_virtual(main())
 
 
+# One strong host that is left carries the share, but has no spare: the share was
+# divided, and all jobs waited until every lease had lapsed.
+@pytest.mark.parametrize("leaves", [True, False])
+def test_the_number_of_shares_is_kept_while_the_hosts_that_stay_carry_them(
+    leaves: bool,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 8}, runners_per_dc=20, cores=0.387, strong_per_dc=2)
+        await world.start()
+        await asyncio.sleep(5)
+        name = world.owner("a")
+        if leaves:
+            world.hosts[name].leave()
+        else:
+            world.kill(name)
+        other = "a-h1" if name == "a-h0" else "a-h0"
+        await asyncio.sleep(2.0)
+        assert [name for name, _ in owners(world)] == [other]
+        claims = world.hosts[other].ownership.claims.values()
+        assert [claim.share_count for claim in claims] == [1]
+
+    run_virtual(main())
+
+
 def test_an_owner_that_other_hosts_hear_is_not_replaced() -> None:
     async def main() -> None:
         world = large_world()
