Hand shares over to a successor that is prepared

Callers saw: jobs refused, late or run again for up to 4 s after an owner was stopped, also while runners were free; with a data centre cut off or several owners stopped at once, most of the jobs of these seconds.

Change: an owner that leaves chooses a successor (`handover`), has it prepare (`succession`: list of runners, one poll of each under the owner's fence), and transfers the share with what it knows of the jobs, of other owners' jobs and of the runners. It serves until then. A successor that leaves, is down, out of reach or too weak is passed over; a share that is not acquired is taken back. An undivided share that no host can carry is divided by its owner. After `[bounds] handover_ms` others take over as before.

Why no task runs twice: a transfer names the claim and is accepted once, within 0.6 s of the preparation, if no higher claim is known. Jobs with runs on the share's runners wait for the first poll of these and adopt the runs; jobs that may have runs elsewhere are reconciled at all owners as before.

The test of a handed-on job that a new try was first with asserted that the owner still owns the share when the successor does; it now runs with a transfer, where it may not, and without one, as before. The test of neighbouring versions cut the last field off and meant `brief`, which is no longer the last.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -68,6 +68,11 @@
         """Return whether its last heartbeat said that it shuts down."""
         return self.heartbeat is not None and self.heartbeat.leaving
 
+    @property
+    def hands_over(self) -> bool:
+        """Return whether it leaves, and hands its shares over itself."""
+        return self.heartbeat is not None and self.heartbeat.hands_over
+
     @property
     def queues(self) -> bool:
         """Return whether tasks waited there at its last heartbeat."""
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -10,6 +10,7 @@
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.config_fetch import ConfigFetcher
 from monsoongap.coordination.coverage import Coverage
+from monsoongap.coordination.handover import Handover
 from monsoongap.coordination.heartbeats import HeartbeatParts, Peer
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
@@ -27,6 +28,7 @@
 )
 from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.settling import Reconciler
+from monsoongap.coordination.succession import Succession
 from monsoongap.coordination.time_budget import critical_path_s
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -89,6 +91,10 @@
         self.timers = timers
         self.leaving = False
         self.peers = ports.peers
+        self.runners = ports.runners
+        self.handover = Handover(self)
+        self.succession = Succession(self)
+        self._owners_changed = asyncio.Event()
         self._heartbeat_serial = 0
         self._request_count = 0
         self._capacity_sent_at = 0.0
@@ -133,7 +139,7 @@
         self.pool.on_held = self.members.send_heartbeats
         self.pool.on_orphan_found = self.jobs.announce
         self._announced_to: dict[str, int] = {}
-        self._claims_told: dict[str, tuple[tuple[Claim, ...], bool]] = {}
+        self._claims_told: dict[str, tuple[tuple[Claim, ...], bool, bool]] = {}
         self.borrowing.on_dispatch = self.jobs.record_dispatch
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
@@ -196,11 +202,25 @@
         return any(share.dc == dc for share in self.ownership.claims)
 
     def leave(self) -> None:
-        """Let other hosts take over the owned shares, and acquire no new ones."""
+        """Hand the owned shares over to other hosts, and acquire no new ones."""
         self.leaving = True
         self.ownership.leaving = True
+        hands_over = self.pool.cfg.handover_s > 0
+        shares = tuple(self.ownership.claims) if hands_over else ()
+        self.handover.active = len(shares)
+        for share in shares:
+            self._background.spawn(self.handover.hand_over(share), "handover")
         self.members.send_heartbeats()
 
+    def timers_later(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call a function once after a delay."""
+
+        async def call() -> None:
+            await self.timers.sleep(delay_s)
+            callback()
+
+        self._background.spawn(call(), "later")
+
     def abandon(self) -> None:
         """Stop at once without notifying other hosts, like a killed process."""
         self.timers.close()
@@ -260,8 +280,24 @@
                         return reply.without_promise() if call.again else reply
                     if self.timers.now() - started_at > DECLINED_WAIT_S:
                         return self._no_answer(call, owner, reply)
-            waited_s += OWNER_POLL_S
-            await self.timers.sleep(OWNER_POLL_S)
+            waited_s += await self._wait_for_owners()
+
+    async def _wait_for_owners(self) -> float:
+        """Wait until an owner changes, or for a short time; return how long it was."""
+        began_at = self.timers.now()
+        try:
+            async with asyncio.timeout(OWNER_POLL_S):
+                await self._owners_changed.wait()
+        except TimeoutError:
+            pass
+        # A paused host goes on only when it has resumed.
+        await self.timers.sleep(0)
+        return self.timers.now() - began_at
+
+    def _wake_submissions(self) -> None:
+        """Let the jobs that wait for an owner look for it again."""
+        self._owners_changed.set()
+        self._owners_changed = asyncio.Event()
 
     def _no_owner(self, call: SubmitCall) -> JobReply:
         kind = AnswerKind.BROKEN if call.again else AnswerKind.REFUSED
@@ -335,6 +371,12 @@
         finally:
             task.cancel()
 
+    async def forward(self, call: SubmitCall) -> JobReply:
+        """Forward a call to the host to which its share was transferred."""
+        if call.share in self.ownership.claims:
+            return JobReply(AnswerKind.HANDED_ON, "not an owner")
+        return await self._submit(call, self.directory.rule(call.job.queue))
+
     async def execute(self, call: SubmitCall) -> JobReply:
         """Execute a job here, or forward it to the owner that already executes it."""
         self.start_work_timers()
@@ -422,7 +464,12 @@
     def _make_heartbeat(self, parts: HeartbeatParts) -> Heartbeat:
         self._heartbeat_serial += 1
         claims = tuple(self.ownership.claims.values())
-        tells_free = parts.for_owners and not parts.brief and not self.leaving
+        digests = self.pool.runner_digests(claims)
+        for claim, digest in self.handover.in_transfer.values():
+            claims, digests = (*claims, claim), (*digests, digest)
+        # An owner that leaves lends what its own jobs don't need until its successor
+        # does so.
+        tells_free = parts.for_owners and not parts.brief
         return Heartbeat(
             self.card,
             self._heartbeat_serial,
@@ -434,8 +481,9 @@
             self.pool.waiting,
             self.jobs.recent_jobs() if parts.for_owners else (),
             parts.known_hosts,
-            self.pool.runner_digests(claims),
+            digests,
             parts.brief,
+            self.handover.active > 0,
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
@@ -446,9 +494,8 @@
             if heartbeat.queued:
                 self._tell_capacity()
             self.lending.record_claims(heartbeat.claims)
-            for share in self.coverage.record_claims(
-                heartbeat.claims, heartbeat.runner_digests
-            ):
+            claims, digests = self.succession.without_released(heartbeat)
+            for share in self.coverage.record_claims(claims, digests):
                 self.jobs.mark_share_in_doubt(share)
             if not heartbeat.brief:
                 self.borrowing.record_capacity(peer)
@@ -462,10 +509,11 @@
 
     def _check_ownership_after(self, peer: Peer) -> None:
         """Check shares at once if a host's claims changed, or it begins to leave."""
-        told = (peer.claims, peer.is_leaving)
-        if self._claims_told.get(peer.card.name, ((), False)) != told:
+        told = (peer.claims, peer.is_leaving, peer.hands_over)
+        if self._claims_told.get(peer.card.name, ((), False, False)) != told:
             self._claims_told[peer.card.name] = told
             self.ownership.claims_changed()
+            self._wake_submissions()
 
     def _announce_jobs_to(self, peer: Peer, became_live: bool) -> None:
         """Announce all active jobs to an owner that has not received them yet."""
@@ -490,11 +538,14 @@
         self.jobs.in_doubt_since[claim.share] = self.timers.now()
         self.lending.record_claims((claim,))
         self.pool.acquire(claim)
+        self._wake_submissions()
 
     def _released(self, share: ShareId) -> None:
         if not self.ownership.claims:
             self.became_owner.clear()
-        handed_over = self.jobs.hand_over(share)
+        in_transfer = self.handover.in_transfer.get(share)
+        fence = in_transfer[0].fence if in_transfer else 0
+        handed_over = self.jobs.hand_over(share, fence)
         dropped = self.pool.release(share)
         self.lending.leave_running(work for work in dropped if work.share is None)
         for work in dropped:
@@ -522,7 +573,7 @@
     def _tell_capacity(self) -> None:
         """Tell other owners of the free capacity, at a limited rate."""
         now = self.timers.now()
-        if not self.ownership.claims or self.leaving:
+        if not self.ownership.claims:
             return
         if now - self._capacity_sent_at >= CAPACITY_INTERVAL_S:
             self._capacity_sent_at = now
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -16,10 +16,12 @@
     JobReply,
     LendCall,
     LocateCall,
+    PrepareCall,
     RunnerInfo,
     RunnersCall,
     RunnersReply,
     SubmitCall,
+    TransferCall,
 )
 from monsoongap.state.job_locations import job_number
 
@@ -76,6 +78,10 @@
                     host.job_locations.record_jobs(request.home, (job_number(job),))
                 host.jobs.cancel(job)
                 return await host.lending.stop_runs_of(request)
+            case PrepareCall():
+                return await host.succession.answer_prepare(request)
+            case TransferCall():
+                return host.succession.answer_transfer(request)
             case ConfigCall(accepts_packed):
                 directory = host.directory
                 if accepts_packed:
@@ -97,6 +103,9 @@
         owns_share = not call.here and call.share in host.ownership.claims
         if not has_job and not owns_share:
             reply = await host.jobs.follow_handover(call)
+            if reply is None and call.share in host.handover.transferred:
+                # Its sender has not heard of the next owner yet.
+                return await host.forward(call)
             return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
         return await host.execute(call)
 
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -67,6 +67,21 @@
         """Return whether a task of the job runs at another owner."""
         return any(work.borrowed_from for work in self.works.values())
 
+    def may_run_outside(self, since: float) -> bool:
+        """Return whether runs of the job may be elsewhere than on its share's runners.
+
+        `since` is the time from which the loss of contact with an owner counts.
+        """
+        if self.in_doubt_since > since:
+            return True
+        if not self.started_steps and not self.answer.done():
+            # Runs of previous owners are still being reconciled.
+            return True
+        return any(
+            not work.waiting and (work.link is None or work.link.share != self.share)
+            for work in self.works.values()
+        )
+
     def applies_to(self, call: SubmitCall, now: float) -> bool:
         """Return whether a call for the same job gets this record's answer.
 
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -27,6 +27,7 @@
     QueueRule,
     ShareId,
     SubmitCall,
+    TransferCall,
 )
 from monsoongap.state.job_locations import job_number
 from monsoongap.timers import MS_PER_S, Subscription, TimerService
@@ -90,6 +91,10 @@
     _announced: deque[tuple[float, int]] = field(default_factory=deque)
     _jobs_in_doubt: dict[str, float] = field(default_factory=dict)
     _handed_over: dict[str, tuple[float, JobRecord]] = field(default_factory=dict)
+    # Fences of claims that were transferred to this host, by share, and the jobs of
+    # each that may have runs on its runners, with the time of the transfer.
+    _transferred: dict[ShareId, int] = field(default_factory=dict)
+    _started_before: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.steps = Steps(self.pool, self._end)
@@ -128,6 +133,45 @@
         self.in_doubt_since[share] = self.timers.now()
         self.pool.mark_share_in_doubt(share)
 
+    def record_transfer(self, call: TransferCall) -> None:
+        """Record what the owner that transferred a share knows of its jobs."""
+        now = self.timers.now()
+        share = call.target.share
+        self._transferred[share] = call.claim.fence
+        self.in_doubt_since[share] = (
+            now + call.in_doubt_ms / MS_PER_S - RECONCILED_AFTER_S
+            if call.in_doubt_ms
+            else NEVER
+        )
+        for job in call.started:
+            self._started_before[job] = now
+        for job in call.in_doubt:
+            self.mark_job_in_doubt(job)
+
+    def transfer_of(
+        self, share: ShareId
+    ) -> tuple[tuple[str, ...], tuple[str, ...], int]:
+        """Return what `TransferCall` says of the jobs of a share.
+
+        The jobs with runs on the share's runners only, those that may have runs
+        elsewhere, and for how many ms any other job may have.
+        """
+        started, in_doubt = set(self._started_before), set(self._jobs_in_doubt)
+        for rec in self.records.values():
+            if rec.share != share:
+                continue
+            if rec.may_run_outside(self.timers.now() - KEEP_ANSWER_S):
+                in_doubt.add(rec.job.id)
+            elif rec.works or rec.dispatched:
+                started.add(rec.job.id)
+        left_s = (
+            self.in_doubt_since.get(share, NEVER)
+            + RECONCILED_AFTER_S
+            - self.timers.now()
+        )
+        in_doubt_ms = max(round(left_s * MS_PER_S), 0)
+        return tuple(sorted(started - in_doubt)), tuple(sorted(in_doubt)), in_doubt_ms
+
     def is_in_doubt(self, share: ShareId) -> bool:
         """Return whether a previous owner of a share may have runs unknown here."""
         since_s = self.timers.now() - self.in_doubt_since.get(share, NEVER)
@@ -241,13 +285,18 @@
         _, handed_over = self._handed_over.get(job, (NEVER, None))
         return (
             previous is not None and (previous.may_have_started or previous.dispatched)
-        ) or (handed_over is not None and handed_over.may_have_started)
+        ) or (
+            job in self._started_before
+            or (handed_over is not None and handed_over.may_have_started)
+        )
 
     def _merge_call(self, rec: JobRecord, call: SubmitCall) -> None:
         """Update a record, and what is known of previous owners, from a call."""
         repeated = (call.origin, call.number) in rec.requests
         rec.merge_call(call)
-        if call.is_handover and not repeated:
+        transferred = self._transferred.get(call.share, 0)
+        is_transferred = transferred and call.transfer_fence == transferred
+        if call.is_handover and not repeated and not is_transferred:
             self.mark_share_in_doubt(call.share)
 
     def cancel(self, job: str) -> None:
@@ -266,13 +315,18 @@
                 reply = JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
                 self._end(rec, reply)
 
-    def hand_over(self, share: ShareId) -> list[tuple[JobRecord, SubmitCall]]:
-        """Remove a share's jobs in progress; return each with its handover call."""
+    def hand_over(
+        self, share: ShareId, transfer_fence: int = 0
+    ) -> list[tuple[JobRecord, SubmitCall]]:
+        """Remove a share's jobs in progress; return each with its handover call.
+
+        `transfer_fence` is that of the claim if the share is transferred.
+        """
         taken = []
         for rec in [r for r in self._unanswered.values() if r.share == share]:
             del self.records[rec.job.id], self._unanswered[rec.job.id]
             rec.closed = True
-            call = rec.handover_call()
+            call = replace(rec.handover_call(), transfer_fence=transfer_fence)
             rec.may_have_started = call.again
             self._handed_over[rec.job.id] = (self.timers.now(), rec)
             for work in list(rec.works.values()):
@@ -312,6 +366,8 @@
         ]:
             del self._jobs_in_doubt[job]
         old = now - KEEP_ANSWER_S
+        for job in [j for j, at in self._started_before.items() if at < old]:
+            del self._started_before[job]
         for job in [j for j, (at, _) in self._handed_over.items() if at < old]:
             del self._handed_over[job]
 
@@ -322,7 +378,12 @@
         while True:
             now = self.timers.now()
             in_doubt = self.is_in_doubt(rec.share)
-            if not in_doubt and now - rec.in_doubt_since > KEEP_ANSWER_S:
+            known = not in_doubt and now - rec.in_doubt_since > KEEP_ANSWER_S
+            if known and (
+                rec.job.id not in self._started_before
+                # All its runs are on the share's runners, where it adopts them.
+                or self.pool.is_reconciled(rec.share)
+            ):
                 if tries:
                     self.counts.past_lapsed += 1
                     self._log_reconciliation(
@@ -330,7 +391,7 @@
                     )
                 return True
             tries += 1
-            if await self.reconcile(rec.job.id, rec.share):
+            if not known and await self.reconcile(rec.job.id, rec.share):
                 rec.in_doubt_since = NEVER
                 self.counts.past_found += 1
                 self._log_reconciliation(
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -32,6 +32,9 @@
 # processor. An owner may use half of its cores.
 CORES_PER_RUNNER = 0.02
 OWNER_CPU_FRACTION = 0.5
+# While hosts leave in turn, a successor may use more: dividing the runners into other
+# shares costs more, and some of the load goes to hosts that return.
+SUCCESSOR_CPU_FRACTION = 0.75
 # Hosts start within 0.3 s of each other; the first owner waits for all heartbeats.
 START_WAIT_S = 0.6
 # A host without live peers is more likely cut off than the only one running.
@@ -117,7 +120,12 @@
             # The hosts that stay may be weaker than the one that leaves. A change of
             # the number makes every owner release its shares, so it is kept while they
             # can carry them.
-            if peer is not None and peer.is_leaving and not self._can_carry(dc, count):
+            if (
+                peer is not None
+                and peer.is_leaving
+                and not peer.hands_over
+                and not self._can_carry(dc, count)
+            ):
                 count = max(count, self._share_count(dc))
         return [ShareId(dc, index) for index in range(count)]
 
@@ -156,6 +164,15 @@
         needed = -(-self._runner_counts[dc] // count) * CORES_PER_RUNNER
         return needed <= fraction * cores
 
+    def can_add(self, runners: int) -> bool:
+        """Return whether this host can take over more runners from one that leaves."""
+        owned = sum(
+            -(-self._runner_counts[claim.share.dc] // claim.share_count)
+            for claim in self.claims.values()
+        )
+        needed = (owned + runners) * CORES_PER_RUNNER
+        return needed <= SUCCESSOR_CPU_FRACTION * self.members.card.cores
+
     def all_shares(self) -> list[ShareId]:
         """Return the shares of every data centre that has runners or an owner."""
         owned = {share.dc for share in self._owners_by_share()}
@@ -253,7 +270,9 @@
             if is_remote and self._hosts_of(share.dc):
                 self._release(share, "hosts of its own data centre are live again")
             return True
-        return not owner.peer.is_leaving
+        # It hands a share of its data centre over to a host there, if there is one.
+        is_remote = share.dc != self.members.card.dc
+        return not owner.peer.is_leaving or (owner.peer.hands_over and not is_remote)
 
     def _hosts_of(self, dc: str) -> list[HostCard]:
         return [
@@ -280,6 +299,8 @@
             return False
         if owner is not None:
             return True
+        if self._is_being_divided(share.dc, len(self.shares_of(share.dc))):
+            return False
         if now - self._last_contact_at > 0 and self.members.knows_any():
             return now - self._last_contact_at >= ISOLATED_WAIT_S
         previous_owner = self._last_owner.get(share)
@@ -287,29 +308,110 @@
             previous_owner
         )
 
-    def _preferred_owner(self, share: ShareId, cards: list[HostCard]) -> str:
+    def _preferred_owner(
+        self,
+        share: ShareId,
+        cards: list[HostCard],
+        planned: Counter[str] | None = None,
+    ) -> str:
         """Return the host that should own a share.
 
         Hosts that see the same live hosts return the same one. An owner needs more
         processor time than other hosts, so the host with the most cores left per share
-        is chosen; rendezvous hashing breaks ties.
+        is chosen; rendezvous hashing breaks ties. `planned` counts the shares that
+        hosts are about to own besides.
         """
         owned = {self.members.card.name: len(self.claims)}
         for peer in self.members.live():
             owned[peer.card.name] = len(peer.claims)
+        for name, count in (planned or {}).items():
+            owned[name] = owned.get(name, 0) + count
         cores_left = {c.name: c.cores / (1 + owned.get(c.name, 0)) for c in cards}
         most = max(cores_left.values())
         names = [name for name, cores in cores_left.items() if cores >= most]
         return rendezvous.choose(f"{share.dc}/{share.index}", names)
 
-    def _acquire(self, share: ShareId) -> None:
+    def successor(self, share: ShareId, passed_over: set[str]) -> Peer | None:
+        """Return the host to which this one, which leaves, hands a share over.
+
+        None if no host that stays can carry the share alone.
+        """
+        count = self.claims[share].share_count
+        cards = self._hosts_of(share.dc)
+        if share.dc != self.members.card.dc and not cards:
+            cards = [p.card for p in self.members.live_owners() if not p.is_leaving]
+        cards = [card for card in cards if card.name not in passed_over]
+        if not cards:
+            return None
+        peer = self.members.peer(self._preferred_owner(share, cards))
+        if peer is None:
+            return None
+        cores = peer.card.cores / (1 + len(peer.claims))
+        fraction = SUCCESSOR_CPU_FRACTION
+        return peer if self._carries(share.dc, count, cores, fraction) else None
+
+    def has_candidates(self, share: ShareId) -> bool:
+        """Return whether any live host could own a share instead of this one."""
+        hosts = self._hosts_of(share.dc)
+        return bool(hosts) or share.dc != self.members.card.dc
+
+    def division(
+        self, share: ShareId, passed_over: set[str]
+    ) -> dict[ShareId, Peer] | None:
+        """Return the owners of the shares into which an undivided one is divided.
+
+        None if the share is one of several, or there is no host.
+        """
+        cards = [c for c in self._hosts_of(share.dc) if c.name not in passed_over]
+        if self.claims[share].share_count != 1 or not cards:
+            return None
+        owners: dict[ShareId, Peer] = {}
+        planned: Counter[str] = Counter()
+        for index in range(self._share_count(share.dc)):
+            part = ShareId(share.dc, index)
+            name = self._preferred_owner(part, cards, planned)
+            peer = self.members.peer(name)
+            if peer is None:
+                return None
+            planned[name] += 1
+            owners[part] = peer
+        return owners
+
+    def _is_being_divided(self, dc: str, count: int) -> bool:
+        """Return whether a host that leaves hands the shares of a data centre over."""
+        return any(
+            claim.share.dc == dc and claim.share_count != count
+            for peer in self.members.live()
+            if peer.hands_over
+            for claim in peer.claims
+        )
+
+    def transfer(self, share: ShareId) -> None:
+        """Release a share that is transferred to a successor."""
+        self._release(share, "transferred to its successor")
+
+    def acquire_transferred(self, previous: Claim) -> Claim | None:
+        """Acquire a share that its owner transfers; None if this host may not."""
+        share = previous.share
+        known = self.owner_of(share)
+        if self.leaving or (known and known.claim.fence > previous.fence):
+            return None
+        self.take_back(previous)
+        return self.claims[share]
+
+    def take_back(self, previous: Claim) -> None:
+        """Acquire a share by a claim that follows the given one."""
+        self._highest_fence = max(self._highest_fence, previous.fence)
+        self._acquire(previous.share, previous.share_count)
+
+    def _acquire(self, share: ShareId, share_count: int = 0) -> None:
         own = self.members.card.name
         host_bits = zlib.crc32(own.encode()) % FENCE_HOSTS
         fence = self.timers.wall_ms() * FENCE_HOSTS + host_bits
         if fence <= self._highest_fence:
             fence = (self._highest_fence // FENCE_HOSTS + 1) * FENCE_HOSTS + host_bits
         self._highest_fence = fence
-        claim = Claim(share, len(self.shares_of(share.dc)), fence)
+        claim = Claim(share, share_count or len(self.shares_of(share.dc)), fence)
         self.claims[share] = claim
         self._owners_updated_at = -1e9
         self.counts.acquired += 1
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -149,6 +149,8 @@
         # Ownership and placement come first because the users' record keeps only the
         # beginning; see `Metrics.render`.
         metrics.add_counters("ownership", lambda: host.ownership.counts)
+        metrics.add_counters("handover", lambda: host.handover.counts)
+        metrics.add_counters("succession", lambda: host.succession.counts)
         metrics.add_counters("configuration", lambda: host.directory.config_counts)
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
@@ -196,7 +198,7 @@
                 self._callers.stop_listening()
                 self._callers.close_idle()
                 idle = not self._callers.open_requests and not self.host.jobs.in_flight
-                if idle:
+                if idle and not self.host.handover.active:
                     return
 
     def _reload(self, source: SettingsSource) -> None:
--- a/monsoongap/platform/feeds.py
+++ b/monsoongap/platform/feeds.py
@@ -171,7 +171,7 @@
         """Return the interval between reads of the list of runners, in seconds."""
         if not self._host.directory.runners:
             return NO_RUNNERS_INTERVAL_S
-        if not self._host.ownership.claims:
+        if not self._host.became_owner.is_set():
             return NON_OWNER_INTERVAL_S
         if self._host.pool.lacks_runners or self._host.pool.lacks_records:
             return MISSING_RUNNERS_INTERVAL_S
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -345,7 +345,8 @@
     jobs whose execution it started lately: another data centre that gets one of them
     again forwards it to this host. `known_hosts` has some of the hosts that it knows.
     `runner_digests` has one digest for each claim, in the same order. `brief` says that
-    `live_hosts` and `free` are left out, and those told last still hold.
+    `live_hosts` and `free` are left out, and those told last still hold. `hands_over`
+    says that a host that leaves hands its shares over to hosts that it chooses.
     """
 
     card: HostCard
@@ -360,6 +361,7 @@
     known_hosts: tuple[HostCard, ...] = ()
     runner_digests: tuple[RunnerDigest, ...] = ()
     brief: bool = False
+    hands_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -398,6 +400,8 @@
     the request may have waited while its host was paused, so that the caller may have
     sent the job to another host since. `rule` is the queue by which the job was
     accepted, for an owner whose configuration has it no longer; None in a first call.
+    `transfer_fence` is the fence of the claim under which the previous owner
+    transferred the share (`TransferCall`); 0 if it did not.
     """
 
     job: Job
@@ -412,6 +416,7 @@
     number: Natural = 0
     delayed: bool = False
     rule: QueueRule | None = None
+    transfer_fence: Natural = 0
 
     @property
     def is_handover(self) -> bool:
@@ -553,3 +558,69 @@
     # Finite, also if the list was never read.
     age_s: Annotated[float, Meta(ge=0, le=1e10)]
     runners: tuple[RunnerInfo, ...] = field(default=())
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareCall:
+    """Asks the callee to prepare for a share that the caller is about to transfer.
+
+    `runners` are those that the caller holds by `claim`, `list_runners` its whole list
+    of runners, and `list_age_s` how long ago that was read from the store. The callee
+    takes over one of `parts` parts of the share.
+    """
+
+    home: Name
+    claim: Claim
+    runners: tuple[RunnerInfo, ...] = ()
+    list_runners: tuple[RunnerInfo, ...] = ()
+    list_age_s: Annotated[float, Meta(ge=0, le=1e10)] = 1e10
+    parts: Factor = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareReply:
+    """`ready` says that the callee can take over the share now."""
+
+    ready: bool
+    reason: Text = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TransferCall:
+    """Transfers a share: the caller starts nothing by `claim` any more.
+
+    `runner_digest` is that of the runners that the caller held. `started` lists the
+    jobs that may have runs on these runners only, `in_doubt` those that may have runs
+    elsewhere. For the next `in_doubt_ms` any other job may have runs that the caller
+    does not know either. `share` and `share_count` tell which share the callee acquires
+    if the caller's is divided; it is the caller's otherwise. `located` names other
+    owners, and the numbers of jobs that they execute as far as the caller knows.
+    `health` has what the caller learned of the runners: the slowness, the number of bad
+    ends in succession, and for how many seconds more each one is suspect.
+    """
+
+    home: Name
+    claim: Claim
+    runner_digest: RunnerDigest
+    started: tuple[JobId, ...]
+    in_doubt: tuple[JobId, ...]
+    in_doubt_ms: Natural
+    share: ShareId | None = None
+    share_count: Annotated[int, Meta(ge=0, le=MAX_SHARES)] = 0
+    located: tuple[tuple[Name, tuple[Annotated[int, Meta(ge=0)], ...]], ...] = ()
+    health: tuple[tuple[RunnerId, Factor, Natural, DurationS], ...] = ()
+
+    @property
+    def target(self) -> Claim:
+        """Return the claim that the callee's own one follows."""
+        if self.share is None or not self.share_count:
+            return self.claim
+        return Claim(self.share, self.share_count, self.claim.fence)
+
+
+@dataclass(frozen=True, slots=True)
+class TransferReply:
+    """`claim` is that by which the callee owns the share now; None if it refused."""
+
+    claim: Claim | None = None
+    reason: Text = ""
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -86,6 +86,8 @@
     start request later than `drain_ms` after it began to drain. A configuration must
     be in force within `config_ms`. A caller without an answer to its job sends the job
     again after `resend_ms`. The process must end within `grace_s` seconds of SIGTERM.
+    For up to `handover_ms` of this time an owner hands its shares over to successors
+    that it chooses; with 0, other hosts take them over as after a failure.
     """
 
     lease_ms: Millis = 1000.0
@@ -93,6 +95,7 @@
     config_ms: Millis = 2000.0
     resend_ms: Millis = 1300.0
     grace_s: Annotated[float, Meta(gt=0, le=3600)] = 6.0
+    handover_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 2000.0
 
     @property
     def lease_s(self) -> float:
@@ -109,6 +112,11 @@
         """Limit for applying a configuration, in seconds."""
         return self.config_ms / MS_PER_S
 
+    @property
+    def handover_s(self) -> float:
+        """Limit for handing shares over, in seconds; leaves time for a takeover."""
+        return min(self.handover_ms / MS_PER_S, self.grace_s / 2)
+
     @property
     def resend_s(self) -> float:
         """Delay before a caller sends an unanswered job again, in seconds."""
--- a/monsoongap/state/job_locations.py
+++ b/monsoongap/state/job_locations.py
@@ -36,6 +36,14 @@
             return None
         return known[0]
 
+    def by_owner(self) -> tuple[tuple[str, tuple[int, ...]], ...]:
+        """Return the numbers of the jobs that each other owner is known to have."""
+        self._sweep(self.timers.now())
+        numbers: dict[str, list[int]] = {}
+        for number, (owner, _) in self._owners.items():
+            numbers.setdefault(owner, []).append(number)
+        return tuple((owner, tuple(jobs)) for owner, jobs in numbers.items())
+
     def _sweep(self, now: float) -> None:
         self._owners = {
             number: (owner, at)
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -40,6 +40,8 @@
     messages.FindCall,
     messages.ConfigCall,
     messages.RunnersCall,
+    messages.PrepareCall,
+    messages.TransferCall,
 )
 _CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
 MAX_BODY_BYTES = 16_000_000
--- a/tests/coordination/test_many_hosts.py
+++ b/tests/coordination/test_many_hosts.py
@@ -10,6 +10,7 @@
 import pytest
 
 from monsoongap.coordination.host import Host
+from monsoongap.protocol.messages import PrepareCall
 from tests.clock import run_virtual
 from tests.host_world import World
 
@@ -130,6 +131,8 @@
         await world.start()
         await asyncio.sleep(5)
         name = world.owner("a")
+        # Without a handover, the hosts choose among themselves.
+        world.call_types_unknown.add(PrepareCall)
         if leaves:
             world.hosts[name].leave()
         else:
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -190,7 +190,9 @@
     heartbeat = Heartbeat(card, 1, False, 3, claims, ("a-h0",), brief=True)
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(heartbeat))
     harness = Harness()
-    harness.members.receive(msgspec.msgpack.encode(fields[:-1]))
+    # The first version that had digests, and no brief heartbeats.
+    oldest = fields[: Heartbeat.__struct_fields__.index("brief")]
+    harness.members.receive(msgspec.msgpack.encode(oldest))
     assert harness.members.is_live("a-h1")
     assert harness.peer("a-h1").live_hosts == ("a-h0",)
 
--- a/tests/coordination/test_takeover_doubts.py
+++ b/tests/coordination/test_takeover_doubts.py
@@ -12,6 +12,7 @@
 from monsoongap.protocol.messages import (
     Claim,
     Job,
+    PrepareCall,
     Resources,
     RunnerDigest,
     ShareId,
@@ -315,8 +316,9 @@
 # caller's new try came to the new owner before the hand-over did, and the new owner
 # started too late to hear of the job.
 @pytest.mark.parametrize("restarted", [True, False])
+@pytest.mark.parametrize("transfers", [True, False])
 def test_a_handed_on_job_that_a_new_try_was_first_with_is_not_called_not_run(
-    restarted: bool,
+    restarted: bool, transfers: bool
 ) -> None:
     async def main() -> None:
         world = World({"a": 2, "b": 1})
@@ -335,9 +337,12 @@
         world.send_runner_list(world.hosts[successor], "a-r1")
         # Nothing of the past can be settled: a data centre is out of reach.
         world.cut_off("a", "b")
+        if not transfers:
+            world.call_types_unknown.add(PrepareCall)
         world.hosts[owner].leave()
         await until(lambda: world.hosts[successor].owns("a"))
-        assert world.hosts[owner].owns("a")
+        # An owner that transfers its share has released it before.
+        assert world.hosts[owner].owns("a") is not transfers
         second = asyncio.create_task(
             world.submit(successor, f"{1:016x}", BOTH_RUNNERS, 4000.0)
         )
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -119,6 +119,8 @@
     # Number of idle connections from one host to another that have gone silent.
     silent_connections: dict[tuple[str, str], int] = field(default_factory=dict)
     call_types_lost: set[type[Any]] = field(default_factory=set)
+    # Calls that hosts of an earlier version don't know.
+    call_types_unknown: set[type[Any]] = field(default_factory=set)
     calls_delivered: Counter[type[Any]] = field(default_factory=Counter)
     # Pairs of sender and receiver.
     heartbeats_lost: set[tuple[str, str]] = field(default_factory=set)
@@ -284,6 +286,9 @@
         """Carry a call between hosts; old connections may lose calls or replies."""
         if not fresh and frozenset((source, target)) in self.calls_lost:
             await asyncio.Event().wait()
+        if type(request) in self.call_types_unknown:
+            await asyncio.sleep(2 * LINK_S)
+            raise PeerCallFailed("status 404")
         if type(request) in self.call_types_lost:
             await asyncio.Event().wait()
         if not fresh and self.silent_connections.get((source, target), 0):
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -67,6 +67,11 @@
     messages.FindCall(JOB_ID, SHARE, CLAIM, TASK, 1),
     messages.ConfigCall(True),
     messages.RunnersCall(),
+    messages.PrepareCall("b-h0", CLAIM, (RUNNER,), (RUNNER,), 0.5, 2.0),
+    messages.TransferCall(
+        *("b-h0", CLAIM, RunnerDigest(17, 250), (JOB_ID,), (JOB_ID,), 250),
+        *(SHARE, 2, (("c-h0", (2**64 - 1,)),), (("i-1", 1.5, 1, 0.5),)),
+    ),
 )
 REPLIES = (
     JobReply(AnswerKind.REFUSED, "no capacity", 1.0),
@@ -74,6 +79,8 @@
     messages.FindReply(True),
     messages.ConfigReply(3, b"", b"x\x9c"),
     messages.RunnersReply(0.5, (RUNNER,)),
+    messages.PrepareReply(False, "leaving"),
+    messages.TransferReply(CLAIM),
 )
 
 many = settings(
