--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -68,6 +68,11 @@
         """Return whether its last heartbeat said that it shuts down."""
         return self.heartbeat is not None and self.heartbeat.leaving
 
+    @property
+    def hands_over(self) -> bool:
+        """Return whether it leaves, and hands its shares over itself."""
+        return self.heartbeat is not None and self.heartbeat.hands_over
+
     @property
     def queues(self) -> bool:
         """Return whether tasks waited there at its last heartbeat."""
@@ -85,6 +90,11 @@
         """Forget its last signs of life."""
         self.last_heartbeat_at = self.listed_until = NEVER
 
+    def forget_leaving(self) -> None:
+        """Forget a heartbeat that said that it leaves: it has started again since."""
+        if self.is_leaving:
+            self.heartbeat = None
+
     def record(self, heartbeat: Heartbeat, now: float, timeout_s: float) -> None:
         """Record a heartbeat that came at `now`."""
         self.heartbeat = heartbeat
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -90,6 +90,8 @@
     again after `resend_ms`. The process must end within `grace_s` seconds of SIGTERM.
     Nothing is started in a data centre later than `evac_ms` after its evacuation began;
     0 if data centres are never evacuated.
+    For up to `handover_ms` of this time an owner hands its shares over to successors
+    that it chooses; with 0, other hosts take them over as after a failure.
     """
 
     lease_ms: Millis = 1000.0
@@ -98,6 +100,7 @@
     resend_ms: Millis = 1300.0
     grace_s: Annotated[float, Meta(gt=0, le=3600)] = 6.0
     evac_ms: OptionalMillis = 0.0
+    handover_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 2000.0
 
     @property
     def lease_s(self) -> float:
@@ -119,6 +122,11 @@
         """Limit for evacuating a data centre, in seconds; 0 if there is none."""
         return self.evac_ms / MS_PER_S
 
+    @property
+    def handover_s(self) -> float:
+        """Limit for handing shares over, in seconds; leaves time for a takeover."""
+        return min(self.handover_ms / MS_PER_S, self.grace_s / 2)
+
     @property
     def resend_s(self) -> float:
         """Delay before a caller sends an unanswered job again, in seconds."""
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -44,6 +44,8 @@
     messages.ConfigCall,
     messages.RunnersCall,
     messages.UnownedCall,
+    messages.PrepareCall,
+    messages.TransferCall,
 )
 _CALL_TYPES_BY_PATH = {f"/{kind.__name__}": kind for kind in CALL_TYPES}
 # A job's payload has up to 65,536 characters; its 280 tasks and their runs add 30 kB.
