Keep the counters of jobs at the beginning of the metrics

Operators saw: the users' record, which keeps the beginning only, lacked counters of jobs; those of handovers and lost replies stood before them. test_jobs_status_and_metrics_are_served failed with the parts merged and passes.

--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -156,17 +156,17 @@
         # Ownership and placement come first because the users' record keeps only the
         # beginning; see `Metrics.render`.
         metrics.add_counters("ownership", lambda: host.ownership.counts)
-        metrics.add_counters("handover", lambda: host.handover.counts)
-        metrics.add_counters("succession", lambda: host.succession.counts)
         metrics.add_counters("configuration", lambda: host.directory.config_counts)
         metrics.add_counters("runners", lambda: host.directory.runners_counts)
         metrics.add_counters("placement", lambda: host.pool.counts)
+        metrics.add_counters("jobs", lambda: host.jobs.counts)
+        metrics.add_counters("handover", lambda: host.handover.counts)
+        metrics.add_counters("succession", lambda: host.succession.counts)
+        metrics.add_counters("prior_owners", lambda: host.prior_owners.counts)
         losses = host.pool.lost_replies
         metrics.add_counters(
             "replies", lambda: {"lost": losses.count, "probes": losses.probes}
         )
-        metrics.add_counters("jobs", lambda: host.jobs.counts)
-        metrics.add_counters("prior_owners", lambda: host.prior_owners.counts)
         metrics.add_counters("members", lambda: host.members.counts)
         metrics.add_counters("store", lambda: store.counts)
         metrics.add_counters("callers", lambda: self._callers.counts)
