Bound the additional polls of runners that lose replies

Found by a review, on virtual time: a runner that died right after it had answered a start was used for 0.7 s longer and its lease was extended (1.3 s instead of 0.6 s); a runner that failed long polls at once was polled 150 times a second; a lost poll let the lease of a runner run out though it answered other polls; a refused start was handled only after the poll beside it; an overdue run caused 9.5 polls a second.

Change: after a poll without a reply the next one waits for no end and renews no lease; a failure that comes fast is followed by a pause; an additional poll renews the lease of a runner that answered lately, and its interval doubles until a run ends; the reply to a start and the poll beside it are awaited together. The clock of another incarnation is ignored. Silence of over 0.5 s and starts that were given up count as no loss.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -13,7 +13,10 @@
 
 from monsoongap.coordination.lease import CLOCK_DRIFT, RunnerLease, longest_lease_s
 from monsoongap.coordination.lost_replies import (
-    PROBE_INTERVAL_S,
+    LOST_REPLY_SILENCE_S,
+    MAX_PROBE_INTERVAL_S,
+    MIN_PROBE_INTERVAL_S,
+    RENEW_WITHIN_S,
     START_OVERDUE_S,
     LostReplies,
     Responses,
@@ -59,6 +62,10 @@
 ORPHAN_MARGIN_S = 0.7
 
 
+class GivenUp(NoAnswer):
+    """A reply was not waited for any longer; it may be late and not lost."""
+
+
 class LinkState(Enum):
     """Whether the runner answers its owner."""
 
@@ -93,6 +100,9 @@
     _may_have_restarted: bool = False
     _lease: RunnerLease = field(init=False)
     _responses: Responses = field(default_factory=Responses)
+    _poll_failed: bool = False
+    _silent_since: float = 0.0
+    _probe_interval_s: float = MIN_PROBE_INTERVAL_S
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
 
@@ -268,15 +278,17 @@
             self.table.end(run, RunOutcome.UNHEALTHY)
             self._handle_lost_reply("start request not sent", sent_at)
             return
-        except NoAnswer:
-            self._handle_lost_reply("no reply to start request", sent_at)
+        except NoAnswer as exc:
+            if not isinstance(exc, GivenUp):
+                self._handle_lost_reply("no reply to start request", sent_at)
             if run.state is RunState.STARTING:
                 run.state = RunState.IN_DOUBT
                 await self._request_stop(run)
             return
         now = self.timers.now()
         self._responses.record(sent_at)
-        self._lease.record_clock(result.clock_ms, now)
+        if request.born_ms == self.table.born_ms:
+            self._lease.record_clock(result.clock_ms, now)
         if isinstance(result, NotStarted):
             self.avoid_until = now + REFUSED_PAUSE_S
             if run.state in (RunState.STARTING, RunState.IN_DOUBT):
@@ -303,14 +315,15 @@
         try:
             await asyncio.wait({call}, timeout=START_OVERDUE_S)
             if not call.done():
-                await self._probe()
+                probe = self._background.spawn(self._probe(), "probe")
+                await asyncio.wait({call, probe}, return_when=asyncio.FIRST_COMPLETED)
                 is_unlisted = run.state is RunState.STARTING
                 answers = self._responses.any_since(sent_at)
                 if is_unlisted and answers and not call.done():
-                    raise NoAnswer("not listed by a later poll")
+                    raise GivenUp("not listed by a later poll")
             return await call
         finally:
-            call.cancel()
+            _discard(call)
 
     def _may_send_start(self) -> bool:
         """Return whether a start may still be sent.
@@ -386,11 +399,14 @@
     async def _poll(self) -> None:
         self._wake.clear()
         held = self.state is LinkState.HELD
-        wait_s = POLL_WAIT_S if held and self.table.runs else 0.0
+        # After a poll without a reply, the next one is to tell at once if the runner
+        # answers, and renews no lease: it may be gone.
+        waits = held and self.table.runs and not self._poll_failed
+        wait_s = POLL_WAIT_S if waits else 0.0
         sent_at = self.timers.now()
         # An unresponsive runner's lease is not renewed: once it has lapsed, its runs
         # have certainly ended.
-        extends = held and self._lease.clock_known
+        extends = held and self._lease.clock_known and not self._poll_failed
         until_ms = self._lease.extend(sent_at) if extends else None
         self.polls += 1
         acknowledged = self.table.last_seen_seq if held else 0
@@ -411,9 +427,12 @@
             self._handle_lost_reply(f"poll failed: {type(exc).__name__}", sent_at)
             if self.timers.now() >= self._lease.lapsed_at:
                 self.table.end_all()
-            if not (held and isinstance(exc, NoAnswer)):
+            self._poll_failed = True
+            took_s = self.timers.now() - sent_at
+            if self.state is not LinkState.HELD or took_s < RETRY_S:
                 await self.timers.sleep(RETRY_S)
         else:
+            self._poll_failed = False
             self._apply(view, sent_at, acknowledged)
 
     async def _with_probes(self, call: Coroutine[Any, Any, RunnerView]) -> RunnerView:
@@ -424,16 +443,19 @@
         if delay_s is None or not self.lost_replies.is_likely(now):
             return await call
         task = asyncio.ensure_future(call)
-        interval_s = PROBE_INTERVAL_S
         try:
             while True:
+                delay_s = max(delay_s, self._probe_interval_s)
                 await asyncio.wait({task}, timeout=delay_s)
                 if task.done():
                     return await task
                 self._background.spawn(self._probe(), "probe")
-                delay_s, interval_s = interval_s, 2 * interval_s
+                delay_s = 0.0
+                self._probe_interval_s = min(
+                    2 * self._probe_interval_s, MAX_PROBE_INTERVAL_S
+                )
         finally:
-            task.cancel()
+            _discard(task)
 
     async def _probe(self) -> None:
         """Poll at once, beside the poll that is under way; ignore a failure."""
@@ -441,10 +463,16 @@
             return
         self.lost_replies.probes += 1
         sent_at = self.timers.now()
-        acknowledged = self.table.last_seen_seq
+        held = self.state is LinkState.HELD
+        acknowledged = self.table.last_seen_seq if held else 0
+        # The lease runs out if a poll and its renewal were lost. That of a runner which
+        # answers nothing is not renewed.
+        answers = self._responses.any_since(sent_at - RENEW_WITHIN_S)
+        renews = held and answers and self._lease.clock_known
+        until_ms = self._lease.extend(sent_at) if renews else None
         try:
             view = await self.runners.poll(
-                self.info, self.fence, acknowledged, None, 0, False
+                self.info, self.fence, acknowledged, until_ms, 0, False
             )
         except HigherFence:
             self.on_fenced(self)
@@ -466,6 +494,7 @@
     def _mark_unresponsive(self, reason: str) -> None:
         if self.state is LinkState.HELD:
             self.state = LinkState.SILENT
+            self._silent_since = self.timers.now()
             log.warning(
                 "runner unresponsive", extra={"runner": self.info.id, "reason": reason}
             )
@@ -480,11 +509,23 @@
         if self.state is not LinkState.HELD:
             if not first:
                 log.info("runner responds again", extra={"runner": self.info.id})
-                self.lost_replies.record(self.timers.now())
+                now = self.timers.now()
+                if now - self._silent_since <= LOST_REPLY_SILENCE_S:
+                    self.lost_replies.record(now)
             self.state = LinkState.HELD
         runs_before = len(self.table.runs)
         if self.table.apply(view, sent_at, acknowledged):
             self._lease.forget_clock()
         self._lease.record_clock(view.clock_ms, self.timers.now())
+        if len(self.table.runs) < runs_before:
+            self._probe_interval_s = MIN_PROBE_INTERVAL_S
         if first or len(self.table.runs) < runs_before:
             self.on_capacity_change()
+
+
+def _discard(call: "asyncio.Future[Any]") -> None:
+    """Cancel a call whose result is not used, or retrieve its exception."""
+    if not call.done():
+        call.cancel()
+    elif not call.cancelled():
+        call.exception()
--- a/monsoongap/coordination/lost_replies.py
+++ b/monsoongap/coordination/lost_replies.py
@@ -24,8 +24,15 @@
 # Declared times are off by two fifths. A poll costs less than an end learned late.
 OVERRUN_FACTOR = 1.25
 OVERRUN_S = 0.03
-# Between additional polls for the same overdue end; doubled after each.
-PROBE_INTERVAL_S = 0.1
+# Between additional polls of a runner; doubled after each until a run ends.
+MIN_PROBE_INTERVAL_S = 0.05
+MAX_PROBE_INTERVAL_S = 0.8
+# A lost reply is noticed after 0.3 s, and the runner answers the next poll. One that
+# was silent for longer was down, paused or cut off.
+LOST_REPLY_SILENCE_S = 0.5
+# An additional poll renews the lease of a runner that answered a request sent this long
+# ago. Leases last 1 s.
+RENEW_WITHIN_S = 0.5
 
 
 @dataclass(slots=True)
@@ -75,4 +82,4 @@
         if run.estimate_s > 0
     )
     due = min(expected, default=None)
-    return None if due is None else max(due - now, PROBE_INTERVAL_S / 2)
+    return None if due is None else max(due - now, 0.0)
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -137,11 +137,14 @@
     def is_outdated(self, view: RunnerView, sent_at: float) -> bool:
         """Return whether the reply to a later poll was applied already.
 
-        Replies on different connections may overtake each other.
+        Replies on different connections may overtake each other. Clocks are compared
+        only within an incarnation that is known.
         """
-        if view.born_ms == self.born_ms:
-            return view.clock_ms < self._applied_clock_ms
-        return sent_at < self._applied_sent_at
+        was_sent_before = sent_at < self._applied_sent_at
+        if not view.born_ms or view.born_ms != self.born_ms:
+            return was_sent_before
+        older_ms = self._applied_clock_ms - view.clock_ms
+        return older_ms > 0 or (older_ms == 0 and was_sent_before)
 
     def apply(self, view: RunnerView, sent_at: float, acknowledged: int) -> bool:
         """Apply the reply to a poll sent at `sent_at`; return if the runner restarted.
