--- a/monsoongap/__init__.py
+++ b/monsoongap/__init__.py
@@ -9,6 +9,6 @@
 import time
 
 __version__ = "0.2.0"
-# Read before the imports, which take a weak host up to a second. An earlier process of
-# the host had ended by then.
+# Read before the imports, which take up to a second on a slow host. The previous
+# process of this host has exited by this time.
 PROCESS_STARTED_AT = time.monotonic()
--- a/monsoongap/coordination/handover.py
+++ b/monsoongap/coordination/handover.py
@@ -39,8 +39,8 @@
 log = logging.getLogger(__name__)
 
 PREPARE_TIMEOUT_S = 0.6
-# Others take over after this if the reply to a transfer is lost. Below the 0.7 s after
-# which they take over from a silent owner.
+# Both tries together must stay below the 0.7 s after which other hosts take over from a
+# silent owner.
 TRANSFER_TIMEOUT_S = 0.25
 TRANSFER_TRIES = 2
 CANDIDATES_POLL_S = 0.05
@@ -173,7 +173,7 @@
                     peer, call, TransferReply, TRANSFER_TIMEOUT_S, attempt > 0
                 )
             except PeerDown:
-                # Nothing was sent if the first connection was refused.
+                # The first try was refused a connection, so no transfer was sent.
                 refused = attempt == 0
                 break
             if reply is not None:
@@ -250,7 +250,7 @@
                 return
 
     def _take_back(self, call: TransferCall, refused: bool) -> None:
-        """Own a share again whose successor did not acquire it, or does not answer.
+        """Reacquire a share that its successor refused, or did not confirm.
 
         One that did not answer may have started tasks: the share is in doubt then.
         """
--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -91,7 +91,7 @@
         self.last_heartbeat_at = self.listed_until = NEVER
 
     def forget_leaving(self) -> None:
-        """Forget a heartbeat that said that it leaves: it has started again since."""
+        """Discard a last heartbeat that announced leaving; the host has restarted."""
         if self.is_leaving:
             self.heartbeat = None
 
@@ -197,7 +197,7 @@
     if schedule.is_owner:
         is_local = peer.card.dc == dc
         if peer.card.dc in schedule.evacuated and not is_local and not peer.claims:
-            # It sends none here that would show whether it is live.
+            # It sends no heartbeats to this host, so its liveness is unknown.
             return REPORT_TICKS
         if not peer.is_live(now):
             return REMOTE_TICKS
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -205,7 +205,7 @@
 
     @property
     def in_doubt_s(self) -> float:
-        """For how long previous owners may have unknown runs here, as is expected.
+        """Expected time for which previous owners may have unknown runs here.
 
         The first poll is answered within milliseconds unless the runner is cut off.
         """
@@ -329,7 +329,7 @@
         """Return whether a start may still be sent.
 
         An evacuation may have begun since the task was placed, also during a pause of
-        this process, which is noticed first: the state may be too old since.
+        this process. After a pause the state may be too old to be relied on.
         """
         if not self.evacuation.is_enabled:
             return True
@@ -367,7 +367,7 @@
             run.state = RunState.STOPPING
             self._wake.set()
             if was_in_doubt:
-                # A run that never began has no end that the poll under way waits for.
+                # A run that never began has no end: the pending poll would wait.
                 await self._probe()
             return
 
--- a/monsoongap/coordination/plan.py
+++ b/monsoongap/coordination/plan.py
@@ -118,7 +118,7 @@
                 or self._first_fit(task, self.sound)
                 or self._first_fit(task, self.suspect)
             )
-        # Waiting instead of a late start has to be worth it in spite of wrong times.
+        # Waiting replaces a late start only if the task is in time with a margin.
         margin = 1.0 if late is None else TIME_MARGIN
         may_wait = margin * least_s <= left_s and (
             late is None or task.waits_for_better
@@ -132,7 +132,7 @@
         return late
 
     def _may_fit(self, task: PlanTask) -> bool:
-        """Return whether a runner has as much free; in a burst most tasks find none."""
+        """Return whether a runner has enough free CPU, before the costlier search."""
         cpu_milli, sound, suspect = task.size.cpu_milli, self.sound, self.suspect
         if sound and sound[-1].free.cpu_milli >= cpu_milli:
             return True
@@ -147,7 +147,7 @@
     ) -> Room | None:
         """Return the runner with the least free capacity that can take a task.
 
-        With a margin, only one on which the task is in time; `slow` is of which kind.
+        A `margin` requires the task to be in time there; `slow` selects the kind.
         """
         fitting = self._fitting(task, rooms, margin, slow)
         if not task.rack:
--- a/monsoongap/coordination/plan_data.py
+++ b/monsoongap/coordination/plan_data.py
@@ -160,7 +160,7 @@
     def is_useful(self, task: PlanTask, now: float) -> bool:
         """Return whether a task that starts now is to end while its caller waits.
 
-        One whose caller should have gone is not held back: it may not have.
+        After that time the task may start: the caller may still be waiting.
         """
         end_at = now + task.declared_s * self.runner.pace
         return end_at <= task.useless_at or now >= task.useless_at
--- a/monsoongap/coordination/planned_placement.py
+++ b/monsoongap/coordination/planned_placement.py
@@ -95,7 +95,7 @@
         views = [self.views.view(link, now, usual_slowness) for link in is_open]
         plan = None
         if not self._kept and len(works) <= FEW_TASKS:
-            # Busy runners need no look if all start in time, as under light load.
+            # Skips busy runners if all tasks start in time, as under light load.
             plan = self._plan(tasks, views, links, now)
         if plan is None or plan.late or len(plan.starts) < len(works):
             held = {r.runner for r in self._kept}
--- a/monsoongap/coordination/prior_owners.py
+++ b/monsoongap/coordination/prior_owners.py
@@ -28,7 +28,7 @@
 # A host that started a moment ago answers its first calls late.
 CALL_TIMEOUT_S = 0.3
 RETRY_S = 0.1
-# With the runners of the previous owner, an owner knows all after its first polls.
+# An owner that holds all runners of the previous one needs only its first polls.
 FIRST_WAIT_S = 0.02
 
 
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True)
 class PriorOwners:
-    """Both sides of the question when a host last owned the runners of a claim.
+    """Sends and answers `UnownedCall`: when a host last owned the runners of a claim.
 
     `on_confirmed` is called when the in-doubt period of a share became shorter.
     """
@@ -129,7 +129,7 @@
         except PeerCallFailed:
             self.counts.unanswered += 1
             return None
-        # The reply's way is counted as a time in which the host owned the share.
+        # The reply's transit time counts as time in which the host may have owned it.
         since = self.timers.now() - reply.unowned_ms / MS_PER_S
         return _Answer(asked_at, since)
 
--- a/monsoongap/coordination/readiness.py
+++ b/monsoongap/coordination/readiness.py
@@ -24,8 +24,8 @@
 # Waiting jobs continue one after the other, as each of them calls every other owner.
 SPREAD_S = 0.0003
 MAX_SPREAD_S = 0.1
-# A new owner asks the other hosts whether it has to wait as long as it announces first;
-# the calls take 0.3 s if one of them does not reply.
+# A new owner first announces the full wait; answers of the other hosts may shorten it.
+# The calls take 0.3 s if one of them does not reply.
 FIRM_AFTER_S = 0.35
 RISE_TOLERANCE_S = 0.05
 # A share without an owner: how long that lasts is not known.
@@ -78,7 +78,7 @@
 
     @property
     def is_firm(self) -> bool:
-        """Return whether what is expected did not become longer lately."""
+        """Return whether the expected wait has not grown for `FIRM_AFTER_S`."""
         return self.timers.now() - self._rose_at >= FIRM_AFTER_S
 
     def _wait_of(self, owner: Owner | None, now: float) -> float:
@@ -113,7 +113,7 @@
         if waited_s > min(unknown_s + known_s, latest_s):
             return True
         if rec.may_have_started or rec.run_numbers or not self.is_firm:
-            # An answer without a promise is worth less than a late result.
+            # "Not run" can't be promised, or may soon be unnecessary: keep waiting.
             return False
         return waited_s + self.expected_s() > latest_s
 
--- a/monsoongap/coordination/succession.py
+++ b/monsoongap/coordination/succession.py
@@ -39,7 +39,7 @@
 # A transfer that arrives later after the preparation is refused. Below the 0.7 s after
 # which others take over from an owner that is silent.
 PREPARED_S = 0.6
-# For how long the list of runners is read as by an owner, and runners are expected.
+# For how long a prepared host reads the runner list as often as an owner does.
 EXPECTED_S = 2.0
 
 
--- a/monsoongap/platform/runners.py
+++ b/monsoongap/platform/runners.py
@@ -116,7 +116,7 @@
     async def _identify(
         self, conn: KeepAliveConnection, runner: RunnerInfo, request: StartRequest
     ) -> None:
-        """Poll a connection before a start; raises unless it leads where it should.
+        """Poll on a connection; raises if it reaches another incarnation.
 
         The poll renews no lease and acknowledges no end, and the link does not use its
         reply, which may be older than that of a poll on another connection.
