Check a configuration before it is sent

'monsoongap check CONFIG [--against FILE|running]'; 'running' is read from the new GET /v1/config of an entry host.

--- a/monsoongap/cli/client.py
+++ b/monsoongap/cli/client.py
@@ -1,6 +1,7 @@
 """HTTP client of the command line: sends one request and decodes its reply."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -8,7 +9,12 @@
 
 from monsoongap.errors import UserError
 from monsoongap.transport.http_client import HttpClient
-from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
+from monsoongap.transport.http_conn import (
+    ExchangeLost,
+    HttpReply,
+    HttpRequest,
+    NotConnected,
+)
 
 ReplyT = TypeVar("ReplyT")
 
@@ -48,18 +54,30 @@
     `reply_type`.
     """
     data = b"" if body is None else msgspec.json.encode(body)
-    req = HttpRequest(method, path, data)
+    reply = _exchange(entry, HttpRequest(method, path, data), timeout_s)
+    try:
+        return msgspec.json.decode(reply.body, type=reply_type)
+    except msgspec.MsgspecError as exc:
+        raise UserError(f"{entry} sent an unexpected reply: {exc}") from exc
+
 
-    async def exchange() -> bytes:
+def fetch(entry: str, path: str) -> bytes:
+    """Return the body of a reply; raises `Unreachable`, `UserError` if not found."""
+    reply = _exchange(entry, HttpRequest("GET", path), TIMEOUT_S)
+    if reply.status != HTTPStatus.OK:
+        raise UserError(f"{entry}{path}: status {reply.status}")
+    return reply.body
+
+
+def _exchange(entry: str, req: HttpRequest, timeout_s: float) -> HttpReply:
+    async def exchange() -> HttpReply:
         http = HttpClient()
         try:
-            return (await http.exchange(entry, req, timeout_s)).body
+            return await http.exchange(entry, req, timeout_s)
         finally:
             http.close()
 
     try:
-        return msgspec.json.decode(asyncio.run(exchange()), type=reply_type)
+        return asyncio.run(exchange())
     except (NotConnected, ExchangeLost) as exc:
         raise Unreachable(f"no reply from the entry host: {exc}") from exc
-    except msgspec.MsgspecError as exc:
-        raise UserError(f"{entry} sent an unexpected reply: {exc}") from exc
--- a/monsoongap/cli/main.py
+++ b/monsoongap/cli/main.py
@@ -1,12 +1,12 @@
 """Operators' command-line program `monsoongap`.
 
-Exit codes: 0 success, 1 job not completed or not known, 2 usage error, 3 no reply from
-the entry host.
+Exit codes: 0 success, 1 job not completed or not known, or findings of `check`, 2 usage
+error, 3 no reply from the entry host.
 """
 
 import typer
 
-from monsoongap.cli import explain, jobs, status
+from monsoongap.cli import check, explain, jobs, status
 from monsoongap.util.command import VersionOption, run_program
 
 app = typer.Typer(
@@ -19,6 +19,7 @@
 app.command()(jobs.submit)
 app.command()(jobs.cancel)
 app.command()(explain.explain)
+app.command()(check.check)
 
 
 @app.callback()
--- a/monsoongap/transport/operators.py
+++ b/monsoongap/transport/operators.py
@@ -1,7 +1,8 @@
 """The operators' HTTP API: metrics, host status, and jobs in the product's own format.
 
-Serves `GET /metrics`, `GET /v1/status`, `PUT /v1/jobs/ID` and `DELETE /v1/jobs/ID` on a
-separate address, so that operators have access when callers overload the host.
+Serves `GET /metrics`, `GET /v1/status`, `GET /v1/config`, `PUT /v1/jobs/ID` and
+`DELETE /v1/jobs/ID` on a separate address, so that operators have access when callers
+overload the host.
 """
 
 import logging
@@ -43,6 +44,7 @@
 JOBS_PATH = "/v1/jobs/"
 STATUS_PATH = "/v1/status"
 METRICS_PATH = "/metrics"
+CONFIG_PATH = "/v1/config"
 NO_JOB_ID = "the job's id is not 16 hexadecimal digits"
 
 
@@ -121,6 +123,10 @@
                 req.reply(HTTPStatus.OK, content, headers)
             case ("GET", path) if path == STATUS_PATH:
                 _send_json(req, HTTPStatus.OK, self._status())
+            case ("GET", path) if path == CONFIG_PATH:
+                text = self._host.directory.text
+                status = HTTPStatus.OK if text else HTTPStatus.NOT_FOUND
+                req.reply(status, text, {"Content-Type": "application/json"})
             case ("PUT", path) if path.startswith(JOBS_PATH):
                 self._background.spawn(self._submit(req), "operator's job")
             case ("DELETE", path) if path.startswith(JOBS_PATH):
--- a/tests/transport/test_operators.py
+++ b/tests/transport/test_operators.py
@@ -6,8 +6,8 @@
 
 from monsoongap.coordination.status import HostStatus
 from monsoongap.transport.http_conn import HttpRequest
-from monsoongap.transport.operators import JobAnswer, JobBody, StepBody
-from tests.platform.site import Site, open_site
+from monsoongap.transport.operators import CONFIG_PATH, JobAnswer, JobBody, StepBody
+from tests.platform.site import CONFIG, Site, open_site
 
 JOB_ID = "5c0e7a21d94b36f8"
 # The users' record of a day keeps this many characters of a host's metrics.
@@ -48,6 +48,8 @@
             }
             total_starts = sum(row.starts for row in host_status.runners)
             assert total_starts in (0, 3)
+            running = await site.get(address, CONFIG_PATH)
+            assert msgspec.json.decode(running.body) == CONFIG
             metrics = await site.get(address, "/metrics")
             assert b"monsoongap_jobs_submitted_total" in metrics.body
             recorded = metrics.body[:RECORDED_CHARS].decode()
