Hold a job for earlier runs only while its answer is of use

Cause: jobs were held while their callers waited. Released together, those that were too late already took the capacity from the new ones.

Also: a log line names the hosts that did not tell when they owned a share.

--- a/monsoongap/coordination/prior_owners.py
+++ b/monsoongap/coordination/prior_owners.py
@@ -31,6 +31,9 @@
 # An owner that holds all runners of the previous one needs only its first polls.
 FIRST_WAIT_S = 0.02
 
+# At most so many hosts without an answer are named in one log line.
+MAX_SILENT_LOGGED = 4
+
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
@@ -82,6 +85,7 @@
     async def _ask_while_in_doubt(self, claim: Claim) -> None:
         await self.timers.sleep(FIRST_WAIT_S)
         answers: dict[str, _Answer] = {}
+        is_logged = False
         while self._is_current(claim) and self.pool.is_in_doubt(claim):
             missing = sorted(self._addresses() - answers.keys())
             found = await asyncio.gather(*(self._ask(a, claim) for a in missing))
@@ -96,8 +100,26 @@
             if self.members.lists_all_hosts and self._addresses() <= answers.keys():
                 self._confirm(claim, list(answers.values()))
                 return
+            if not is_logged:
+                is_logged = True
+                self._log_unconfirmed(claim, missing, found)
             await self.timers.sleep(RETRY_S)
 
+    def _log_unconfirmed(
+        self, claim: Claim, asked: list[str], found: list[_Answer | None]
+    ) -> None:
+        silent = [a for a, v in zip(asked, found, strict=True) if v is None]
+        log.info(
+            "not all hosts told when they owned the share; asking again",
+            extra={
+                "dc": claim.share.dc,
+                "share": claim.share.index,
+                "asked": len(asked),
+                "silent": silent[:MAX_SILENT_LOGGED] or None,
+                "hosts_listed": self.members.lists_all_hosts,
+            },
+        )
+
     def _addresses(self) -> set[str]:
         """Return the addresses of all other hosts; seeds have placeholder names."""
         return {peer.address for peer in self.members.all()}
--- a/monsoongap/coordination/readiness.py
+++ b/monsoongap/coordination/readiness.py
@@ -19,7 +19,9 @@
 CHECK_S = 0.01
 # Longer than a lease, after which no run of a previous owner is left here.
 RECONCILE_TIMEOUT_S = 1.5
-# While the end is known, a job is held until its caller leaves, but not longer.
+# While the end is known, a job is held as long as its answer is of use to its caller,
+# but not longer than this. Jobs that are held for longer would be answered too late,
+# and delay those that come after the end.
 MAX_HOLD_S = 3.0
 # Waiting jobs continue one after the other, as each of them calls every other owner.
 SPREAD_S = 0.0003
@@ -108,7 +110,7 @@
         It has been held for `waited_s`; for `known_s` of them the end was known. The
         rest is limited as any wait for capacity.
         """
-        latest_s = min(rec.budget.latest_start_s, MAX_HOLD_S)
+        latest_s = min(rec.budget.useful_start_s, MAX_HOLD_S)
         unknown_s = min(rec.budget.capacity_timeout_s, RECONCILE_TIMEOUT_S)
         if waited_s > min(unknown_s + known_s, latest_s):
             return True
--- a/monsoongap/coordination/time_budget.py
+++ b/monsoongap/coordination/time_budget.py
@@ -48,6 +48,12 @@
         wait_s = self.wait_s or float("inf")
         return max(wait_s - self.critical_path_s, 0.0)
 
+    @property
+    def useful_start_s(self) -> float:
+        """Age at which the job must start for its answer to be of use to its caller."""
+        late_limit_s = self.objective_s * USELESS_FACTOR - self.critical_path_s
+        return min(max(late_limit_s, 0.0), self.latest_start_s)
+
     @property
     def capacity_timeout_s(self) -> float:
         """Time after which a job is refused if none of its tasks was dispatched."""
--- a/tests/coordination/test_readiness.py
+++ b/tests/coordination/test_readiness.py
@@ -33,8 +33,8 @@
         return self.owner
 
 
-def make_record(wait_s: float) -> JobRecord:
-    budget = TimeBudget(0.1, 0.3, wait_s)
+def make_record(wait_s: float, objective_s: float = 0.8) -> JobRecord:
+    budget = TimeBudget(0.1, objective_s, wait_s)
     rule = QueueRule("q", "h", "/q/", "u", 1.5)
     job, answer = job_of(1, 1, 0.1), None
     return JobRecord(job, rule, SHARE, budget, 0.0, answer)  # type: ignore[arg-type]
@@ -55,7 +55,8 @@
 
 
 # Guards against a refusal of a job whose caller still waits when the known time is
-# over, and against a job that is held although its caller will have left by then.
+# over, and against a job that is held although its caller will have left by then, or
+# its answer will be of no use: it then delays the jobs that come after that time.
 def test_a_job_is_held_only_if_its_caller_waits_until_the_known_end(
     share: OneShare,
 ) -> None:
@@ -67,6 +68,7 @@
     share.clock.at += FIRM_AFTER_S + 0.01
     assert readiness.refuses(make_record(0.6), 0.0, 0.0)
     assert not readiness.refuses(make_record(2.0), 0.5, 0.5)
+    assert readiness.refuses(make_record(2.0, 0.3), 0.0, 0.0)
     assert readiness.retry_after_s == 1.0
     share.until = share.clock.at + 1.3
     share.clock.at += 0.02
@@ -94,7 +96,7 @@
     assert readiness.ends_soon
     share.clock.at += RETURN_S
     assert not readiness.ends_soon
-    rec = make_record(1.0)
+    rec = make_record(1.0, 0.3)
     assert not readiness.refuses(rec, 0.44, 0.0)
     assert readiness.refuses(rec, 0.46, 0.0)
     assert not readiness.refuses(rec, 0.46, 0.1)
