Logs: tell apart why a job ran twice at one time

- Was the memory of a job shorter than the job?
An owner that executes a job whose location has expired warns and tells the age of the location.
Forwards tell age and `again`, failed calls to an owner how long they took.
A job that is executed as its owner is not live has a line.
Expired locations are kept for these lines only; owner_of_job returns None for them as before.
- Did nobody end a job whose caller had gone?
A job without an answer 0.5 s after its caller's wait is logged once, with what is left of it.
A failed cancel is a warning, a cancel of a job that is not here is logged and counted.
A gauge tells the age of the oldest job.
- Was a call late?
`task placed` tells the age of the job at this owner and whether a previous owner may have started it.
How old a call is on arrival remains invisible, since calls carry no time of sending.

A stop of an own job that another owner has announced is a warning, as lines of level INFO may be dropped under load.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -14,6 +14,7 @@
 from monsoongap.coordination.heartbeats import HeartbeatParts, Peer
 from monsoongap.coordination.host_calls import HostCalls
 from monsoongap.coordination.job_record import JobRecord
+from monsoongap.coordination.job_traces import JobTraces
 from monsoongap.coordination.jobs import Jobs
 from monsoongap.coordination.lending import Lending
 from monsoongap.coordination.members import OWNER_TIMEOUT_S, Members
@@ -51,7 +52,7 @@
 from monsoongap.settings import EntrySettings
 from monsoongap.state.directory import SOURCE_STORE, Directory
 from monsoongap.state.evacuation import Evacuation
-from monsoongap.state.job_locations import JobLocations
+from monsoongap.state.job_locations import JobLocations, location_fields
 from monsoongap.timers import MS_PER_S, Pause, Subscription, TimerService
 from monsoongap.util.background import BackgroundTasks
 
@@ -170,6 +171,8 @@
         self.borrowing.on_dispatch = self.jobs.record_dispatch
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
+        self.pool.location_of = self.job_locations.location_of
+        self.traces = JobTraces(self.jobs, self.pool, self.job_locations)
         self.config_fetcher = ConfigFetcher(
             self.members, ports.peers, self.directory, timers
         )
@@ -321,10 +324,11 @@
                     self._rerouted[call.job.id] = share.dc
                     self.directory.evacuation.counts.jobs_rerouted += 1
                 asked = True
+                sent_at = self.timers.now()
                 try:
                     reply = await self._submit_to_owner(owner, call)
                 except PeerCallFailed as exc:
-                    self._handle_failed_call(owner, call, exc)
+                    self._handle_failed_call(owner, call, exc, sent_at)
                     call = replace(call, again=True, rule=rule)
                 else:
                     if reply.kind is not AnswerKind.HANDED_ON:
@@ -376,7 +380,7 @@
         return JobReply(AnswerKind.BROKEN, reply.detail)
 
     def _handle_failed_call(
-        self, owner: Owner, call: SubmitCall, exc: PeerCallFailed
+        self, owner: Owner, call: SubmitCall, exc: PeerCallFailed, sent_at: float
     ) -> None:
         assert owner.peer is not None
         if isinstance(exc, PeerDown):
@@ -387,6 +391,7 @@
                 "job": call.job.id,
                 "owner": owner.peer.card.name,
                 "reason": str(exc),
+                "took_ms": round((self.timers.now() - sent_at) * MS_PER_S),
             },
         )
 
@@ -406,6 +411,8 @@
                 "job": call.job.id,
                 "owner": owner.peer.card.name,
                 "heard_ms": heartbeat_age_ms,
+                "again": call.again or None,
+                **location_fields(self.job_locations.location_of(call.job.id)),
             },
         )
         task = asyncio.create_task(self._send_submit(owner.peer, call))
@@ -441,6 +448,7 @@
                 if call.share not in self.ownership.claims:
                     return JobReply(AnswerKind.HANDED_ON, "not an owner")
         if owner is None:
+            self.traces.job_taken(call)
             if call.delayed and not self.jobs.knows(call.job.id):
                 self.jobs.mark_job_in_doubt(call.job.id)
                 # A copy that comes to another owner from now on is forwarded here.
@@ -452,19 +460,32 @@
         if peer is not None and self.members.is_live(owner):
             log.info(
                 "another owner executes the job; forwarding to it",
-                extra={"job": call.job.id, "home": owner},
+                extra={
+                    "job": call.job.id,
+                    "home": owner,
+                    "again": call.again or None,
+                    **location_fields(self.job_locations.location_of(call.job.id)),
+                },
             )
+            sent_at = self.timers.now()
             forwarded = replace(call, here=True, again=True)
             try:
                 reply = await self._send_submit(peer, forwarded)
             except PeerCallFailed as exc:
                 log.warning(
                     "call to the job's owner failed; executing the job here",
-                    extra={"job": call.job.id, "reason": str(exc)},
+                    extra={
+                        "job": call.job.id,
+                        "home": owner,
+                        "reason": str(exc),
+                        "took_ms": round((self.timers.now() - sent_at) * MS_PER_S),
+                    },
                 )
             else:
                 if reply.kind is not AnswerKind.HANDED_ON:
                     return reply
+        else:
+            self.traces.owner_not_live(call, owner)
         self.jobs.mark_job_in_doubt(call.job.id)
         return await self.jobs.submit(replace(call, again=True))
 
@@ -487,6 +508,7 @@
         if owner is None:
             return
         if owner.peer is None:
+            self.traces.cancel_received(job)
             self.jobs.cancel(job)
         else:
             self._background.spawn(self._send_cancel(owner.peer, job), "cancel")
@@ -494,11 +516,11 @@
     async def _send_cancel(self, peer: Peer, job: str) -> None:
         try:
             await self.peers.call(peer.address, CancelCall(job), bool, 1.0)
-        except PeerCallFailed:
+        except PeerCallFailed as exc:
             # The job ends by itself, and no caller waits for its answer.
-            log.info(
+            log.warning(
                 "cancel call to the owner failed; the job goes on",
-                extra={"job": job},
+                extra={"job": job, "owner": peer.card.name, "reason": str(exc)},
             )
 
     # Input from the store and from other hosts.
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -69,6 +69,7 @@
             case LocateCall(job):
                 return host.jobs.knows(job)
             case CancelCall(job):
+                host.traces.cancel_received(job)
                 host.jobs.cancel(job)
                 host.lending.cancel_runs_of(job)
                 return True
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -34,7 +34,7 @@
     number of each caller's request for the job. `in_doubt_since` is when contact was
     lost with an owner that may have runs of the job. `runs_ended` is set when no run is
     left. `reconciling` says that runs of previous owners are awaited, `held_s` for how
-    long they were.
+    long they were. `overdue` says that the job was logged as overdue.
     """
 
     job: Job
@@ -58,6 +58,7 @@
     runs_ended: asyncio.Event = field(default_factory=asyncio.Event)
     reconciling: bool = False
     held_s: float = 0.0
+    overdue: bool = False
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
 
     @property
--- /dev/null
+++ b/monsoongap/coordination/job_traces.py
@@ -0,0 +1,99 @@
+"""Log lines and counts of jobs that may run twice or outlive their callers."""
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from monsoongap.coordination.job_record import JobRecord
+from monsoongap.coordination.pool import Pool
+from monsoongap.protocol.messages import SubmitCall
+from monsoongap.state.job_locations import JobLocations, location_fields
+from monsoongap.timers import MS_PER_S
+
+if TYPE_CHECKING:
+    from monsoongap.coordination.jobs import Jobs
+
+log = logging.getLogger(__name__)
+
+# A cancel call takes less than this unless it is lost.
+OVERDUE_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class JobTraces:
+    """Logs what an owner knew of a job as it took or cancelled it."""
+
+    jobs: "Jobs"
+    pool: Pool
+    locations: JobLocations
+
+    def job_taken(self, call: SubmitCall) -> None:
+        """Log that a job is executed here whose location elsewhere has expired."""
+        job = call.job.id
+        if call.is_handover or call.here or self.jobs.can_join(call):
+            return
+        location = self.locations.location_of(job)
+        if location is None or not location.is_expired:
+            return
+        self.jobs.counts.location_expired += 1
+        log.warning(
+            "location of the job has expired; executing it here",
+            extra={
+                "job": job,
+                "owner": location.owner,
+                "age_s": round(location.age_s, 3),
+                "origin": call.origin,
+                "again": call.again,
+                "runs": len(self.pool.runs_of(job)),
+            },
+        )
+
+    def owner_not_live(self, call: SubmitCall, owner: str) -> None:
+        """Log that a job is executed here as the owner that has it is not live."""
+        log.warning(
+            "job's owner is not live; executing the job here",
+            extra={
+                "job": call.job.id,
+                "home": owner,
+                "again": call.again,
+                **location_fields(self.locations.location_of(call.job.id)),
+            },
+        )
+
+    def cancel_received(self, job: str) -> None:
+        """Log a cancel of a job of which nothing is here.
+
+        A lender gets cancels too; a run that it has for a borrower counts as here.
+        """
+        if self.jobs.knows(job) or self.pool.runs_of(job):
+            return
+        self.jobs.counts.cancel_missed += 1
+        log.info(
+            "cancelled job is not here; ignoring the cancel",
+            extra={"job": job, **location_fields(self.locations.location_of(job))},
+        )
+
+
+def is_overdue(rec: JobRecord, now: float) -> bool:
+    """Return whether a job has outlived its caller's wait and was not logged yet."""
+    wait_s = rec.budget.wait_s
+    late_s = now - rec.arrived_at - wait_s
+    return wait_s > 0 and late_s > OVERDUE_S and not rec.overdue
+
+
+def log_overdue(rec: JobRecord, pool: Pool, now: float) -> None:
+    """Log, once, what is left of a job that has outlived its caller's wait."""
+    rec.overdue = True
+    log.warning(
+        "job outlived its caller's wait; it goes on",
+        extra={
+            "job": rec.job.id,
+            "age_ms": round((now - rec.arrived_at) * MS_PER_S),
+            "wait_ms": round(rec.budget.wait_s * MS_PER_S),
+            "requests": len(rec.requests),
+            "runs": len(pool.runs_of(rec.job.id)),
+            "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
+            "waiting": sum(work.waiting for work in rec.works.values()),
+            "reconciling": rec.reconciling or None,
+        },
+    )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -16,6 +16,7 @@
     capacity_timeout_refusal,
 )
 from monsoongap.coordination.job_record import NEVER, JobRecord
+from monsoongap.coordination.job_traces import is_overdue, log_overdue
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.readiness import Readiness
 from monsoongap.coordination.steps import Steps
@@ -51,7 +52,12 @@
 
 @dataclass(slots=True)
 class JobCounts:
-    """Counts of submissions, joins, answers by kind, and reconciliations."""
+    """Counts of submissions, joins, answers by kind, and reconciliations.
+
+    `overdue` counts jobs that outlived their caller's wait, `location_expired` those
+    executed here although another owner had them, `cancel_missed` cancels of jobs that
+    were not here.
+    """
 
     submitted: int = 0
     joined: int = 0
@@ -63,6 +69,9 @@
     past_found: int = 0
     past_lapsed: int = 0
     past_unsettled: int = 0
+    overdue: int = 0
+    location_expired: int = 0
+    cancel_missed: int = 0
 
 
 @dataclass(slots=True)
@@ -109,6 +118,12 @@
         """Number of jobs without an answer."""
         return len(self._unanswered)
 
+    @property
+    def oldest_s(self) -> float:
+        """Age of the oldest job without an answer, in seconds; 0 if there is none."""
+        oldest = next(iter(self._unanswered.values()), None)
+        return 0.0 if oldest is None else self.timers.now() - oldest.arrived_at
+
     @property
     def lag_s(self) -> float:
         """Smoothed lag of this host's event loop, in seconds."""
@@ -347,6 +362,9 @@
         now = self.timers.now()
         for rec in list(self._unanswered.values()):
             age = now - rec.arrived_at
+            if is_overdue(rec, now):
+                self.counts.overdue += 1
+                log_overdue(rec, self.pool, now)
             if rec.dispatched or rec.is_borrowing or rec.reconciling:
                 continue
             if age > rec.capacity_timeout_s:
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -42,6 +42,7 @@
 )
 from monsoongap.settings import BoundsSection
 from monsoongap.state.evacuation import Evacuation
+from monsoongap.state.job_locations import JobLocation, location_fields
 from monsoongap.timers import MS_PER_S, TimerService
 from monsoongap.util.background import BackgroundTasks
 
@@ -91,6 +92,7 @@
     on_orphan_found: Callable[[str], None] = lambda job: None
     lost_replies: LostReplies = field(default_factory=LostReplies)
     evacuation: Evacuation = field(default_factory=Evacuation)
+    location_of: Callable[[str], JobLocation | None] = lambda job: None
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
@@ -243,7 +245,11 @@
                 run.state = RunState.IN_DOUBT
             case _:
                 return
-        log.info(
+        # Both this owner and another one have had the job as theirs.
+        is_own = run.work is not None and run.work.share is not None
+        location = self.location_of(run.task.job) if is_own else None
+        log.log(
+            logging.INFO if location is None else logging.WARNING,
             "stop requested",
             extra={
                 "job": run.task.job,
@@ -251,6 +257,7 @@
                 "run": run.number,
                 "runner": self.info.id,
                 "fence": self.fence,
+                **location_fields(location),
             },
         )
         self._background.spawn(self._request_stop(run), "stop")
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -32,7 +32,8 @@
 )
 from monsoongap.settings import BoundsSection
 from monsoongap.state.directory import Directory
-from monsoongap.timers import Subscription, TimerService
+from monsoongap.state.job_locations import JobLocation
+from monsoongap.timers import MS_PER_S, Subscription, TimerService
 
 log = logging.getLogger(__name__)
 
@@ -67,7 +68,8 @@
 
     `on_dispatch` is called with each task that is given to a runner, `on_held` when a
     runner is newly held, `on_orphan_found` with the id of each job of which an orphan
-    run is found. `planned` decides where tasks go if a horizon is set.
+    run is found. `location_of` returns which other owner announced a job, for the log.
+    `planned` decides where tasks go if a horizon is set.
     """
 
     cfg: BoundsSection
@@ -81,6 +83,7 @@
     on_dispatch: Callable[[Work], None] = lambda work: None
     on_held: Callable[[], None] = lambda: None
     on_orphan_found: Callable[[str], None] = lambda job: None
+    location_of: Callable[[str], JobLocation | None] = lambda job: None
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
@@ -267,6 +270,7 @@
             on_orphan_found=lambda job: self.on_orphan_found(job),
             lost_replies=self.lost_replies,
             evacuation=self.directory.evacuation,
+            location_of=self.location_of,
         )
         self.links[info.id] = link
         link.open()
@@ -526,6 +530,8 @@
         if self.planned is not None:
             self.planned.record_start(link, run)
         self._bind(work, link, run)
+        arrived_at = work.arrived_at
+        age_s = None if arrived_at is None else self.timers.now() - arrived_at
         log.info(
             "task placed",
             extra={
@@ -535,6 +541,8 @@
                 "runner": link.info.id,
                 "fence": link.fence,
                 "lent": work.share is None,
+                "age_ms": None if age_s is None else round(age_s * MS_PER_S),
+                "again": work.again or None,
                 "free_cpu": link.table.free.cpu_milli,
                 "waiting": len(self._waiting),
             },
--- a/monsoongap/coordination/steps.py
+++ b/monsoongap/coordination/steps.py
@@ -58,6 +58,8 @@
             run_number=rec.run_numbers.get(task, 0) + 1,
             due_at=due_at,
             useless_at=rec.arrived_at + (rec.budget.wait_s or float("inf")),
+            arrived_at=rec.arrived_at,
+            again=rec.may_have_started,
         )
         rec.works[task] = work
         if not self.pool.adopt(work):
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -90,6 +90,8 @@
     the run on a runner of this host. `borrowed_from` is the name of the lender that
     runs the task, empty if it waits or runs here. `due_at` is when the run must end for
     the job to meet its objective, `useless_at` for its caller to be there still.
+    `arrived_at` is when the job came to this owner, None for a task that runs here for
+    a borrower; `again` says that a previous owner may have started it.
     """
 
     task: TaskId
@@ -112,3 +114,5 @@
     waiting: bool = False
     due_at: float = float("inf")
     useless_at: float = float("inf")
+    arrived_at: float | None = None
+    again: bool = False
--- a/monsoongap/daemon.py
+++ b/monsoongap/daemon.py
@@ -207,6 +207,11 @@
             "Smoothed delay of the event loop of this host.",
             lambda: host.jobs.lag_s,
         )
+        metrics.add_gauge(
+            "oldest_job_s",
+            "Age of the oldest job in progress at this owner.",
+            lambda: round(host.jobs.oldest_s, 1),
+        )
 
     async def _shut_down(self) -> None:
         """Hand over owned shares and answer open requests within the grace period."""
--- a/monsoongap/state/job_locations.py
+++ b/monsoongap/state/job_locations.py
@@ -5,12 +5,29 @@
 """
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 from monsoongap.timers import TimerService
 
 # A caller's last retry comes within its deadline and a few pauses.
 REMEMBER_S = 15.0
 SWEEP_AT = 2048
+# Expired locations are kept for log lines only.
+KEEP_EXPIRED_S = 120.0
+MAX_EXPIRED = 8192
+
+
+@dataclass(frozen=True, slots=True)
+class JobLocation:
+    """The owner that announced a job, and how long ago it last did."""
+
+    owner: str
+    age_s: float
+
+    @property
+    def is_expired(self) -> bool:
+        """Return whether the location is too old to forward calls by it."""
+        return self.age_s > REMEMBER_S
 
 
 @dataclass(slots=True)
@@ -20,6 +37,7 @@
     timers: TimerService
     _owners: dict[int, tuple[str, float]] = field(default_factory=dict)
     _sweep_at: int = SWEEP_AT
+    _expired: dict[int, tuple[str, float]] = field(default_factory=dict)
 
     def record_jobs(self, owner: str, numbers: tuple[int, ...]) -> None:
         """Record the jobs that an owner started, by their numbers."""
@@ -36,6 +54,15 @@
             return None
         return known[0]
 
+    def location_of(self, job: str) -> JobLocation | None:
+        """Return the last location of a job, even if expired; for diagnosis only."""
+        number = job_number(job)
+        known = self._owners.get(number) or self._expired.get(number)
+        if known is None:
+            return None
+        age_s = self.timers.now() - known[1]
+        return JobLocation(known[0], age_s) if age_s <= KEEP_EXPIRED_S else None
+
     def by_owner(self) -> tuple[tuple[str, tuple[int, ...]], ...]:
         """Return the numbers of the jobs that each other owner is known to have."""
         self._sweep(self.timers.now())
@@ -45,6 +72,12 @@
         return tuple((owner, tuple(jobs)) for owner, jobs in numbers.items())
 
     def _sweep(self, now: float) -> None:
+        for number, known in self._owners.items():
+            if now - known[1] > REMEMBER_S:
+                self._expired[number] = known
+        excess = len(self._expired) - MAX_EXPIRED
+        if excess > 0:
+            self._expired = dict(islice(self._expired.items(), excess, None))
         self._owners = {
             number: (owner, at)
             for number, (owner, at) in self._owners.items()
@@ -53,6 +86,13 @@
         self._sweep_at = max(SWEEP_AT, 2 * len(self._owners))
 
 
+def location_fields(location: JobLocation | None) -> dict[str, object]:
+    """Return the log fields that tell where another owner has a job, if one has."""
+    if location is None:
+        return {}
+    return {"located": location.owner, "location_age_s": round(location.age_s, 3)}
+
+
 def job_number(job: str) -> int:
     """Return a job's id, which is hexadecimal, as a number."""
     return int(job, 16)
--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -6,13 +6,15 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
 import pytest
 
 from monsoongap.errors import AnswerKind
 from monsoongap.logs import JsonFormatter
-from monsoongap.protocol.messages import SubmitCall, TaskId
+from monsoongap.protocol.messages import Job, Resources, Step, SubmitCall, TaskId
+from monsoongap.standin.runner_model import TaskPlan
 from tests import clock
-from tests.host_world import World
+from tests.host_world import QUEUE, World
 
 LIMIT_S = 60.0
 
@@ -240,3 +242,71 @@
         assert (line["runs_named"], line["again"]) == (1, True)
 
     run_virtual(main())
+
+
+def test_a_job_whose_location_has_expired_is_told_at_its_start_and_stop(
+    told: Told,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        await world.submit("a-h0", JOB, 1)
+        await asyncio.sleep(16)
+        owner = world.hosts["b-h0"]
+        assert owner.job_locations.owner_of_job(JOB) is None
+        assert owner.job_locations.by_owner() == ()
+        call = asyncio.create_task(world.submit("b-h0", JOB, 1, 1000.0))
+        await asyncio.sleep(0.3)
+        (line,) = told.lines("location of the job has expired; executing it here")
+        assert (line["level"], line["job"]) == ("warning", JOB)
+        assert (line["owner"], line["again"]) == ("a-h0", False)
+        assert 15 < line["age_s"] < 17
+        assert owner.jobs.counts.location_expired == 1
+        assert world.hosts["a-h0"].jobs.counts.location_expired == 0
+        owner.cancel(JOB)
+        assert (await call).kind is AnswerKind.BROKEN
+        (stop,) = told.lines("stop requested")
+        assert (stop["level"], stop["located"]) == ("warning", "a-h0")
+
+    run_virtual(main())
+
+
+def test_a_job_that_outlives_its_caller_s_wait_is_told_once(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        payload = msgspec.json.encode(TaskPlan(3000.0)).decode()
+        job = Job(JOB, QUEUE, payload, (Step(1, Resources(1000, 64), 0.5),))
+        call = asyncio.create_task(world.submit_job("a-h0", job, wait_s=1.0))
+        jobs = world.hosts["a-h0"].jobs
+        await asyncio.sleep(1.4)
+        assert jobs.counts.overdue == 0 and jobs.oldest_s == pytest.approx(1.4)
+        assert (await call).kind is AnswerKind.COMPLETED
+        (line,) = told.lines("job outlived its caller's wait; it goes on")
+        assert (line["level"], line["job"], line["wait_ms"]) == ("warning", JOB, 1000)
+        assert 1500 < line["age_ms"] < 1600
+        assert (line["runs"], line["lent"], line["waiting"]) == (1, 0, 0)
+        assert jobs.counts.overdue == 1 and jobs.oldest_s == 0
+        (placed,) = told.lines("task placed")
+        assert placed["age_ms"] < 10 and "again" not in placed
+
+    run_virtual(main())
+
+
+def test_a_cancel_of_a_job_that_is_at_another_owner_is_told(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        call = asyncio.create_task(world.submit("a-h0", JOB, 1, 500.0))
+        await asyncio.sleep(0.3)
+        other = world.hosts["b-h0"]
+        other.cancel(JOB)
+        (line,) = told.lines("cancelled job is not here; ignoring the cancel")
+        assert (line["job"], line["located"]) == (JOB, "a-h0")
+        assert other.jobs.counts.cancel_missed == 1
+        assert (await call).kind is AnswerKind.COMPLETED
+
+    run_virtual(main())
