Tests: a job that runs longer than its callers wait

The model network can now let a host go on with a call that was given up, as the call server does (handlers_outlive_calls).

--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -128,6 +128,8 @@
     # Calls that hosts of an earlier version don't know.
     call_types_unknown: set[type[Any]] = field(default_factory=set)
     calls_delivered: Counter[type[Any]] = field(default_factory=Counter)
+    # Whether a host goes on with a call that was given up, as the call server does.
+    handlers_outlive_calls: bool = False
     # Pairs of sender and receiver.
     heartbeats_lost: set[tuple[str, str]] = field(default_factory=set)
     # Of the link of each host, on which replies queue; None for no limit.
@@ -337,7 +339,8 @@
         task = asyncio.create_task(host.calls.answer(request))
         self._tasks.setdefault(target, {})[task] = None
         try:
-            reply = await task
+            outlives = self.handlers_outlive_calls
+            reply = await (asyncio.shield(task) if outlives else task)
         except asyncio.CancelledError:
             if target in self.hosts and self.hosts[target] is host:
                 raise
