End a job when its callers no longer wait

Cause: only a cancel ended a job whose tasks had begun. It is sent once, by the host that notices the disconnect, to the owner of the share. It is lost with that host, with its connection, or at an owner that passed the job on. An owner compared a job's age with its caller's wait only after a pause of its own. A submission told the full wait at each hop, and a lender knew none.

Change: each call tells how much longer its caller waits when it is sent, also when it is repeated, forwarded or handed over. A host that forwards a job stops trying when its caller's wait is over. Callers that state no wait are served as before.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -15,6 +15,7 @@
 from monsoongap.coordination.ownership import Ownership
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
 from monsoongap.coordination.repeated_call import call_repeatedly
+from monsoongap.coordination.time_budget import wait_left_s
 from monsoongap.coordination.work import RunOutcome, Work
 from monsoongap.protocol.messages import (
     CancelCall,
@@ -153,7 +154,9 @@
             reply: LendReply = await call_repeatedly(
                 self.peers,
                 peer.address,
-                call,
+                lambda _: replace(
+                    call, wait_s=wait_left_s(work.useless_at, self.timers.now())
+                ),
                 LendReply,
                 LEND_TIMEOUT_S,
                 work.estimate_s,
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -66,8 +66,10 @@
 STARTUP_OWNER_WAIT_S = 1.2
 # Owners that decline a job are asked again for this long; callers give up after 1.5 s.
 DECLINED_WAIT_S = 2.0
-# A forwarded job is answered within its deadline; this only bounds leaked calls.
+# Bounds the call for a job whose caller did not say how long it waits.
 FORWARD_TIMEOUT_S = 30.0
+# An owner ends a job soon after its caller's deadline; its answer arrives within this.
+FORWARD_MARGIN_S = 1.0
 # Changed capacity is advertised to other owners at once, but at most this often. Short
 # jobs tolerate twice this delay, and each heartbeat makes every owner check its queue.
 CAPACITY_INTERVAL_S = 0.04
@@ -314,6 +316,9 @@
                 share = self.ownership.share_of_job(call.job.id)
             delayed = call.delayed or self.is_catching_up
             call = replace(call, share=share, delayed=delayed)
+            current = call.after(self.timers.now() - started_at)
+            if current.has_expired:
+                return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
             owner = self.ownership.owner_of(share)
             if owner is None:
                 age_s = self.timers.now() - self._started_at
@@ -326,7 +331,7 @@
                 asked = True
                 sent_at = self.timers.now()
                 try:
-                    reply = await self._submit_to_owner(owner, call)
+                    reply = await self._submit_to_owner(owner, current)
                 except PeerCallFailed as exc:
                     self._handle_failed_call(owner, call, exc, sent_at)
                     call = replace(call, again=True, rule=rule)
@@ -439,6 +444,7 @@
     async def execute(self, call: SubmitCall) -> JobReply:
         """Execute a job here, or forward it to the owner that already executes it."""
         self.start_work_timers()
+        arrived_at = self.timers.now()
         owner = None
         if not call.here and not self.jobs.can_join(call):
             # Another owner may have taken a job up again that ended here.
@@ -455,7 +461,7 @@
                 self.jobs.announce(call.job.id)
                 self.members.send_heartbeats_to_owners()
                 call = replace(call, again=True)
-            return await self.jobs.submit(call)
+            return await self.jobs.submit(call.after(self.timers.now() - arrived_at))
         peer = self.members.peer(owner)
         if peer is not None and self.members.is_live(owner):
             log.info(
@@ -486,17 +492,20 @@
                     return reply
         else:
             self.traces.owner_not_live(call, owner)
+        call = replace(call, again=True).after(self.timers.now() - arrived_at)
+        if call.has_expired:
+            return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
         self.jobs.mark_job_in_doubt(call.job.id)
-        return await self.jobs.submit(replace(call, again=True))
+        return await self.jobs.submit(call)
 
     async def _send_submit(self, peer: Peer, call: SubmitCall) -> JobReply:
         """Send a job to another host; raises `PeerCallFailed`."""
         reply: JobReply = await call_repeatedly(
             self.peers,
             peer.address,
-            call,
+            call.after,
             JobReply,
-            FORWARD_TIMEOUT_S,
+            call.wait_s + FORWARD_MARGIN_S if call.wait_s else FORWARD_TIMEOUT_S,
             critical_path_s(call.job),
         )
         return reply
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.time_budget import TimeBudget
+from monsoongap.coordination.time_budget import TimeBudget, wait_left_s
 from monsoongap.coordination.work import Work
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -32,9 +32,10 @@
     previous owner may have started the job; `closed` that the job is answered or handed
     over; `late` that it waited longer than its slack. `requests` holds the origin and
     number of each caller's request for the job. `in_doubt_since` is when contact was
-    lost with an owner that may have runs of the job. `runs_ended` is set when no run is
-    left. `reconciling` says that runs of previous owners are awaited, `held_s` for how
-    long they were. `overdue` says that the job was logged as overdue.
+    lost with an owner that may have runs of the job. `expires_at` is when the last of
+    its callers stops waiting; infinite if one did not say. `runs_ended` is set when no
+    run is left. `reconciling` says that runs of previous owners are awaited, `held_s`
+    for how long they were. `overdue` says that the job was logged as overdue.
     """
 
     job: Job
@@ -54,6 +55,7 @@
     late: bool = False
     requests: set[tuple[str, int]] = field(default_factory=set)
     in_doubt_since: float = NEVER
+    expires_at: float = NEVER
     answered_at: float = NEVER
     runs_ended: asyncio.Event = field(default_factory=asyncio.Event)
     reconciling: bool = False
@@ -136,13 +138,18 @@
             self.done_tasks.add(task)
             self._done_count_by_step[task.step] += 1
 
-    def merge_call(self, call: SubmitCall) -> None:
-        """Update the record with what a call says of the job.
+    def merge_call(self, call: SubmitCall, now: float) -> None:
+        """Update the record with what a call that came at `now` says of the job.
 
+        A repeated call extends no wait: it tells the one that the first call told.
         Completed tasks and run numbers are ignored once a step has started here.
         """
         self.may_have_started = self.may_have_started or call.again
-        self.requests.add((call.origin, call.number))
+        request = (call.origin, call.number)
+        if request not in self.requests or call.is_handover:
+            wait_s = call.wait_s or float("inf")
+            self.expires_at = max(self.expires_at, now + wait_s)
+        self.requests.add(request)
         if self.started_steps:
             return
         for task in call.done:
@@ -150,7 +157,7 @@
         for task, run in call.runs:
             self.run_numbers[task] = max(self.run_numbers.get(task, 0), run)
 
-    def handover_call(self) -> SubmitCall:
+    def handover_call(self, now: float) -> SubmitCall:
         """Return the call that hands the job over to the next owner of its share."""
         return SubmitCall(
             self.job,
@@ -160,6 +167,6 @@
             done=tuple(self.done_tasks),
             runs=tuple(self.run_numbers.items()),
             again=self.may_have_started or self.dispatched or self.is_borrowing,
-            wait_s=self.budget.wait_s,
+            wait_s=wait_left_s(self.expires_at, now),
             rule=self.rule,
         )
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -75,17 +75,15 @@
 
 
 def is_overdue(rec: JobRecord, now: float) -> bool:
-    """Return whether a job has outlived its caller's wait and was not logged yet."""
-    wait_s = rec.budget.wait_s
-    late_s = now - rec.arrived_at - wait_s
-    return wait_s > 0 and late_s > OVERDUE_S and not rec.overdue
+    """Return whether a job has outlived its callers' wait and was not logged yet."""
+    return now - rec.expires_at > OVERDUE_S and not rec.overdue
 
 
 def log_overdue(rec: JobRecord, pool: Pool, now: float) -> None:
-    """Log, once, what is left of a job that has outlived its caller's wait."""
+    """Log, once, what is left of a job that has outlived its callers' wait."""
     rec.overdue = True
     log.warning(
-        "job outlived its caller's wait; it goes on",
+        "job outlived its callers' wait; keeping it for a repeated submission",
         extra={
             "job": rec.job.id,
             "age_ms": round((now - rec.arrived_at) * MS_PER_S),
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from math import isinf
 
 from monsoongap.coordination.admission_control import (
     AdmissionControl,
@@ -66,6 +67,7 @@
     refused: int = 0
     broken: int = 0
     cancelled: int = 0
+    expired: int = 0
     past_found: int = 0
     past_lapsed: int = 0
     past_unsettled: int = 0
@@ -311,7 +313,7 @@
     def _merge_call(self, rec: JobRecord, call: SubmitCall) -> None:
         """Update a record, and what is known of previous owners, from a call."""
         repeated = (call.origin, call.number) in rec.requests
-        rec.merge_call(call)
+        rec.merge_call(call, self.timers.now())
         transferred = self._transferred.get(call.share, 0)
         is_transferred = transferred and call.transfer_fence == transferred
         if call.is_handover and not repeated and not is_transferred:
@@ -328,10 +330,10 @@
         """End the jobs whose callers no longer wait, as after a pause of this host."""
         now = self.timers.now()
         for rec in list(self._unanswered.values()):
-            wait_s = rec.budget.wait_s or rec.rule.timeout_s
-            if now - rec.arrived_at > wait_s:
-                reply = JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
-                self._end(rec, reply)
+            timeout_at = rec.arrived_at + rec.rule.timeout_s
+            expires_at = timeout_at if isinf(rec.expires_at) else rec.expires_at
+            if now > expires_at:
+                self._expire(rec, now)
 
     def hand_over(
         self, share: ShareId, transfer_fence: int = 0
@@ -344,7 +346,9 @@
         for rec in [r for r in self._unanswered.values() if r.share == share]:
             del self.records[rec.job.id], self._unanswered[rec.job.id]
             rec.closed = True
-            call = replace(rec.handover_call(), transfer_fence=transfer_fence)
+            call = replace(
+                rec.handover_call(self.timers.now()), transfer_fence=transfer_fence
+            )
             rec.may_have_started = call.again
             self._handed_over[rec.job.id] = (self.timers.now(), rec)
             for work in list(rec.works.values()):
@@ -358,9 +362,13 @@
         return taken
 
     def _tick(self) -> None:
-        """Refuse jobs that waited too long, demote late ones, and drop old records."""
+        """End jobs that waited too long, demote late ones, and drop old records."""
         now = self.timers.now()
         for rec in list(self._unanswered.values()):
+            # A caller that got no answer may submit the job again, and joins it.
+            if now > rec.expires_at + self.pool.cfg.orphan_s:
+                self._expire(rec, now)
+                continue
             age = now - rec.arrived_at
             if is_overdue(rec, now):
                 self.counts.overdue += 1
@@ -374,6 +382,19 @@
                 self.pool.reorder(list(rec.works.values()), rec.sort_key)
         self._drop_expired(now)
 
+    def _expire(self, rec: JobRecord, now: float) -> None:
+        """End a job whose callers no longer wait: a cancel call may have been lost."""
+        self.counts.expired += 1
+        log.info(
+            "callers no longer wait; ending the job",
+            extra={
+                "job": rec.job.id,
+                "age_ms": round((now - rec.arrived_at) * MS_PER_S),
+                "runs": len(rec.works),
+            },
+        )
+        self._end(rec, JobReply(AnswerKind.BROKEN, "its caller's deadline has passed"))
+
     def _drop_expired(self, now: float) -> None:
         """Drop records, marks of jobs in doubt, and handovers that have expired."""
         while self._answered and now - self._answered[0][0] > KEEP_ANSWER_S:
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -33,6 +33,8 @@
 FIND_WAIT_S = 0.3
 FIND_STEP_S = 0.02
 TICK_S = 0.05
+# A borrower whose job has expired cancels its lent tasks before this has passed.
+CANCEL_MARGIN_S = 0.5
 # A borrower asks again within a second; a cut may hold a call back for longer.
 KEEP_REPLY_S = 20.0
 # Enough for 1,000 tasks a second, looked at in each tick.
@@ -51,6 +53,7 @@
     borrower: str
     claim: Claim
     reply: asyncio.Future[LendReply]
+    expires_at: float
     given_up: bool = False
 
 
@@ -128,7 +131,10 @@
         elif not self.pool.place_now(work):
             fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
         else:
-            self._lent[id(work)] = Lent(work, call.home, call.claim, fut)
+            wait_s = call.wait_s or float("inf")
+            margin_s = self.pool.cfg.orphan_s + CANCEL_MARGIN_S
+            expires_at = self.timers.now() + wait_s + margin_s
+            self._lent[id(work)] = Lent(work, call.home, call.claim, fut, expires_at)
         return await asyncio.shield(fut)
 
     async def refuse(self, call: LendCall) -> LendReply:
@@ -191,7 +197,7 @@
             link.stop(run)
 
     def _tick(self) -> None:
-        """Stop what runs for borrowers that went silent; forget old replies."""
+        """Stop what no borrower waits for any more; forget old replies."""
         self._forget()
         for lent in [held for held in self._lent.values() if not held.given_up]:
             peer = self.members.peer(lent.borrower)
@@ -200,7 +206,8 @@
                 or self.timers.now() - peer.last_heartbeat_at > BORROWER_SILENT_S
             )
             replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
-            if silent or replaced:
+            expired = self.timers.now() > lent.expires_at
+            if silent or replaced or expired:
                 lent.given_up = True
                 log.info(
                     "borrower given up",
@@ -208,6 +215,7 @@
                         "job": lent.work.task.job,
                         "borrower": lent.borrower,
                         "replaced": replaced,
+                        "expired": expired,
                     },
                 )
                 self.pool.withdraw(lent.work)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -59,8 +59,6 @@
 IDLE_ACK_S = 0.5
 # A cold runner takes this many times as long for a task, by the platform's settings.
 COLD_FACTOR = 1.5
-# Orphan runs are kept this much longer than a caller takes to send the job again.
-ORPHAN_MARGIN_S = 0.7
 
 
 class GivenUp(NoAnswer):
@@ -113,11 +111,10 @@
         lapsed_at = self.timers.now() + cfg.lease_s / CLOCK_DRIFT
         self._lease = RunnerLease(cfg.lease_s, lapsed_at)
         self._set_cold(self.info)
-        orphan_s = cfg.resend_s + ORPHAN_MARGIN_S
         self.table = RunTable(
             self.info,
             self.timers,
-            orphan_s,
+            cfg.orphan_s,
             self.stop,
             lambda: self.checks_capacity(self.info.upstream),
             self.on_orphan_found,
--- a/monsoongap/coordination/repeated_call.py
+++ b/monsoongap/coordination/repeated_call.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
@@ -20,23 +21,26 @@
 async def call_repeatedly(
     peers: PeerCallPort,
     address: str,
-    request: Any,
+    request_after: Callable[[float], Any],
     reply_type: type[Any],
     timeout_s: float,
     work_s: float,
 ) -> Any:
     """Send a message, and repeat it on new connections while no reply arrives.
 
+    `request_after` returns the message to send after so many seconds of the call.
     `work_s` is how long the peer is expected to work on it. Raises `PeerCallFailed`
     when no reply arrives within `timeout_s`, and as soon as a new connection shows that
     the peer is unreachable, even if an earlier call still waits for its reply.
     """
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + timeout_s
+    started_at = loop.time()
+    deadline = started_at + timeout_s
     calls: set[asyncio.Task[Any]] = set()
     try:
         while (remaining_s := deadline - loop.time()) > 0:
             fresh = bool(calls)
+            request = request_after(loop.time() - started_at)
             calls.add(
                 asyncio.create_task(
                     peers.call(address, request, reply_type, remaining_s, fresh)
--- a/monsoongap/coordination/steps.py
+++ b/monsoongap/coordination/steps.py
@@ -57,7 +57,7 @@
             most_per_runner=step.most_per_runner,
             run_number=rec.run_numbers.get(task, 0) + 1,
             due_at=due_at,
-            useless_at=rec.arrived_at + (rec.budget.wait_s or float("inf")),
+            useless_at=rec.expires_at,
             arrived_at=rec.arrived_at,
             again=rec.may_have_started,
         )
@@ -105,6 +105,7 @@
             rec.run_numbers.get(work.task, 0), work.run_number
         )
         work.run_number = rec.run_numbers[work.task] + 1
+        work.useless_at = rec.expires_at
         if avoid:
             work.avoid.add(avoid)
         rec.works[work.task] = work
--- a/monsoongap/coordination/time_budget.py
+++ b/monsoongap/coordination/time_budget.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from monsoongap.protocol.messages import Job, QueueRule
+from monsoongap.protocol.messages import MIN_WAIT_S, Job, QueueRule
 
 # A job is refused within a quarter of its objective, or not at all.
 DECISION_FRACTION = 0.25
@@ -71,6 +71,14 @@
     return TimeBudget(path_s, objective_s(path_s, rule), wait_s)
 
 
+def wait_left_s(expires_at: float, now: float) -> float:
+    """Return how long callers that wait until `expires_at` still wait, in seconds.
+
+    It is 0, which stands for a wait that is not known, if `expires_at` is infinite.
+    """
+    return 0.0 if expires_at == float("inf") else max(expires_at - now, MIN_WAIT_S)
+
+
 def objective_s(path_s: float, rule: QueueRule) -> float:
     """Return the objective of a job with a longest chain of `path_s` seconds."""
     if rule.grace_s <= 0:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -10,7 +10,7 @@
 import string
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import Annotated
 
@@ -40,6 +40,8 @@
 MAX_TASKS = 4096
 # Many times the number that the design size needs.
 MAX_SHARES = 100_000
+# The wait of a caller that no longer waits; 0 stands for one that did not say.
+MIN_WAIT_S = 0.001
 
 TaskCount = Annotated[int, Meta(ge=0, le=MAX_TASKS)]
 ShareIndex = Annotated[int, Meta(ge=0, le=MAX_SHARES)]
@@ -414,7 +416,8 @@
     number given to each task so far; both come from a previous owner of the job.
     `again` says that a previous owner may have started the job, so that it can no
     longer be refused as not run. `here` says that the callee has the job, as another
-    owner knows. `wait_s` is how long the caller waits; 0 if it did not say. `origin`
+    owner knows. `wait_s` is how much longer the caller waits, in seconds from the
+    arrival of the call; 0 if it did not say. `origin`
     and `number` identify the request of the caller: a call that is repeated, or late,
     gets the same refusal again. `origin` is empty in a handover. `delayed` says that
     the request may have waited while its host was paused, so that the caller may have
@@ -443,6 +446,17 @@
         """Return whether the previous owner of the share hands the job over."""
         return not self.origin
 
+    @property
+    def has_expired(self) -> bool:
+        """Return whether the caller no longer waits."""
+        return 0 < self.wait_s <= MIN_WAIT_S
+
+    def after(self, elapsed_s: float) -> "SubmitCall":
+        """Return the call to send `elapsed_s` seconds later."""
+        if not self.wait_s:
+            return self
+        return replace(self, wait_s=max(self.wait_s - elapsed_s, MIN_WAIT_S))
+
 
 @dataclass(frozen=True, slots=True)
 class CancelCall:
@@ -464,7 +478,8 @@
 
     `home` is the name of the borrower. `claim` is the one by which the borrower
     executes the job: a borrower that has been replaced without knowing it is refused.
-    `upstream` serves the queue by the borrower's configuration.
+    `upstream` serves the queue by the borrower's configuration. `wait_s` is how much
+    longer the job's callers wait, in seconds; 0 if they did not say.
     """
 
     task: TaskId
@@ -480,6 +495,7 @@
     rack: Text = ""
     most_per_runner: Natural = 0
     upstream: Text = ""
+    wait_s: DurationS = 0.0
 
 
 class LendResult(StrEnum):
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -80,6 +80,10 @@
     dcs: tuple[HostName, ...] = ()
 
 
+# A run without a caller is kept this much longer than a caller takes to submit again.
+ORPHAN_MARGIN_S = 0.7
+
+
 @dataclass(frozen=True, slots=True)
 class BoundsSection:
     """Time limits of the deployment.
@@ -102,6 +106,11 @@
     evac_ms: OptionalMillis = 0.0
     handover_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 2000.0
 
+    @property
+    def orphan_s(self) -> float:
+        """How long a run without a caller is kept, as the caller may submit again."""
+        return self.resend_s + ORPHAN_MARGIN_S
+
     @property
     def lease_s(self) -> float:
         """Longest lease of a runner, in seconds."""
--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -284,7 +284,9 @@
         await asyncio.sleep(1.4)
         assert jobs.counts.overdue == 0 and jobs.oldest_s == pytest.approx(1.4)
         assert (await call).kind is AnswerKind.COMPLETED
-        (line,) = told.lines("job outlived its caller's wait; it goes on")
+        (line,) = told.lines(
+            "job outlived its callers' wait; keeping it for a repeated submission"
+        )
         assert (line["level"], line["job"], line["wait_ms"]) == ("warning", JOB, 1000)
         assert 1500 < line["age_ms"] < 1600
         assert (line["runs"], line["lent"], line["waiting"]) == (1, 0, 0)
