Announce a job for as long as it is in progress

Cause: an owner announced a job in the 0.35 s after it came, and other owners remembered that for 15 s. Nothing ended the job within that time. An owner that had forgotten it took the next copy for a new job, asked nobody, and started its tasks with run number 1 while the first owner renewed the lease of its run. The memory counted from the beginning of what it guards.

A copy that comes 16 or 33 s after the first one starts its run at once.

Change: an owner announces each job every 5 s until its runs have ended, also runs that are still being stopped after the answer, so an owner that misses two announcements still knows. A host that has owned nothing is told all jobs when it becomes an owner again, also without a restart. A job costs nine bytes in a few heartbeats each 5 s, and only if it lasts that long.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -588,6 +588,9 @@
             self.job_locations.record_jobs(peer.card.name, heartbeat.recent_jobs)
             if heartbeat.free and self.pool.waiting:
                 self.pool.schedule_placement()
+        else:
+            # It is told all jobs when it becomes an owner.
+            self._announced_to.pop(peer.card.name, None)
         self._check_ownership_after(peer)
         self.config_fetcher.version_announced(heartbeat.config_version)
         self.directory.evacuation.accept(
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -33,9 +33,10 @@
     over; `late` that it waited longer than its slack. `requests` holds the origin and
     number of each caller's request for the job. `in_doubt_since` is when contact was
     lost with an owner that may have runs of the job. `expires_at` is when the last of
-    its callers stops waiting; infinite if one did not say. `runs_ended` is set when no
-    run is left. `reconciling` says that runs of previous owners are awaited, `held_s`
-    for how long they were. `overdue` says that the job was logged as overdue.
+    its callers stops waiting; infinite if one did not say. `announced_at` is when other
+    owners were last told of the job. `runs_ended` is set when no run is left.
+    `reconciling` says that runs of previous owners are awaited, `held_s` for how long
+    they were. `overdue` says that the job was logged as overdue.
     """
 
     job: Job
@@ -56,6 +57,7 @@
     requests: set[tuple[str, int]] = field(default_factory=set)
     in_doubt_since: float = NEVER
     expires_at: float = NEVER
+    announced_at: float = NEVER
     answered_at: float = NEVER
     runs_ended: asyncio.Event = field(default_factory=asyncio.Event)
     reconciling: bool = False
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -31,7 +31,7 @@
     SubmitCall,
     TransferCall,
 )
-from monsoongap.state.job_locations import job_number
+from monsoongap.state.job_locations import REMEMBER_S, job_number
 from monsoongap.timers import MS_PER_S, Subscription, TimerService
 
 log = logging.getLogger(__name__)
@@ -48,6 +48,9 @@
 MAX_DOUBLINGS = 4
 # Long enough for three heartbeats to announce a job.
 ANNOUNCE_S = 0.35
+# Other owners forget the location of a job unless it is announced again. They still
+# know it if two announcements are lost.
+ANNOUNCE_INTERVAL_S = REMEMBER_S / 3
 TICK_S = 0.05
 
 
@@ -97,6 +100,8 @@
     steps: Steps = field(init=False)
     admission_control: AdmissionControl = field(init=False)
     _unanswered: dict[str, JobRecord] = field(default_factory=dict)
+    # Answered jobs of which runs are still being stopped.
+    _ending: dict[str, JobRecord] = field(default_factory=dict)
     _answered: deque[tuple[float, JobRecord]] = field(default_factory=deque)
     _announced: deque[tuple[float, int]] = field(default_factory=deque)
     _jobs_in_doubt: dict[str, float] = field(default_factory=dict)
@@ -199,7 +204,7 @@
 
     def announce_all(self) -> None:
         """Announce every job in progress to other owners."""
-        for job in self._unanswered:
+        for job in (*self._unanswered, *self._ending):
             self.announce(job)
 
     def recent_jobs(self) -> tuple[int, ...]:
@@ -295,6 +300,7 @@
             rec.in_doubt_since, self._jobs_in_doubt.pop(job.id, NEVER)
         )
         self.records[job.id] = self._unanswered[job.id] = rec
+        rec.announced_at = now
         self.announce(job.id)
         self.counts.submitted += 1
         return rec
@@ -369,6 +375,7 @@
             if now > rec.expires_at + self.pool.cfg.orphan_s:
                 self._expire(rec, now)
                 continue
+            self._announce_again(rec, now)
             age = now - rec.arrived_at
             if is_overdue(rec, now):
                 self.counts.overdue += 1
@@ -380,8 +387,18 @@
             elif age > rec.budget.slack_s and not rec.late:
                 rec.late = True
                 self.pool.reorder(list(rec.works.values()), rec.sort_key)
+        for rec in [rec for rec in self._ending.values() if not rec.works]:
+            del self._ending[rec.job.id]
+        for rec in self._ending.values():
+            self._announce_again(rec, now)
         self._drop_expired(now)
 
+    def _announce_again(self, rec: JobRecord, now: float) -> None:
+        """Announce a job that is still in progress before its location is forgotten."""
+        if now - rec.announced_at >= ANNOUNCE_INTERVAL_S:
+            rec.announced_at = now
+            self.announce(rec.job.id)
+
     def _expire(self, rec: JobRecord, now: float) -> None:
         """End a job whose callers no longer wait: a cancel call may have been lost."""
         self.counts.expired += 1
@@ -509,7 +526,9 @@
         self._answer(rec, reply)
         for work in list(rec.works.values()):
             self.pool.withdraw(work)
-        if not rec.works:
+        if rec.works:
+            self._ending[rec.job.id] = rec
+        else:
             rec.runs_ended.set()
 
     def _answer(self, rec: JobRecord, reply: JobReply) -> None:
--- a/monsoongap/state/job_locations.py
+++ b/monsoongap/state/job_locations.py
@@ -1,7 +1,8 @@
 """Which owner has which job, from the heartbeats of other owners.
 
 A caller sends a job again to any host after a second or more; by then every owner has
-received its location. Each job takes nine bytes in a few heartbeats.
+received its location. Each job takes nine bytes in a few heartbeats. An owner announces
+a job again and again while it is in progress, however long that takes.
 """
 
 from dataclasses import dataclass, field
@@ -9,7 +10,8 @@
 
 from monsoongap.timers import TimerService
 
-# A caller's last retry comes within its deadline and a few pauses.
+# A location is remembered this long after its last announcement: a caller's last retry
+# comes within its deadline and a few pauses, also if the job has ended meanwhile.
 REMEMBER_S = 15.0
 SWEEP_AT = 2048
 # Expired locations are kept for log lines only.
