Wait for a job's owner as long as it announces the job

Callers of a job that runs for more than 30 s got no answer, and never got one: a copy that had come to another data centre stopped the job after 30 s and began it anew there, again and again.

Cause: a host that forwards a job to the owner that executes it took the end of its own call, after 30 s, for a failure of that owner. It had the runs there stopped and started the job.

Change: a call that ends without a reply raises `NoReply`. As long as the owner is live and announces the job, a host that forwards a job calls it again, and joins the job there. A caller that states a wait ends the call by that.

Measured: test_a_long_job_that_is_joined_elsewhere_completes_for_both_callers fails in both cases before and passes.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -23,6 +23,7 @@
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.ports import (
     DatagramPort,
+    NoReply,
     PeerCallFailed,
     PeerCallPort,
     PeerDown,
@@ -462,8 +463,27 @@
                 self.members.send_heartbeats_to_owners()
                 call = replace(call, again=True)
             return await self.jobs.submit(call.after(self.timers.now() - arrived_at))
-        peer = self.members.peer(owner)
-        if peer is not None and self.members.is_live(owner):
+        call = replace(call, again=True)
+        current = call.after(self.timers.now() - arrived_at)
+        reply = await self._submit_to_located(owner, current)
+        if reply is not None:
+            return reply
+        call = call.after(self.timers.now() - arrived_at)
+        if call.has_expired:
+            return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
+        self.jobs.mark_job_in_doubt(call.job.id)
+        return await self.jobs.submit(call)
+
+    async def _submit_to_located(
+        self, owner: str | None, call: SubmitCall
+    ) -> JobReply | None:
+        """Submit a job to the owner that executes it; return None if that one does not.
+
+        A call without a reply is repeated as long as the owner announces the job.
+        """
+        while owner is not None and self.members.is_live(owner):
+            peer = self.members.peer(owner)
+            assert peer is not None
             log.info(
                 "another owner executes the job; forwarding to it",
                 extra={
@@ -474,9 +494,12 @@
                 },
             )
             sent_at = self.timers.now()
-            forwarded = replace(call, here=True, again=True)
             try:
-                reply = await self._send_submit(peer, forwarded)
+                reply = await self._send_submit(peer, replace(call, here=True))
+            except NoReply:
+                if call.wait_s:
+                    return JobReply(AnswerKind.BROKEN, "no reply from the job's owner")
+                owner = self.job_locations.owner_of_job(call.job.id)
             except PeerCallFailed as exc:
                 log.warning(
                     "call to the job's owner failed; executing the job here",
@@ -487,16 +510,12 @@
                         "took_ms": round((self.timers.now() - sent_at) * MS_PER_S),
                     },
                 )
+                return None
             else:
-                if reply.kind is not AnswerKind.HANDED_ON:
-                    return reply
-        else:
+                return None if reply.kind is AnswerKind.HANDED_ON else reply
+        if owner is not None:
             self.traces.owner_not_live(call, owner)
-        call = replace(call, again=True).after(self.timers.now() - arrived_at)
-        if call.has_expired:
-            return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
-        self.jobs.mark_job_in_doubt(call.job.id)
-        return await self.jobs.submit(call)
+        return None
 
     async def _send_submit(self, peer: Peer, call: SubmitCall) -> JobReply:
         """Send a job to another host; raises `PeerCallFailed`."""
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -39,6 +39,10 @@
     """A call to another entry host got no reply; it may have taken effect."""
 
 
+class NoReply(PeerCallFailed):
+    """No reply arrived in time; the peer may still work on the call."""
+
+
 class PeerDown(PeerCallFailed):
     """The connection was refused: the other host's process has exited."""
 
--- a/tests/coordination/test_long_runs.py
+++ b/tests/coordination/test_long_runs.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import CancelCall, Job, JobReply, Resources, Step
 from monsoongap.standin.runner_model import LedgerEntry, TaskPlan
 from tests.coordination.test_host import run_virtual
@@ -115,3 +116,21 @@
         assert runs[0].ended_at and runs[0].ended_at <= limit, runs
 
     run_virtual(main())
+
+
+# Guards against a forwarded copy that stops the job when its call times out (30 s).
+@pytest.mark.parametrize("role", ["owner", "other"])
+def test_a_long_job_that_is_joined_elsewhere_completes_for_both_callers(
+    role: str,
+) -> None:
+    async def main() -> None:
+        world = await open_world(outlive_calls=True)
+        runs = await submit_twice(world, 2.8, role, 0.0)
+        await asyncio.sleep(RUN_S - PAST_CALLS_S + 1)
+        assert [reply.kind for reply in world.replies[JOB]] == [
+            AnswerKind.COMPLETED,
+            AnswerKind.COMPLETED,
+        ]
+        assert len(runs) == 1
+
+    run_virtual(main())
