Keep a lender's reply for 20 s after the run has ended

A lender could start a run again that had ended there: its reply was forgotten as soon as a run of more than 20 s was over, so a copy of the call that came late, or again because the reply was lost, began it anew, beside the run that the borrower had placed elsewhere by then.

The reply was remembered for 20 s from the time of the call, which is the beginning of what it guards, not its end.

Change: the time counts from the reply.

--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import islice
 
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.pool import Pool
@@ -35,7 +35,8 @@
 TICK_S = 0.05
 # A borrower whose job has expired cancels its lent tasks before this has passed.
 CANCEL_MARGIN_S = 0.5
-# A borrower asks again within a second; a cut may hold a call back for longer.
+# A reply is kept this long after the run has ended. A borrower repeats its call within
+# a second; a network partition may delay a call for longer.
 KEEP_REPLY_S = 20.0
 # Enough for 1,000 tasks a second, looked at in each tick.
 FORGET_AT_ONCE = 64
@@ -57,24 +58,23 @@
     given_up: bool = False
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class _Known:
-    """A run that a borrower asked for, and the reply it gets however often it asks."""
-
-    asked_at: float
-    reply: asyncio.Future[LendReply]
-
-
 @dataclass(slots=True)
 class Lending:
-    """The lender's side of lending."""
+    """The lender's side of lending.
+
+    `_replies` holds the reply to each run that a borrower asked for, however often it
+    asks; `_replied` the time of each one that is complete.
+    """
 
     pool: Pool
     members: Members
     timers: TimerService
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
-    _replies: dict[tuple[TaskId, int], _Known] = field(default_factory=dict)
+    _replies: dict[tuple[TaskId, int], asyncio.Future[LendReply]] = field(
+        default_factory=dict
+    )
+    _replied: deque[tuple[float, tuple[TaskId, int]]] = field(default_factory=deque)
 
     def start(self) -> Subscription:
         """Begin to watch borrowers."""
@@ -96,9 +96,8 @@
         known = self._replies.get((call.task, call.run))
         if known is not None:
             # Sent again on another connection: the first one's reply may be lost.
-            return await asyncio.shield(known.reply)
-        fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
-        self._replies[call.task, call.run] = _Known(self.timers.now(), fut)
+            return await asyncio.shield(known)
+        fut = self._add_reply(call.task, call.run)
 
         def over(work: Work, how: RunOutcome, runner: str) -> None:
             self._lent.pop(id(work), None)
@@ -142,11 +141,19 @@
 
         Returns the reply of an earlier call for the same run, if there was one.
         """
-        fut = asyncio.get_running_loop().create_future()
-        fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
-        known = _Known(self.timers.now(), fut)
-        known = self._replies.setdefault((call.task, call.run), known)
-        return await asyncio.shield(known.reply)
+        known = self._replies.get((call.task, call.run))
+        if known is None:
+            known = self._add_reply(call.task, call.run)
+            known.set_result(LendReply(LendResult.NO_ROOM, call.run))
+        return await asyncio.shield(known)
+
+    def _add_reply(self, task: TaskId, run: int) -> "asyncio.Future[LendReply]":
+        fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
+        self._replies[task, run] = fut
+        fut.add_done_callback(
+            lambda _: self._replied.append((self.timers.now(), (task, run)))
+        )
+        return fut
 
     def leave_running(self, works: Iterable[Work]) -> None:
         """Tell borrowers that their tasks go on under another owner."""
@@ -162,9 +169,8 @@
             return FindReply(False)
         if call.task is not None and (call.task, call.run) not in self._replies:
             # Its call may still be on its way: it begins nothing any more.
-            fut = asyncio.get_running_loop().create_future()
+            fut = self._add_reply(call.task, call.run)
             fut.set_result(LendReply(LendResult.GONE, call.run))
-            self._replies[call.task, call.run] = _Known(self.timers.now(), fut)
         until = self.timers.now() + FIND_WAIT_S
         while self.pool.runs_of(call.job):
             self.cancel_runs_of(call.job)
@@ -223,8 +229,7 @@
     def _forget(self) -> None:
         """Drop the replies that nobody asks for any more, the oldest first."""
         oldest = self.timers.now() - KEEP_REPLY_S
-        for key, known in list(islice(self._replies.items(), FORGET_AT_ONCE)):
-            if known.asked_at > oldest:
+        for _ in range(FORGET_AT_ONCE):
+            if not self._replied or self._replied[0][0] > oldest:
                 return
-            if known.reply.done():
-                del self._replies[key]
+            del self._replies[self._replied.popleft()[1]]
