Place a lent task again only when its lender is not heard

A task could run twice at one time: at a lender and, 8 s after calls to it began to fail, again at the borrower.

Cause: a borrower took 8 s without a reply for proof that the lender had stopped the run. A lender stops it if it no longer hears the borrower's heartbeats; when only calls fail, it goes on and renews the lease, however long the run is. A run that was adopted for a job that had ended meanwhile was not stopped either.

Change: the 8 s count only while no live owner of the lender's shares is known. A task that was withdrawn adopts no run; as an orphan run it is stopped.

--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -312,6 +312,7 @@
 
     def withdraw(self, work: Work) -> None:
         """Take a task out: out of the queue, or stop it where it runs."""
+        work.withdrawn = True
         if work.waiting:
             self._waiting.remove(work)
             work.on_end(work, RunOutcome.STOPPED, "")
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -26,7 +26,8 @@
 RETRY_S = 0.1
 # Many jobs fail to be reconciled for the same reason; each reason is logged this often.
 LOG_INTERVAL_S = 0.5
-# A lender that answered no call for this long has stopped the run or is down.
+# A lender whose share has had no live owner for this long has stopped the run or is
+# down. One that is heard goes on with the run, even if calls to it fail.
 RECONCILE_LENT_TIMEOUT_S = 8.0
 
 
@@ -61,8 +62,8 @@
         self._background.spawn(self._reconcile_lent(work, shares), "settle")
 
     async def _reconcile_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
-        started_at = self.timers.now()
-        while self.timers.now() - started_at < RECONCILE_LENT_TIMEOUT_S:
+        owned_at = self.timers.now()
+        while self.timers.now() - owned_at < RECONCILE_LENT_TIMEOUT_S:
             # The number of shares of the lender's data centre may have changed since.
             dcs = sorted({share.dc for share in shares})
             current_shares = tuple(
@@ -72,9 +73,12 @@
                 work.task.job, work.share, current_shares, work
             ):
                 break
+            if any(self.ownership.owner_of(share) for share in current_shares):
+                owned_at = self.timers.now()
             await self.timers.sleep(RETRY_S)
-        # This host may own the lender's share by now, and the runner of the run.
-        if not self.pool.adopt(work):
+        # This host may own the lender's share by now, and the runner of the run. An
+        # orphan run of a job that has ended is stopped.
+        if work.withdrawn or not self.pool.adopt(work):
             work.on_end(work, RunOutcome.LOST, "")
 
     async def _reconcile(
