Ask a live lender again when the call for a long run ends

A lent task of more than 30 s was stopped after 30 s and begun anew, again and again, and its caller never got an answer.

Cause: the borrower took the end of its own call, after 30 s, for a lost lender, although the run went on and was heard of. The timeout is shorter than the run.

Change: a call that ends without a reply is repeated while the lender is live; the lender recognizes it and replies when the run has ended.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -13,7 +13,7 @@
 from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.ownership import Ownership
-from monsoongap.coordination.ports import PeerCallFailed, PeerCallPort
+from monsoongap.coordination.ports import NoReply, PeerCallFailed, PeerCallPort
 from monsoongap.coordination.repeated_call import call_repeatedly
 from monsoongap.coordination.time_budget import wait_left_s
 from monsoongap.coordination.work import RunOutcome, Work
@@ -34,7 +34,7 @@
 # Room that was told longer ago than this is no longer counted on. Owners tell it each
 # 0.5 s, and at once while others queue; one heartbeat may be lost.
 ROOM_FRESH_S = 1.2
-# A lent task answers within its job's deadline; this only bounds a leak.
+# A lender that is live is asked again after this.
 LEND_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 0.5
 
@@ -151,16 +151,7 @@
             upstream,
         )
         try:
-            reply: LendReply = await call_repeatedly(
-                self.peers,
-                peer.address,
-                lambda _: replace(
-                    call, wait_s=wait_left_s(work.useless_at, self.timers.now())
-                ),
-                LendReply,
-                LEND_TIMEOUT_S,
-                work.estimate_s,
-            )
+            reply = await self._call_lender(peer, call, work)
         except PeerCallFailed as exc:
             log.warning(
                 "lender lost",
@@ -185,6 +176,30 @@
                 self.on_dispatch(work)
         work.on_end(work, _OVER_OF[reply.result], "")
 
+    async def _call_lender(self, peer: Peer, call: LendCall, work: Work) -> LendReply:
+        """Return the lender's reply, which comes when the run has ended.
+
+        Raises `PeerCallFailed` if the lender cannot be reached, or is not live and does
+        not reply.
+        """
+        while True:
+            try:
+                reply: LendReply = await call_repeatedly(
+                    self.peers,
+                    peer.address,
+                    lambda _: replace(
+                        call, wait_s=wait_left_s(work.useless_at, self.timers.now())
+                    ),
+                    LendReply,
+                    LEND_TIMEOUT_S,
+                    work.estimate_s,
+                )
+            except NoReply:
+                if not self.members.is_live(peer.card.name):
+                    raise
+            else:
+                return reply
+
     def cancel(self, work: Work) -> None:
         """Tell the lender that a task is no longer wanted."""
         peer = self.members.peer(work.borrowed_from)
