Soak: callers of jobs that outlast what hosts remember (--long-share)

Jobs of 20 to 45 s whose callers state a wait of 1.5 s or none, stop waiting without closing the connection, and send the job again 1.3 to 35 s later in another data centre. With it, callers' connections to a host may go silent.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,15 @@
 # Callers say how long they wait, and then close the connection.
 HURRIED_WAIT_S = 1.5
 PATIENT_WAIT_S = 6.0
+# A caller that stops waiting may leave its connection open, for at most this long.
+LEFT_OPEN_S = 120.0
+LONGEST_PAUSE_S = 35.0
+# Jobs that outlast all that hosts remember of them. Some declare the mean time of their
+# kind, of which they take many times.
+OUTLASTING_S = (20.0, 45.0)
+UNDERSTATED_FACTOR = 50.0
+# Little, so that runners have room for many of them at a time.
+OUTLASTING_CPU_MILLI = 100
 # Long jobs are the ones that are still running when an owner changes.
 LONG_SHARE = 0.2
 
@@ -34,18 +43,27 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Sends jobs to random entry hosts and records the answers."""
+    """Sends jobs to random entry hosts and records the answers.
+
+    A share `long_share` of the jobs outlasts what hosts remember; their callers draw
+    from `long_rng` alone, so that the others are the same without them.
+    """
 
     nodes: list[NodeAddress]
     rng: random.Random
     http: HttpClient = field(default_factory=HttpClient)
     calls: list[CallRecord] = field(default_factory=list)
+    long_share: float = 0.0
+    long_rng: random.Random = field(default_factory=random.Random)
+    _left_open: set[asyncio.Task[AnswerKind | None]] = field(default_factory=set)
 
     async def send(self, may_hurry: bool = True) -> CallRecord:
         """Send one job, and resend it while it gets no answer or `BROKEN`.
 
         Half of the callers give up after `HURRIED_WAIT_S`, unless `may_hurry` is false.
         """
+        if may_hurry and self.long_rng.random() < self.long_share:
+            return await self._send_long()
         rng = self.rng
         tasks = rng.choice((1, 2, 4, 8))
         is_long = rng.random() < LONG_SHARE
@@ -56,12 +74,12 @@
             f"{rng.getrandbits(64):016x}", kind, tasks, work_ms / 1000, loop.time()
         )
         self.calls.append(call)
-        body = _encode_job(call, work_ms)
+        body = _encode_job(call, TaskPlan(work_ms), work_ms)
         hurries = rng.random() < 0.5 and may_hurry
         wait_s = HURRIED_WAIT_S if hurries else PATIENT_WAIT_S
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._send_once(
-                rng.choice(self.nodes), f"/{kind}/{call.id}", body, wait_s
+                rng.choice(self.nodes), f"/{kind}/{call.id}", body, wait_s, wait_s
             )
             call.attempts.append(Attempt(outcome))
             if outcome not in (None, AnswerKind.BROKEN):
@@ -70,13 +88,54 @@
         call.response_s = loop.time() - call.due_at
         return call
 
+    async def _send_long(self) -> CallRecord:
+        """Send a job that outlasts its caller, and again to another data centre.
+
+        The caller states its wait or none. It stops waiting without closing its
+        connection.
+        """
+        rng = self.long_rng
+        work_s = rng.uniform(*OUTLASTING_S)
+        plan = TaskPlan(work_s * 1000, OUTLASTING_CPU_MILLI)
+        declared_ms = plan.work_ms / rng.choice((1.0, UNDERSTATED_FACTOR))
+        now = asyncio.get_running_loop().time
+        call = CallRecord(f"{rng.getrandbits(64):016x}", "load", 1, work_s, now())
+        self.calls.append(call)
+        body = _encode_job(call, plan, declared_ms)
+        stated_s = rng.choice((HURRIED_WAIT_S, 0.0))
+        first = rng.choice(self.nodes)
+        others = [node for node in self.nodes if node.dc != first.dc] or self.nodes
+        any_pause_s = rng.uniform(RESEND_DELAY_S, LONGEST_PAUSE_S)
+        pause_s = rng.choice((RESEND_DELAY_S, any_pause_s))
+        for node in (first, rng.choice(others)):
+            if call.attempts:
+                await asyncio.sleep(pause_s)
+            sending = asyncio.create_task(
+                self._send_once(node, f"/load/{call.id}", body, stated_s, LEFT_OPEN_S)
+            )
+            self._left_open.add(sending)
+            sending.add_done_callback(self._left_open.discard)
+            await asyncio.wait({sending}, timeout=HURRIED_WAIT_S)
+            call.attempts.append(Attempt(sending.result() if sending.done() else None))
+        call.response_s = now() - call.due_at
+        return call
+
     async def _send_once(
-        self, node: NodeAddress, path: str, body: bytes, wait_s: float
+        self,
+        node: NodeAddress,
+        path: str,
+        body: bytes,
+        stated_s: float,
+        wait_s: float,
     ) -> AnswerKind | None:
-        headers = (("Host", ROUTE_HOST), (WAIT_HEADER, str(round(wait_s * 1000))))
+        """Send a job; `stated_s` is the wait that the caller states, 0 for none."""
+        headers: tuple[tuple[str, str], ...] = (("Host", ROUTE_HOST),)
+        if stated_s:
+            headers += ((WAIT_HEADER, str(round(stated_s * 1000))),)
         req = HttpRequest("POST", path, body, headers)
+        address = node.proxied_callers if self.long_share else node.callers
         try:
-            reply = await self.http.exchange(node.callers, req, wait_s)
+            reply = await self.http.exchange(address, req, wait_s)
         except (NotConnected, ExchangeLost):
             # The caller gets no answer and sends the job again, as real callers do.
             return None
@@ -85,13 +144,12 @@
         return OUTCOME_OF_STATUS.get(reply.status)
 
 
-def _encode_job(call: CallRecord, work_ms: float) -> bytes:
-    plan = TaskPlan(work_ms)
+def _encode_job(call: CallRecord, plan: TaskPlan, declared_ms: float) -> bytes:
     step = {
         "count": call.tasks,
         "cpu": plan.cpu_milli,
         "memMb": plan.mem_mb,
-        "estRuntimeMs": work_ms,
+        "estRuntimeMs": declared_ms,
     }
     spec = msgspec.json.encode(plan).decode()
     return msgspec.json.encode({"spec": spec, "steps": [step], "bestEffort": True})
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -17,7 +17,7 @@
 from monsoongap.standin.runner_model import LedgerEntry
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
-from soak.processes import Processes
+from soak.processes import CALLERS_PROXY_OFFSET, Processes
 from soak.proxy import Proxy
 
 IP = "127.0.0.1"
@@ -50,6 +50,7 @@
     """A running deployment; `control` is the control address of the stand-in.
 
     Each runner has a proxy, and each data centre reaches the store through its own.
+    Callers use `callers_proxies`, of the hosts, if they send long jobs.
     """
 
     size: Size
@@ -57,6 +58,7 @@
     procs: Processes
     proxies: list[Proxy]
     store_proxies: dict[str, Proxy]
+    callers_proxies: list[Proxy]
     http: HttpClient
     control: str
 
@@ -135,11 +137,11 @@
         dc: Proxy(IP, port + 2 + dc_index, port)
         for dc_index, dc in enumerate(size.dc_names)
     }
-    all_proxies = (*proxies, *store_proxies.values())
+    callers_proxies: list[Proxy] = []
     http = HttpClient()
     rng = random.Random(seed)
     try:
-        for proxy in all_proxies:
+        for proxy in (*proxies, *store_proxies.values()):
             await proxy.listen()
         procs.start(
             "standin",
@@ -150,19 +152,21 @@
             f"--dcs={','.join(size.dc_names)}",
             f"--runners={size.runners}",
         )
-        deployment = Deployment(
-            size, rng, procs, proxies, store_proxies, http, f"{IP}:{port + 1}"
-        )
+        proxies_of = (proxies, store_proxies, callers_proxies)
+        deployment = Deployment(size, rng, procs, *proxies_of, http, f"{IP}:{port + 1}")
         await _wait_until(deployment.is_standin_up)
         for dc_index, dc in enumerate(size.dc_names):
             store = f"{IP}:{store_proxies[dc].port}"
             for i in range(size.nodes):
                 procs.add_node(f"{dc}{i}", dc, f"127.0.{1 + dc_index}.{1 + i}", store)
-        for name in procs.nodes:
+        for name, node in procs.nodes.items():
+            proxy = Proxy(node.ip, node.port + CALLERS_PROXY_OFFSET, node.port)
+            await proxy.listen()
+            callers_proxies.append(proxy)
             await _wait_until(functools.partial(deployment.is_ready, name))
         yield deployment
     finally:
         procs.end_all()
         http.close()
-        for proxy in all_proxies:
+        for proxy in (*proxies, *store_proxies.values(), *callers_proxies):
             proxy.close()
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,8 @@
 
 ROOT = Path(__file__).parent.parent
 GRACE_S = 4
+# Above the ports on which an entry host listens itself.
+CALLERS_PROXY_OFFSET = 4
 # Limit for evacuating a data centre.
 EVAC_MS = 5000
 # High enough to keep all lines; the cause of a broken promise is traced from them.
@@ -45,6 +47,11 @@
         """Return the address for callers."""
         return f"{self.ip}:{self.port}"
 
+    @property
+    def proxied_callers(self) -> str:
+        """Return the address of the proxy in front of that for callers."""
+        return f"{self.ip}:{self.port + CALLERS_PROXY_OFFSET}"
+
     @property
     def ready(self) -> str:
         """Return the address of the readiness check."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,18 +24,24 @@
 RECOVERY_S = 5.0
 ANSWER_WAIT_S = 20.0
 FINAL_JOBS = 20
+# Callers of long jobs may send them again after this.
+LONG_ANSWER_WAIT_S = 40.0
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Parameters of one soak; `calm` means without faults, `only` one kind of them."""
+    """Parameters of one soak; `calm` means without faults, `only` one kind of them.
+
+    `long_share` is the share of callers whose jobs outlast what hosts remember.
+    """
 
     seconds: float
     jobs_per_s: float
     calm: bool
     size: Size
     only: str = ""
+    long_share: float = 0.0
 
 
 async def soak(seed: int, plan: Plan, out: Path) -> list[str]:
@@ -59,9 +65,14 @@
 
 
 async def _run_under_load(deployment: Deployment, seed: int, plan: Plan) -> list[str]:
-    callers = Callers(list(deployment.procs.nodes.values()), deployment.rng)
+    callers = Callers(
+        list(deployment.procs.nodes.values()),
+        deployment.rng,
+        long_share=plan.long_share,
+        long_rng=random.Random(f"long {seed}"),
+    )
     sends: set[asyncio.Task[object]] = set()
-    injector = FaultInjector(deployment, seed, plan.only)
+    injector = FaultInjector(deployment, seed, plan.only, plan.long_share > 0)
 
     async def load() -> None:
         while True:
@@ -75,7 +86,8 @@
         await injector.inject_faults(plan.seconds)
     await asyncio.sleep(RECOVERY_S)
     loading.cancel()
-    done_pending = await asyncio.wait(sends, timeout=ANSWER_WAIT_S)
+    wait_s = LONG_ANSWER_WAIT_S if plan.long_share else ANSWER_WAIT_S
+    done_pending = await asyncio.wait(sends, timeout=wait_s)
     final_sends = (callers.send(may_hurry=False) for _ in range(FINAL_JOBS))
     final_calls = await asyncio.gather(*final_sends)
     ledger = await deployment.ledger()
@@ -114,6 +126,9 @@
     nodes: Annotated[int | None, typer.Option(help="Entry hosts in each.")] = None,
     runners: Annotated[int, typer.Option(help="Runners in each.")] = 3,
     only: Annotated[str, typer.Option(help="Inject faults of this kind only.")] = "",
+    long_share: Annotated[
+        float, typer.Option(help="Share of callers whose jobs take 20 to 45 s.")
+    ] = 0.0,
 ) -> None:
     """Run soaks; exit with 1 if any of them failed."""
     seed_source = random.SystemRandom()
@@ -126,7 +141,7 @@
     for soak_seed in seeds:
         # By default two or three of each, depending on the seed.
         size = Size(dcs or 2 + soak_seed % 2, nodes or 2 + soak_seed // 2 % 2, runners)
-        plan = Plan(seconds, jobs_per_s, calm, size, only)
+        plan = Plan(seconds, jobs_per_s, calm, size, only, long_share)
         print(f"seed {soak_seed}, {size}")
         try:
             shutil.rmtree(out / str(soak_seed), ignore_errors=True)
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -43,12 +43,14 @@
 class FaultInjector:
     """Injects faults into a deployment; a seed gives the same faults at any load.
 
-    `only` names the kind of fault to inject; empty for all kinds.
+    `only` names the kind of fault to inject; empty for all kinds. Callers' connections
+    go silent only if `silences_callers`.
     """
 
     deployment: Deployment
     seed: int
     only: str = ""
+    silences_callers: bool = False
     _started_at: float = field(default_factory=time.monotonic)
     evacuated: list[Evacuated] = field(default_factory=list)
     _evacuating: set[str] = field(default_factory=set)
@@ -165,6 +167,14 @@
         await asyncio.sleep(_draw_duration_s(rng))
         proxy.fault = ProxyFault.NONE
 
+    async def silence_callers(self, rng: Random) -> None:
+        """Drop what callers and a host send to each other for a while."""
+        proxy = rng.choice(self.deployment.callers_proxies)
+        self._print_event(f"connections of callers to {proxy.ip}: silent")
+        proxy.fault = ProxyFault.SILENT
+        await asyncio.sleep(_draw_duration_s(rng))
+        proxy.fault = ProxyFault.NONE
+
     async def reset_runner_connections(self, rng: Random) -> None:
         """Reset the open connections of a runner."""
         rng.choice(self.deployment.proxies).reset_all()
@@ -324,6 +334,8 @@
             self.partition_dc,
             self.join_runners,
             self.evacuate_dc,
+            # Last, so that seeds without it play as before.
+            *((self.silence_callers,) if self.silences_callers else ()),
         )
 
     async def inject_faults(self, seconds: float) -> None:
