--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -69,7 +69,7 @@
 DECLINED_WAIT_S = 2.0
 # Bounds the call for a job whose caller did not say how long it waits.
 FORWARD_TIMEOUT_S = 30.0
-# An owner ends a job soon after its caller's deadline; its answer arrives within this.
+# A reply that comes later than this after the caller's deadline is of no use to it.
 FORWARD_MARGIN_S = 1.0
 # Changed capacity is advertised to other owners at once, but at most this often. Short
 # jobs tolerate twice this delay, and each heartbeat makes every owner check its queue.
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -58,8 +58,9 @@
 class JobCounts:
     """Counts of submissions, joins, answers by kind, and reconciliations.
 
-    `overdue` counts jobs that outlived their caller's wait, `location_expired` those
-    executed here although another owner had them, `cancel_missed` cancels of jobs that
+    `overdue` counts jobs that outlived their callers' wait, `expired` those that were
+    ended as no caller came again, `location_expired` those executed here although
+    another owner had announced them long before, `cancel_missed` cancels of jobs that
     were not here.
     """
 
@@ -400,7 +401,7 @@
             self.announce(rec.job.id)
 
     def _expire(self, rec: JobRecord, now: float) -> None:
-        """End a job whose callers no longer wait: a cancel call may have been lost."""
+        """End a job whose callers no longer wait; a cancel call may have been lost."""
         self.counts.expired += 1
         log.info(
             "callers no longer wait; ending the job",
