Tell owners how long a caller waits in all, and how much of it is over

Cause: sent the wait that is left, and an owner took it for the whole. It refuses a job that finds no room within 0.45 of the wait, which became 0.45 of the rest.

Change: `wait_s` is the whole wait again, and `waited_s` what is over of it. Times for decisions come from the whole, the end of the job from the rest. A call whose wait is over starts nothing any more, and the time that a call waits for the end of earlier runs counts. Numbers of requests do not start anew with a process: a new caller after a restart was taken for a copy of an earlier one, and its job ended early.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -109,7 +109,8 @@
         self.succession = Succession(self)
         self._owners_changed = asyncio.Event()
         self._heartbeat_serial = 0
-        self._request_count = 0
+        # Numbers of requests do not repeat after a restart.
+        self._request_count = card.boot_ms
         self._capacity_sent_at = 0.0
         self._told_queue = False
         self._background = BackgroundTasks()
@@ -445,6 +446,8 @@
     async def execute(self, call: SubmitCall) -> JobReply:
         """Execute a job here, or forward it to the owner that already executes it."""
         self.start_work_timers()
+        if call.has_expired:
+            return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
         arrived_at = self.timers.now()
         owner = None
         if not call.here and not self.jobs.can_join(call):
@@ -524,7 +527,7 @@
             peer.address,
             call.after,
             JobReply,
-            call.wait_s + FORWARD_MARGIN_S if call.wait_s else FORWARD_TIMEOUT_S,
+            call.wait_left_s + FORWARD_MARGIN_S if call.wait_s else FORWARD_TIMEOUT_S,
             critical_path_s(call.job),
         )
         return reply
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
+from math import isfinite
 
-from monsoongap.coordination.time_budget import TimeBudget, wait_left_s
+from monsoongap.coordination.time_budget import TimeBudget
 from monsoongap.coordination.work import Work
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -149,8 +150,7 @@
         self.may_have_started = self.may_have_started or call.again
         request = (call.origin, call.number)
         if request not in self.requests or call.is_handover:
-            wait_s = call.wait_s or float("inf")
-            self.expires_at = max(self.expires_at, now + wait_s)
+            self.expires_at = max(self.expires_at, now + call.wait_left_s)
         self.requests.add(request)
         if self.started_steps:
             return
@@ -161,6 +161,8 @@
 
     def handover_call(self, now: float) -> SubmitCall:
         """Return the call that hands the job over to the next owner of its share."""
+        left_s = self.expires_at - now
+        wait_s = max(self.budget.wait_s, left_s) if isfinite(left_s) else 0.0
         return SubmitCall(
             self.job,
             "",
@@ -169,6 +171,7 @@
             done=tuple(self.done_tasks),
             runs=tuple(self.run_numbers.items()),
             again=self.may_have_started or self.dispatched or self.is_borrowing,
-            wait_s=wait_left_s(self.expires_at, now),
+            wait_s=wait_s,
+            waited_s=wait_s - left_s if wait_s else 0.0,
             rule=self.rule,
         )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -227,7 +227,9 @@
         if rec is not None and rec.closed and not rec.runs_ended.is_set():
             await rec.runs_ended.wait()
             if not call.here and not self.pool.owns(call.share):
+            began_at = self.timers.now()
                 # Released meanwhile, with what was left of the runs.
+            call = call.after(self.timers.now() - began_at)
                 return JobReply(AnswerKind.HANDED_ON, "not an owner")
             rec = self.records.get(job.id)
         if rec is not None and rec.applies_to(call, self.timers.now()):
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -416,8 +416,8 @@
     number given to each task so far; both come from a previous owner of the job.
     `again` says that a previous owner may have started the job, so that it can no
     longer be refused as not run. `here` says that the callee has the job, as another
-    owner knows. `wait_s` is how much longer the caller waits, in seconds from the
-    arrival of the call; 0 if it did not say. `origin`
+    owner knows. `wait_s` is how long the caller waits, in seconds; 0 if it did not say.
+    `waited_s` is how much of that was over when the call was sent. `origin`
     and `number` identify the request of the caller: a call that is repeated, or late,
     gets the same refusal again. `origin` is empty in a handover. `delayed` says that
     the request may have waited while its host was paused, so that the caller may have
@@ -440,6 +440,7 @@
     delayed: bool = False
     rule: QueueRule | None = None
     transfer_fence: Natural = 0
+    waited_s: DurationS = 0.0
 
     @property
     def is_handover(self) -> bool:
@@ -449,13 +450,16 @@
     @property
     def has_expired(self) -> bool:
         """Return whether the caller no longer waits."""
-        return 0 < self.wait_s <= MIN_WAIT_S
+        return 0 < self.wait_s <= self.waited_s
+
+    @property
+    def wait_left_s(self) -> float:
+        """Return how much longer the caller waits; infinite if it did not say."""
+        return self.wait_s - self.waited_s if self.wait_s else float("inf")
 
     def after(self, elapsed_s: float) -> "SubmitCall":
         """Return the call to send `elapsed_s` seconds later."""
-        if not self.wait_s:
-            return self
-        return replace(self, wait_s=max(self.wait_s - elapsed_s, MIN_WAIT_S))
+        return replace(self, waited_s=self.waited_s + max(elapsed_s, 0.0))
 
 
 @dataclass(frozen=True, slots=True)
