Announce a young job more often

A job still ran twice if its first announcements were lost: they cover 0.35 s, and the next one came 5 s later, after a caller of 1.5 s comes again.

Cause: hosts that miss each other's heartbeats for less than a second do not notice, so the job is not announced to them as to a host that became live.

Change: the time to the next announcement is half the age of the job, at least 0.7 s and at most 5 s. Jobs of less than 0.7 s are announced as before.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -52,6 +52,7 @@
 # know it if two announcements are lost.
 ANNOUNCE_INTERVAL_S = REMEMBER_S / 3
 TICK_S = 0.05
+MIN_ANNOUNCE_INTERVAL_S = 2 * ANNOUNCE_S
 
 
 @dataclass(slots=True)
@@ -398,7 +399,8 @@
 
     def _announce_again(self, rec: JobRecord, now: float) -> None:
         """Announce a job that is still in progress before its location is forgotten."""
-        if now - rec.announced_at >= ANNOUNCE_INTERVAL_S:
+        interval_s = max((now - rec.arrived_at) / 2, MIN_ANNOUNCE_INTERVAL_S)
+        if now - rec.announced_at >= min(interval_s, ANNOUNCE_INTERVAL_S):
             rec.announced_at = now
             self.announce(rec.job.id)
 
--- a/tests/coordination/test_long_runs.py
+++ b/tests/coordination/test_long_runs.py
@@ -155,3 +155,24 @@
         assert len(runs) == 1
 
     run_virtual(main())
+
+
+# Guards against a job of which nobody hears since its first announcements were lost, by
+# a loss of heartbeats too short to be noticed.
+@pytest.mark.parametrize("wait_s", [0.0, WAIT_S], ids=["no-wait", "wait"])
+def test_a_job_whose_first_announcements_are_lost_is_announced_again(
+    wait_s: float,
+) -> None:
+    async def main() -> None:
+        world = await open_world()
+        pairs = {(x, y) for x in world.hosts for y in world.hosts if x[0] != y[0]}
+        world.heartbeats_lost |= pairs
+        submit(world, world.owner("a"), wait_s)
+        await asyncio.sleep(0.4)
+        world.heartbeats_lost -= pairs
+        await asyncio.sleep(2.4)
+        submit(world, world.owner("b"), wait_s)
+        await asyncio.sleep(3)
+        world.check()
+
+    run_virtual(main())
