Extend a lent run when its callers wait longer

Cause: gave the lender the wait of the first caller only. The borrower's record was extended as the caller joined it, the lender's was not.

Change: as a job is joined, the borrower sends the call for each lent task again with the new wait. The lender recognizes it and keeps the later end.

Measured: test_a_lent_task_runs_on_for_a_caller_that_comes_again fails before and passes.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -76,6 +76,8 @@
     on_dispatch: Callable[[Work], None] = lambda work: None
     on_lost: Callable[[Work, tuple[ShareId, ...]], None] = lambda work, shares: None
     _told: dict[str, AdvertisedCapacity] = field(default_factory=dict)
+    # The calls without a reply, by the id of their task's object.
+    _calls: dict[int, LendCall] = field(default_factory=dict)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def record_capacity(self, peer: Peer) -> None:
@@ -128,6 +130,22 @@
         )
         self._background.spawn(self._run_there(work, peer, upstream), "borrow")
 
+    def extend_wait(self, work: Work) -> None:
+        """Tell the lender of a task that the job's callers wait longer."""
+        peer = self.members.peer(work.borrowed_from)
+        call = self._calls.get(id(work))
+        if peer is not None and call is not None:
+            self._background.spawn(self._extend_there(work, peer, call), "extend")
+
+    async def _extend_there(self, work: Work, peer: Peer, call: LendCall) -> None:
+        """Repeat a call, whose reply comes to the first one, with the new wait."""
+        call = replace(call, wait_s=wait_left_s(work.useless_at, self.timers.now()))
+        try:
+            await self.peers.call(peer.address, call, LendReply, CANCEL_TIMEOUT_S)
+        except PeerCallFailed:
+            # A lender that does not hear of it stops the run, and it is placed again.
+            return
+
     async def _run_there(self, work: Work, peer: Peer, upstream: str) -> None:
         shares = tuple(c.share for c in peer.heartbeat.claims) if peer.heartbeat else ()
         claim = self.ownership.claims.get(work.share) if work.share else None
@@ -150,6 +168,7 @@
             work.most_per_runner,
             upstream,
         )
+        self._calls[id(work)] = call
         try:
             reply = await self._call_lender(peer, call, work)
         except PeerCallFailed as exc:
@@ -164,6 +183,8 @@
             work.borrowed_from = ""
             self.on_lost(work, shares)
             return
+        finally:
+            del self._calls[id(work)]
         work.borrowed_from = ""
         work.run_number = max(work.run_number, reply.run)
         match reply.result:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -325,6 +325,8 @@
         repeated = (call.origin, call.number) in rec.requests
         rec.merge_call(call, self.timers.now())
         transferred = self._transferred.get(call.share, 0)
+        for work in rec.works.values():
+            self.pool.extend_wait(work, rec.expires_at)
         is_transferred = transferred and call.transfer_fence == transferred
         if call.is_handover and not repeated and not is_transferred:
             self.mark_share_in_doubt(call.share)
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -95,7 +95,11 @@
             return LendReply(LendResult.NO_ROOM, call.run)
         known = self._replies.get((call.task, call.run))
         if known is not None:
-            # Sent again on another connection: the first one's reply may be lost.
+            # Sent again: the first one's reply may be lost, or callers wait longer.
+            for lent in self._lent.values():
+                if lent.reply is known:
+                    expires_at = self._expires_at(call)
+                    lent.expires_at = max(lent.expires_at, expires_at)
             return await asyncio.shield(known)
         fut = self._add_reply(call.task, call.run)
 
@@ -130,12 +134,16 @@
         elif not self.pool.place_now(work):
             fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
         else:
-            wait_s = call.wait_s or float("inf")
-            margin_s = self.pool.cfg.orphan_s + CANCEL_MARGIN_S
-            expires_at = self.timers.now() + wait_s + margin_s
-            self._lent[id(work)] = Lent(work, call.home, call.claim, fut, expires_at)
+            self._lent[id(work)] = Lent(
+                work, call.home, call.claim, fut, self._expires_at(call)
+            )
         return await asyncio.shield(fut)
 
+    def _expires_at(self, call: LendCall) -> float:
+        """Return when a borrower has certainly ended the job of a task."""
+        margin_s = self.pool.cfg.orphan_s + CANCEL_MARGIN_S
+        return self.timers.now() + (call.wait_s or float("inf")) + margin_s
+
     async def refuse(self, call: LendCall) -> LendReply:
         """Refuse a task, also if its call is repeated or late.
 
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -321,6 +321,12 @@
         elif work.borrowed_from:
             self.borrowing.cancel(work)
 
+    def extend_wait(self, work: Work, expires_at: float) -> None:
+        """Have a task go on until `expires_at`, also at the lender that runs it."""
+        if expires_at > work.useless_at:
+            work.useless_at = expires_at
+            self.borrowing.extend_wait(work)
+
     def reorder(self, works: list[Work], order: tuple[float, ...]) -> None:
         """Give tasks that wait another place, by a new head of their order."""
         self._waiting.reorder(works, order)
--- a/tests/coordination/test_long_lent_runs.py
+++ b/tests/coordination/test_long_lent_runs.py
@@ -10,6 +10,7 @@
 
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
+    CancelCall,
     FindCall,
     Job,
     JobReply,
@@ -26,16 +27,16 @@
 
 
 def submit(
-    world: World, id_: str, work_s: float, tasks: int = 1
+    world: World, id_: str, work_s: float, tasks: int = 1, wait_s: float = 0.0
 ) -> asyncio.Task[JobReply]:
-    """Submit a job at the owner of data centre a, for a caller that waits for it."""
+    """Submit a job at the owner of data centre a."""
     payload = msgspec.json.encode(TaskPlan(work_s * 1000)).decode()
     job = Job(id_, QUEUE, payload, (Step(tasks, Resources(1000, 64), 1.0),))
-    return asyncio.create_task(world.submit_job(world.owner("a"), job))
+    return asyncio.create_task(world.submit_job(world.owner("a"), job, wait_s))
 
 
 async def open_lending_world(
-    lent_s: float, full_s: float = 200.0
+    lent_s: float, full_s: float = 200.0, wait_s: float = 0.0
 ) -> tuple[World, asyncio.Task[JobReply]]:
     """Let data centre a, full for `full_s`, borrow room of b for a task of `lent_s`."""
     world = World({"a": 2, "b": 2}, handlers_outlive_calls=True)
@@ -43,7 +44,7 @@
     await asyncio.sleep(3)
     submit(world, FILLING_JOB, full_s, tasks=8)
     await asyncio.sleep(0.5)
-    call = submit(world, JOB, lent_s)
+    call = submit(world, JOB, lent_s, wait_s=wait_s)
     await asyncio.sleep(0.5)
     assert [e.runner[0] for e in world.ledger if e.task.job == JOB] == ["b"]
     return world, call
@@ -96,3 +97,47 @@
         assert len([e for e in world.ledger if e.task.job == JOB]) == 1
 
     run_virtual(main())
+
+
+# Guards against a lender that stops a run at the end of the first caller's wait, though
+# the caller has come again and waits.
+def test_a_lent_task_runs_on_for_a_caller_that_comes_again() -> None:
+    async def main() -> None:
+        world, _ = await open_lending_world(7.0, wait_s=1.5)
+        for _ in range(3):
+            await asyncio.sleep(2.3)
+            call = submit(world, JOB, 7.0, wait_s=1.5)
+            await asyncio.sleep(0.5)
+        assert (await asyncio.wait_for(call, 2)).kind is AnswerKind.COMPLETED
+        assert len([e for e in world.ledger if e.task.job == JOB]) == 1
+
+    run_virtual(main())
+
+
+# Guards against a cancelled run that goes on for as long as its lender is live.
+def test_a_lent_run_ends_though_its_cancel_call_is_lost() -> None:
+    async def main() -> None:
+        world, _ = await open_lending_world(100.0)
+        world.call_types_lost.add(CancelCall)
+        world.hosts[world.owner("a")].cancel(JOB)
+        await asyncio.sleep(32)
+        (run,) = [e for e in world.ledger if e.task.job == JOB]
+        assert run.how == "stopped"
+
+    run_virtual(main())
+
+
+# Guards against a host that asks for ever what became of a task whose job it has not.
+def test_a_lent_task_is_not_settled_for_a_share_that_was_released() -> None:
+    async def main() -> None:
+        world, _ = await open_lending_world(100.0)
+        borrower = world.hosts[world.owner("a")]
+        world.call_types_lost |= {CancelCall, FindCall, LendCall}
+        borrower.cancel(JOB)
+        await asyncio.sleep(32)
+        assert borrower.reconciler._background._tasks
+        borrower.leave()
+        await asyncio.sleep(4)
+        assert not borrower.reconciler._background._tasks
+
+    run_virtual(main())
