End a cancelled lent run, and the settling of released shares

A lent run went on for ever if its one cancel call was lost and its caller had stated no wait; and a host that had released the share of a job asked a lender for its run ten times a second for the rest of its life.

Change: a call for a task that was withdrawn is not repeated: it ends within 30 s, and the lender is asked to stop the run. Settling ends with the claim to the job's share. A lender keeps a reply for 40 s, longer than the pause after which a borrower may ask again.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -200,8 +200,8 @@
     async def _call_lender(self, peer: Peer, call: LendCall, work: Work) -> LendReply:
         """Return the lender's reply, which comes when the run has ended.
 
-        Raises `PeerCallFailed` if the lender cannot be reached, or is not live and does
-        not reply.
+        Raises `PeerCallFailed` if the lender cannot be reached, or does not reply and
+        is not live or was told to stop the run.
         """
         while True:
             try:
@@ -216,7 +216,7 @@
                     work.estimate_s,
                 )
             except NoReply:
-                if not self.members.is_live(peer.card.name):
+                if work.withdrawn or not self.members.is_live(peer.card.name):
                     raise
             else:
                 return reply
@@ -232,5 +232,5 @@
         try:
             await self.peers.call(peer.address, call, bool, CANCEL_TIMEOUT_S)
         except PeerCallFailed:
-            # The call that carries the task fails too, and settles it.
+            # The call that carries the task ends too, and has the run stopped.
             log.info("lender not told", extra={"job": work.task.job})
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -49,10 +49,11 @@
 # Long enough for three heartbeats to announce a job.
 ANNOUNCE_S = 0.35
 # Other owners forget the location of a job unless it is announced again. They still
-# know it if two announcements are lost.
+# know it if two announcements are lost. A young job is announced more often: a caller
+# that gives up soon comes again when the first announcements may have been lost.
 ANNOUNCE_INTERVAL_S = REMEMBER_S / 3
-TICK_S = 0.05
 MIN_ANNOUNCE_INTERVAL_S = 2 * ANNOUNCE_S
+TICK_S = 0.05
 
 
 @dataclass(slots=True)
@@ -226,11 +227,11 @@
         job = call.job
         rec = self.records.get(job.id)
         if rec is not None and rec.closed and not rec.runs_ended.is_set():
+            began_at = self.timers.now()
             await rec.runs_ended.wait()
+            call = call.after(self.timers.now() - began_at)
             if not call.here and not self.pool.owns(call.share):
-            began_at = self.timers.now()
                 # Released meanwhile, with what was left of the runs.
-            call = call.after(self.timers.now() - began_at)
                 return JobReply(AnswerKind.HANDED_ON, "not an owner")
             rec = self.records.get(job.id)
         if rec is not None and rec.applies_to(call, self.timers.now()):
@@ -324,9 +325,9 @@
         """Update a record, and what is known of previous owners, from a call."""
         repeated = (call.origin, call.number) in rec.requests
         rec.merge_call(call, self.timers.now())
-        transferred = self._transferred.get(call.share, 0)
         for work in rec.works.values():
             self.pool.extend_wait(work, rec.expires_at)
+        transferred = self._transferred.get(call.share, 0)
         is_transferred = transferred and call.transfer_fence == transferred
         if call.is_handover and not repeated and not is_transferred:
             self.mark_share_in_doubt(call.share)
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -36,8 +36,8 @@
 # A borrower whose job has expired cancels its lent tasks before this has passed.
 CANCEL_MARGIN_S = 0.5
 # A reply is kept this long after the run has ended. A borrower repeats its call within
-# a second; a network partition may delay a call for longer.
-KEEP_REPLY_S = 20.0
+# 30 s (`LEND_TIMEOUT_S`), and a network partition may delay it.
+KEEP_REPLY_S = 40.0
 # Enough for 1,000 tasks a second, looked at in each tick.
 FORGET_AT_ONCE = 64
 
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -63,7 +63,10 @@
 
     async def _reconcile_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
         owned_at = self.timers.now()
-        while self.timers.now() - owned_at < RECONCILE_LENT_TIMEOUT_S:
+        while (
+            work.share in self.ownership.claims
+            and self.timers.now() - owned_at < RECONCILE_LENT_TIMEOUT_S
+        ):
             # The number of shares of the lender's data centre may have changed since.
             dcs = sorted({share.dc for share in shares})
             current_shares = tuple(
