Ask data centres that have left the list of runners a moment ago

The entries of a data centre's runners had expired, and its owner had just restarted, so no owner was known either. The owner of another data centre, whose call for the job had failed with that restart, asked all the others, counted the job's runs as reconciled, and started three tasks beside those that the restarted host's runners still had.

Cause: the data centres to ask were those with listed runners or a live owner. One that is out of both for a moment was not asked, although it renews leases.

Change: a data centre counts for 8 s after it was last listed or owned, the time after which hosts elsewhere would take its shares over.

Measured: test_an_unlisted_data_centre_that_is_not_heard_is_still_asked has two overlapping runs before and none now.

--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -42,6 +42,9 @@
 # Network partitions heal within seconds; until then a data centre's own hosts have
 # precedence.
 REMOTE_WAIT_S = 8.0
+# A data centre without listed runners and without an owner counts as gone after this:
+# with runners, its shares would be acquired by hosts elsewhere.
+UNSEEN_DC_S = REMOTE_WAIT_S
 # After a runner accepted a higher fence, its holder's heartbeat takes time to arrive.
 YIELD_WAIT_S = 1.0
 # A host that told a claimant that it does not own the share hears of the claim within
@@ -93,6 +96,8 @@
     _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
     _owners_updated_at: float = -1e9
+    # When each data centre last had a runner in the list, or an owner.
+    _seen_at: dict[str, float] = field(default_factory=dict)
     _remote_checked_at: float = -1e9
 
     def start(self) -> None:
@@ -102,6 +107,8 @@
 
     def record_runner_counts(self, dcs: Counter[str], read_at: float) -> None:
         """Record the number of runners of each data centre, as read at `read_at`."""
+        # Those that the list no longer has were listed until now.
+        self._seen_at |= dict.fromkeys(self._runner_counts, self.timers.now())
         self._runner_counts = dcs
         self._runners_read_at = read_at
 
@@ -179,9 +186,14 @@
         return needed <= SUCCESSOR_CPU_FRACTION * self.members.card.cores
 
     def all_shares(self) -> list[ShareId]:
-        """Return the shares of every data centre that has runners or an owner."""
-        owned = {share.dc for share in self._owners_by_share()}
-        dcs = sorted(owned.union(self._runner_counts))
+        """Return the shares of every data centre that has runners or an owner.
+
+        One that had until lately may still run tasks, and only its owner can tell.
+        """
+        self._owners_by_share()
+        oldest = self.timers.now() - UNSEEN_DC_S
+        seen = {dc for dc, seen_at in self._seen_at.items() if seen_at > oldest}
+        dcs = sorted(seen.union(self._runner_counts))
         return [share for dc in dcs for share in self.shares_of(dc)]
 
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
@@ -204,6 +216,7 @@
                     owners[owner.claim.share] = owner
             self._owners = owners
             self._owners_updated_at = now
+            self._seen_at |= dict.fromkeys((share.dc for share in owners), now)
         return self._owners
 
     def yield_to_fence(self, share: ShareId) -> None:
--- a/tests/coordination/test_takeover_doubts.py
+++ b/tests/coordination/test_takeover_doubts.py
@@ -421,3 +421,22 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against a doubtful job that is begun without asking a data centre whose runners
+# have left the list and whose hosts are not heard, while its owner renews their leases.
+def test_an_unlisted_data_centre_that_is_not_heard_is_still_asked() -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 2, "c": 2})
+        await world.start()
+        await asyncio.sleep(5)
+        asyncio.create_task(world.submit(world.owner("a"), "ab" * 8, 1, 10_000.0))
+        await asyncio.sleep(0.5)
+        world.unlisted |= {name for name in world.models if name.startswith("a")}
+        world.send_runner_lists()
+        world.cut_off("a", "c")
+        asyncio.create_task(world.submit(world.owner("c"), "ab" * 8, 1, 10_000.0))
+        await asyncio.sleep(3)
+        world.check()
+
+    run_virtual(main())
