--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -63,7 +63,7 @@
     """The lender's side of lending.
 
     `_replies` holds the reply to each run that a borrower asked for, however often it
-    asks; `_replied` the time of each one that is complete.
+    asks; `_reply_times` the time of each one that is complete.
     """
 
     pool: Pool
@@ -74,7 +74,7 @@
     _replies: dict[tuple[TaskId, int], asyncio.Future[LendReply]] = field(
         default_factory=dict
     )
-    _replied: deque[tuple[float, tuple[TaskId, int]]] = field(default_factory=deque)
+    _reply_times: deque[tuple[float, tuple[TaskId, int]]] = field(default_factory=deque)
 
     def start(self) -> Subscription:
         """Begin to watch borrowers."""
@@ -159,7 +159,7 @@
         fut: asyncio.Future[LendReply] = asyncio.get_running_loop().create_future()
         self._replies[task, run] = fut
         fut.add_done_callback(
-            lambda _: self._replied.append((self.timers.now(), (task, run)))
+            lambda _: self._reply_times.append((self.timers.now(), (task, run)))
         )
         return fut
 
@@ -238,6 +238,6 @@
         """Drop the replies that nobody asks for any more, the oldest first."""
         oldest = self.timers.now() - KEEP_REPLY_S
         for _ in range(FORGET_AT_ONCE):
-            if not self._replied or self._replied[0][0] > oldest:
+            if not self._reply_times or self._reply_times[0][0] > oldest:
                 return
-            del self._replies[self._replied.popleft()[1]]
+            del self._replies[self._reply_times.popleft()[1]]
