Remember a data centre for its owner, not for entries of runners

A data centre that an odd entry had named was still asked for 8 s after the entry had gone.

Cause: counted each data centre that was listed lately, and an entry of a runner may name one that does not exist.

Change: only one that had an owner lately is counted beside those that are listed.

--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -96,7 +96,7 @@
     _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
     _owners_updated_at: float = -1e9
-    # When each data centre last had a runner in the list, or an owner.
+    # When each data centre last had an owner.
     _seen_at: dict[str, float] = field(default_factory=dict)
     _remote_checked_at: float = -1e9
 
@@ -107,8 +107,6 @@
 
     def record_runner_counts(self, dcs: Counter[str], read_at: float) -> None:
         """Record the number of runners of each data centre, as read at `read_at`."""
-        # Those that the list no longer has were listed until now.
-        self._seen_at |= dict.fromkeys(self._runner_counts, self.timers.now())
         self._runner_counts = dcs
         self._runners_read_at = read_at
 
@@ -188,7 +186,8 @@
     def all_shares(self) -> list[ShareId]:
         """Return the shares of every data centre that has runners or an owner.
 
-        One that had until lately may still run tasks, and only its owner can tell.
+        One that had an owner until lately may still run tasks, and only its owner can
+        tell. Entries of runners alone may name a data centre that does not exist.
         """
         self._owners_by_share()
         oldest = self.timers.now() - UNSEEN_DC_S
