Let a late call join its job until its answer is of no use

Cause: a host that had lost its call to an owner did not call the next one once the deadline had passed, and an owner turned such a call away although it had the job.

Change: a host goes on for a second after the deadline, as long as it waits for a reply, and an owner lets such a call join a job that it has. It still starts nothing for it.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -319,7 +319,7 @@
             delayed = call.delayed or self.is_catching_up
             call = replace(call, share=share, delayed=delayed)
             current = call.after(self.timers.now() - started_at)
-            if current.has_expired:
+            if current.wait_left_s <= -FORWARD_MARGIN_S:
                 return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
             owner = self.ownership.owner_of(share)
             if owner is None:
@@ -446,7 +446,7 @@
     async def execute(self, call: SubmitCall) -> JobReply:
         """Execute a job here, or forward it to the owner that already executes it."""
         self.start_work_timers()
-        if call.has_expired:
+        if call.has_expired and not self.jobs.can_join(call):
             return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
         arrived_at = self.timers.now()
         owner = None
