Logs: tell when no host is left that holds a caller of a job

The call server now tells the owner when the sender of a call closes its connection; the owner counts it and writes a line with the age of the job, the stated wait and its runs. No decision depends on it. Calls name their sender, as a job may be forwarded by another host than the one that its caller came to.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -18,6 +18,7 @@
 from monsoongap.coordination.jobs import Jobs
 from monsoongap.coordination.lending import Lending
 from monsoongap.coordination.members import OWNER_TIMEOUT_S, Members
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ownership import Owner, Ownership
 from monsoongap.coordination.planned_placement import PlannedPlacement
 from monsoongap.coordination.pool import Pool
@@ -443,8 +444,13 @@
         rule = self.directory.rule(call.job.queue)
         return await self._submit(call, rule, stays=True)
 
-    async def execute(self, call: SubmitCall) -> JobReply:
-        """Execute a job here, or forward it to the owner that already executes it."""
+    async def execute(
+        self, call: SubmitCall, open_call: OpenCall | None = None
+    ) -> JobReply:
+        """Execute a job here, or forward it to the owner that already executes it.
+
+        `open_call` is the call of another host, None for a caller of this host.
+        """
         self.start_work_timers()
         if call.has_expired and not self.jobs.can_join(call):
             return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
@@ -465,7 +471,8 @@
                 self.jobs.announce(call.job.id)
                 self.members.send_heartbeats_to_owners()
                 call = replace(call, again=True)
-            return await self.jobs.submit(call.after(self.timers.now() - arrived_at))
+            current = call.after(self.timers.now() - arrived_at)
+            return await self.jobs.submit(current, open_call)
         call = replace(call, again=True)
         current = call.after(self.timers.now() - arrived_at)
         reply = await self._submit_to_located(owner, current)
@@ -475,7 +482,7 @@
         if call.has_expired:
             return JobReply(AnswerKind.BROKEN, "its caller's deadline has passed")
         self.jobs.mark_job_in_doubt(call.job.id)
-        return await self.jobs.submit(call)
+        return await self.jobs.submit(call, open_call)
 
     async def _submit_to_located(
         self, owner: str | None, call: SubmitCall
@@ -522,6 +529,7 @@
 
     async def _send_submit(self, peer: Peer, call: SubmitCall) -> JobReply:
         """Send a job to another host; raises `PeerCallFailed`."""
+        call = replace(call, sender=self.card.name)
         reply: JobReply = await call_repeatedly(
             self.peers,
             peer.address,
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from monsoongap.coordination.heartbeats import Peer
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ports import PeerCallFailed
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol.messages import (
@@ -53,14 +54,19 @@
         self._host = host
         self._fetches_begun = 0
 
-    async def answer(self, request: Any) -> Any:
-        """Answer a call of another host; raises `TypeError` on an unknown type."""
+    async def answer(self, request: Any, open_call: OpenCall | None = None) -> Any:
+        """Answer a call of another host; raises `TypeError` on an unknown type.
+
+        `open_call` tells whether the sender still waits for the reply.
+        """
         host = self._host
         match request:
             case SubmitCall():
                 if host.is_catching_up:
                     request = replace(request, delayed=True)
-                return await self._answer_submit(request)
+                open_call = open_call or OpenCall()
+                open_call.sender = request.sender or request.origin
+                return await self._answer_submit(request, open_call)
             case LendCall():
                 host.start_work_timers()
                 if await host.config_fetcher.wait_for(request.version, request.home):
@@ -97,7 +103,7 @@
             case _:
                 raise TypeError(f"unknown call type: {type(request).__name__}")
 
-    async def _answer_submit(self, call: SubmitCall) -> JobReply:
+    async def _answer_submit(self, call: SubmitCall, open_call: OpenCall) -> JobReply:
         host = self._host
         if not await host.config_fetcher.wait_for(call.version, call.origin):
             return JobReply(AnswerKind.HANDED_ON, "owner has an older configuration")
@@ -111,7 +117,7 @@
                 # Its sender has not heard of the next owner yet.
                 return await host.forward(call)
             return reply or JobReply(AnswerKind.HANDED_ON, "not an owner")
-        return await host.execute(call)
+        return await host.execute(call, open_call)
 
     async def locate(self, job: str) -> str | None:
         """Return the name of another owner that has a job, None if none says so."""
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.time_budget import TimeBudget
 from monsoongap.coordination.work import Work
 from monsoongap.errors import AnswerKind
@@ -37,7 +38,9 @@
     its callers stops waiting; infinite if one did not say. `announced_at` is when other
     owners were last told of the job. `runs_ended` is set when no run is left.
     `reconciling` says that runs of previous owners are awaited, `held_s` for how long
-    they were. `overdue` says that the job was logged as overdue.
+    they were. `overdue` says that the job was logged as overdue. `open_calls` are the
+    calls that wait for the answer; `callers_lost_at` is when the last of them was
+    closed, None while there are some.
     """
 
     job: Job
@@ -64,6 +67,8 @@
     reconciling: bool = False
     held_s: float = 0.0
     overdue: bool = False
+    open_calls: set[OpenCall] = field(default_factory=set)
+    callers_lost_at: float | None = None
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
 
     @property
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from monsoongap.coordination.job_record import JobRecord
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
 from monsoongap.protocol.messages import SubmitCall
 from monsoongap.state.job_locations import JobLocations, location_fields
@@ -95,3 +96,20 @@
             "reconciling": rec.reconciling or None,
         },
     )
+
+
+def log_callers_lost(
+    rec: JobRecord, open_call: OpenCall, pool: Pool, now: float
+) -> None:
+    """Log that no host is left that holds a caller of a job."""
+    log.info(
+        "the job's last call was closed by its sender; its caller may send it again",
+        extra={
+            "job": rec.job.id,
+            "sender": open_call.sender,
+            "age_ms": round((now - rec.arrived_at) * MS_PER_S),
+            "wait_ms": round(rec.budget.wait_s * MS_PER_S),
+            "runs": len(pool.runs_of(rec.job.id)),
+            "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
+        },
+    )
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -17,7 +17,12 @@
     capacity_timeout_refusal,
 )
 from monsoongap.coordination.job_record import NEVER, JobRecord
-from monsoongap.coordination.job_traces import is_overdue, log_overdue
+from monsoongap.coordination.job_traces import (
+    is_overdue,
+    log_callers_lost,
+    log_overdue,
+)
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.readiness import Readiness
 from monsoongap.coordination.steps import Steps
@@ -63,7 +68,8 @@
     `overdue` counts jobs that outlived their callers' wait, `expired` those that were
     ended as no caller came again, `location_expired` those executed here although
     another owner had announced them long before, `cancel_missed` cancels of jobs that
-    were not here.
+    were not here, `callers_lost` times at which the last host that held a caller of a
+    job was gone.
     """
 
     submitted: int = 0
@@ -80,6 +86,7 @@
     overdue: int = 0
     location_expired: int = 0
     cancel_missed: int = 0
+    callers_lost: int = 0
 
 
 @dataclass(slots=True)
@@ -222,8 +229,14 @@
         of_queue = (rec for rec in self._unanswered.values() if rec.rule.name == queue)
         return sum(not rec.dispatched for rec in of_queue)
 
-    async def submit(self, call: SubmitCall) -> JobReply:
-        """Execute a job, or join it if it is known; return its one answer."""
+    async def submit(
+        self, call: SubmitCall, open_call: OpenCall | None = None
+    ) -> JobReply:
+        """Execute a job, or join it if it is known; return its one answer.
+
+        `open_call` is the call of another host, None for a caller of this host.
+        """
+        open_call = open_call or OpenCall()
         job = call.job
         rec = self.records.get(job.id)
         if rec is not None and rec.closed and not rec.runs_ended.is_set():
@@ -245,7 +258,7 @@
                     "runs_named": len(call.runs) or None,
                 },
             )
-            self._merge_call(rec, call)
+            self._merge_call(rec, call, open_call)
             reply = await asyncio.shield(rec.answer)
             return reply.without_promise() if call.again else reply
         if call.here:
@@ -259,7 +272,7 @@
             reply = JobReply(AnswerKind.UNKNOWN_QUEUE, "no such queue")
             may_have_started = call.again or self._may_have_started(job.id, rec)
             return reply.without_promise() if may_have_started else reply
-        new_rec = self._create_record(call, rule, rec)
+        new_rec = self._create_record(call, rule, rec, open_call)
         if not call.again and not call.here:
             refusal = self.admission_control.refusal_on_arrival(rule.upstream)
             if refusal is not None:
@@ -289,7 +302,11 @@
         return None if reply.without_promise() is not reply else reply
 
     def _create_record(
-        self, call: SubmitCall, rule: QueueRule, previous: JobRecord | None
+        self,
+        call: SubmitCall,
+        rule: QueueRule,
+        previous: JobRecord | None,
+        open_call: OpenCall,
     ) -> JobRecord:
         """Create a job's record; `previous` is that of a try without a result."""
         job, now = call.job, self.timers.now()
@@ -300,7 +317,7 @@
             rec.run_numbers = previous.run_numbers
             rec.in_doubt_since = previous.in_doubt_since
         rec.may_have_started = self._may_have_started(job.id, previous)
-        self._merge_call(rec, call)
+        self._merge_call(rec, call, open_call)
         rec.in_doubt_since = max(
             rec.in_doubt_since, self._jobs_in_doubt.pop(job.id, NEVER)
         )
@@ -321,8 +338,11 @@
             or (handed_over is not None and handed_over.may_have_started)
         )
 
-    def _merge_call(self, rec: JobRecord, call: SubmitCall) -> None:
+    def _merge_call(
+        self, rec: JobRecord, call: SubmitCall, open_call: OpenCall
+    ) -> None:
         """Update a record, and what is known of previous owners, from a call."""
+        self._add_caller(rec, open_call)
         repeated = (call.origin, call.number) in rec.requests
         rec.merge_call(call, self.timers.now())
         for work in rec.works.values():
@@ -332,6 +352,21 @@
         if call.is_handover and not repeated and not is_transferred:
             self.mark_share_in_doubt(call.share)
 
+    def _add_caller(self, rec: JobRecord, open_call: OpenCall) -> None:
+        """Have a job go on for a call, until the call is closed."""
+        rec.open_calls.add(open_call)
+        rec.callers_lost_at = None
+        open_call.on_close = lambda: self._remove_caller(rec, open_call)
+
+    def _remove_caller(self, rec: JobRecord, open_call: OpenCall) -> None:
+        """Record that a host no longer waits for a job's answer."""
+        rec.open_calls.discard(open_call)
+        if rec.open_calls or rec.closed or rec.answer.done():
+            return
+        rec.callers_lost_at = self.timers.now()
+        self.counts.callers_lost += 1
+        log_callers_lost(rec, open_call, self.pool, self.timers.now())
+
     def cancel(self, job: str) -> None:
         """End a job whose caller has disconnected."""
         rec = self._unanswered.get(job)
--- /dev/null
+++ b/monsoongap/coordination/open_call.py
@@ -0,0 +1,27 @@
+"""A caller's path to the owner of its job, as the owner sees it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
+@dataclass(slots=True, eq=False)
+class OpenCall:
+    """A call that waits for the answer of a job.
+
+    `sender` is the name of the host that sent it, empty for a caller of this host.
+    `on_close` is called once, if the sender closes the connection before the reply.
+    """
+
+    sender: str = ""
+    is_open: bool = True
+    on_close: Callable[[], None] = _ignore
+
+    def close(self) -> None:
+        """Record that the sender no longer waits for the reply."""
+        if self.is_open:
+            self.is_open = False
+            self.on_close()
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -424,7 +424,8 @@
     sent the job to another host since. `rule` is the queue by which the job was
     accepted, for an owner whose configuration has it no longer; None in a first call.
     `transfer_fence` is the fence of the claim under which the previous owner
-    transferred the share (`TransferCall`); 0 if it did not.
+    transferred the share (`TransferCall`); 0 if it did not. `sender` is the host that
+    sends the call; empty from a host of an earlier version.
     """
 
     job: Job
@@ -441,6 +442,7 @@
     rule: QueueRule | None = None
     transfer_fence: Natural = 0
     waited_s: DurationS = 0.0
+    sender: Sender = ""
 
     @property
     def is_handover(self) -> bool:
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol import messages
 from monsoongap.protocol.decoding import Malformed, decode_msgpack
@@ -54,11 +55,14 @@
 
 
 class HostCallServer:
-    """Serves calls from other hosts; `answer` returns the reply to a decoded call."""
+    """Serves calls from other hosts; `answer` returns the reply to a decoded call.
+
+    The open call that it gets too is closed if its sender closes the connection.
+    """
 
     def __init__(
         self,
-        answer: Callable[[Any], Awaitable[Any]],
+        answer: Callable[[Any, OpenCall], Awaitable[Any]],
         timers: TimerService,
         guard: ReceiveGuard | None = None,
     ) -> None:
@@ -102,8 +106,10 @@
             log.warning("malformed call; replying 400", extra={"error": str(exc)})
             req.reply(HTTPStatus.BAD_REQUEST, str(exc).encode())
             return
+        open_call = OpenCall()
+        req.on_disconnect = open_call.close
         try:
-            reply = msgspec.msgpack.encode(await self._answer(call))
+            reply = msgspec.msgpack.encode(await self._answer(call, open_call))
         except Exception:
             log.exception("call failed; replying 500", extra={"call": path})
             req.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b"")
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from monsoongap.coordination.host import Host, HostPorts
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ports import (
     NoAnswer,
     NotSent,
@@ -336,13 +337,15 @@
         await self.thawed(target)
         await host.timers.read_first()
         self.calls_delivered[type(request)] += 1
-        task = asyncio.create_task(host.calls.answer(request))
+        open_call = OpenCall()
+        task = asyncio.create_task(host.calls.answer(request, open_call))
         self._tasks.setdefault(target, {})[task] = None
         try:
             outlives = self.handlers_outlive_calls
             reply = await (asyncio.shield(task) if outlives else task)
         except asyncio.CancelledError:
             if target in self.hosts and self.hosts[target] is host:
+                self._close_call(source, target, open_call)
                 raise
             raise PeerCallFailed("died") from None
         await asyncio.sleep(LINK_S + self._queue_reply(target, reply))
@@ -352,6 +355,17 @@
             await asyncio.Event().wait()
         return reply
 
+    def _close_call(self, source: str, target: str, open_call: OpenCall) -> None:
+        """Tell a host that a sender has closed a call, unless the network is cut."""
+
+        async def close() -> None:
+            await asyncio.sleep(LINK_S)
+            await self.thawed(target)
+            open_call.close()
+
+        if self.reachable(source, target) and source not in self.powered_off:
+            asyncio.create_task(close())
+
     def _queue_reply(self, target: str, reply: Any) -> float:
         """Return the delay until a host's link has carried a reply, in seconds."""
         if self.link_bytes_per_s is None:
--- a/tests/transport/test_host_calls.py
+++ b/tests/transport/test_host_calls.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ports import PeerCallFailed, PeerDown
 from monsoongap.protocol.messages import CancelCall, ConfigCall, ConfigReply
 from monsoongap.timers import TimerService
@@ -20,7 +21,7 @@
 from tests.platform.site import free_ports
 
 
-async def answer(request: Any) -> Any:
+async def answer(request: Any, open_call: OpenCall) -> Any:
     match request:
         case ConfigCall():
             return ConfigReply(7, b"text")
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from monsoongap.coordination.members import Members
+from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.ports import PeerCallFailed
 from monsoongap.errors import AnswerKind
 from monsoongap.protocol import messages
@@ -137,7 +138,7 @@
     ]
 
     async def main() -> None:
-        async def answer(call: Any) -> Any:
+        async def answer(call: Any, open_call: OpenCall) -> Any:
             return call
 
         server, http = HostCallServer(answer, TimerService()), HttpClient()
