End a job whose entry hosts are gone before its caller comes elsewhere

Cause: nothing bound a run to the caller that waits for it. The owner renewed the lease for as long as the job was open, and relied on every other owner to have heard of it, which a cut, or an owner that began later, prevents. A successor kept orphan runs for 2 s, longer than the 1.3 s after which callers send a job again.

Now each call that waits for a job is known to its owner. When the last one is closed, the job is announced again, and ended after 2 s unless a repetition joins it; after 0.9 s if an owner of some data centre is not heard, since a repetition may go there. The same if the senders of all calls are silent and a data centre is out of touch. In that case orphan runs are kept for 0.2 s. A call that was closed before its job has a record starts nothing, and closes the call by which it was forwarded.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -177,6 +177,8 @@
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
+        self.pool.hears_all_owners = self.ownership.hears_all_owners
+        self.jobs.silent_since = self.members.silent_since
         self.traces = JobTraces(self.jobs, self.pool, self.job_locations)
         self.config_fetcher = ConfigFetcher(
             self.members, ports.peers, self.directory, timers
@@ -684,7 +686,8 @@
                 # A task of a job that stays here; the next owner has its run.
                 self.reconciler.reconcile_lent(work, (share,))
         for rec, call in handed_over:
-            self._background.spawn(self._forward_handed_over(rec, call), "hand-over")
+            forwarding = self._forward_handed_over(rec, call)
+            rec.forwarding = self._background.spawn(forwarding, "hand-over")
 
     async def _forward_handed_over(self, rec: JobRecord, call: SubmitCall) -> None:
         # The next owner must not handle the job by an older configuration.
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -66,6 +66,9 @@
                     request = replace(request, delayed=True)
                 open_call = open_call or OpenCall()
                 open_call.sender = request.sender or request.origin
+                if task := asyncio.current_task():
+                    # Until the job has a record here, nothing is to go on.
+                    open_call.on_close = task.cancel
                 return await self._answer_submit(request, open_call)
             case LendCall():
                 host.start_work_timers()
@@ -112,7 +115,7 @@
             has_job = host.jobs.knows(call.job.id)
         owns_share = not call.here and call.share in host.ownership.claims
         if not has_job and not owns_share:
-            reply = await host.jobs.follow_handover(call)
+            reply = await host.jobs.follow_handover(call, open_call)
             if reply is None and call.share in host.handover.transferred:
                 # Its sender has not heard of the next owner yet.
                 return await host.forward(call)
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -40,7 +40,8 @@
     `reconciling` says that runs of previous owners are awaited, `held_s` for how long
     they were. `overdue` says that the job was logged as overdue. `open_calls` are the
     calls that wait for the answer; `callers_lost_at` is when the last of them was
-    closed, None while there are some.
+    closed, None while there are some. `forwarding` hands the job over, and gets its
+    answer from the next owner.
     """
 
     job: Job
@@ -69,6 +70,7 @@
     overdue: bool = False
     open_calls: set[OpenCall] = field(default_factory=set)
     callers_lost_at: float | None = None
+    forwarding: asyncio.Task[None] | None = None
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
 
     @property
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -16,6 +16,7 @@
     AdmissionControl,
     capacity_timeout_refusal,
 )
+from monsoongap.coordination.caller_loss import CallerLoss
 from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.job_traces import (
     is_overdue,
@@ -96,7 +97,8 @@
     `reconcile` makes sure that no unknown run of a job is left at any owner; it returns
     whether that is so. `in_doubt_since` holds, for each share, the time until which a
     previous owner may have started runs that this host does not know. `records` also
-    holds answered jobs, for `KEEP_ANSWER_S` seconds.
+    holds answered jobs, for `KEEP_ANSWER_S` seconds. `silent_since` returns when a host
+    was last heard, None if it is live.
     """
 
     pool: Pool
@@ -104,6 +106,7 @@
     rule_of: Callable[[str], QueueRule | None]
     reconcile: Callable[[str, ShareId], Awaitable[bool]]
     readiness: Readiness
+    silent_since: Callable[[str], float | None] = lambda host: None
     in_doubt_since: dict[ShareId, float] = field(default_factory=dict)
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
@@ -289,7 +292,9 @@
         self.steps.start(new_rec)
         return await asyncio.shield(new_rec.answer)
 
-    async def follow_handover(self, call: SubmitCall) -> JobReply | None:
+    async def follow_handover(
+        self, call: SubmitCall, open_call: OpenCall
+    ) -> JobReply | None:
         """Return the answer of a job that was handed over from here, else None.
 
         A host that repeats its call, because no reply has arrived, gets the answer of
@@ -298,6 +303,7 @@
         _, rec = self._handed_over.get(call.job.id, (NEVER, None))
         if rec is None or call.is_handover:
             return None
+        self._add_caller(rec, open_call)
         reply = await asyncio.shield(rec.answer)
         return None if reply.without_promise() is not reply else reply
 
@@ -361,11 +367,15 @@
     def _remove_caller(self, rec: JobRecord, open_call: OpenCall) -> None:
         """Record that a host no longer waits for a job's answer."""
         rec.open_calls.discard(open_call)
-        if rec.open_calls or rec.closed or rec.answer.done():
+        if rec.open_calls or rec.answer.done():
             return
         rec.callers_lost_at = self.timers.now()
+        if rec.closed:
+            return
         self.counts.callers_lost += 1
         log_callers_lost(rec, open_call, self.pool, self.timers.now())
+        # Its caller may come to any host next.
+        self.announce(rec.job.id)
 
     def cancel(self, job: str) -> None:
         """End a job whose caller has disconnected."""
@@ -409,14 +419,30 @@
             rec.runs_ended.set()
         return taken
 
+    def _caller_loss(self, rec: JobRecord) -> CallerLoss:
+        """Return since when no caller of a job is known to wait."""
+        if not rec.open_calls:
+            return CallerLoss(closed_at=rec.callers_lost_at)
+        silent_since = NEVER
+        for open_call in rec.open_calls:
+            since = self.silent_since(open_call.sender) if open_call.sender else None
+            if since is None:
+                return CallerLoss()
+            silent_since = max(silent_since, since)
+        return CallerLoss(silent_since=silent_since)
+
     def _tick(self) -> None:
         """End jobs that waited too long, demote late ones, and drop old records."""
         now = self.timers.now()
+        in_touch = self.pool.hears_all_owners()
         for rec in list(self._unanswered.values()):
             # A caller that got no answer may submit the job again, and joins it.
             if now > rec.expires_at + self.pool.cfg.orphan_s:
                 self._expire(rec, now)
                 continue
+            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+                self._end(rec, JobReply(AnswerKind.BROKEN, "its callers are gone"))
+                continue
             self._announce_again(rec, now)
             age = now - rec.arrived_at
             if is_overdue(rec, now):
@@ -433,8 +459,21 @@
             del self._ending[rec.job.id]
         for rec in self._ending.values():
             self._announce_again(rec, now)
+        self._end_forwarding(now, in_touch)
         self._drop_expired(now)
 
+    def _end_forwarding(self, now: float, in_touch: bool) -> None:
+        """Close the calls that hand jobs over whose callers here are gone.
+
+        Their next owners then see that nobody waits.
+        """
+        for _, rec in self._handed_over.values():
+            if rec.forwarding is None or rec.answer.done():
+                continue
+            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+                rec.forwarding.cancel()
+                rec.answer.set_result(JobReply(AnswerKind.HANDED_ON, "not an owner"))
+
     def _announce_again(self, rec: JobRecord, now: float) -> None:
         """Announce a job that is still in progress before its location is forgotten."""
         interval_s = max((now - rec.arrived_at) / 2, MIN_ANNOUNCE_INTERVAL_S)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -91,6 +91,7 @@
     lost_replies: LostReplies = field(default_factory=LostReplies)
     evacuation: Evacuation = field(default_factory=Evacuation)
     location_of: Callable[[str], JobLocation | None] = lambda job: None
+    orphan_limit_s: Callable[[], float] | None = None
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
@@ -118,6 +119,7 @@
             self.stop,
             lambda: self.checks_capacity(self.info.upstream),
             self.on_orphan_found,
+            self.orphan_limit_s,
         )
 
     def open(self) -> None:
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -124,6 +124,17 @@
         peer = self._peers.get(name)
         return peer is not None and peer.is_live(self.timers.now())
 
+    def silent_since(self, name: str) -> float | None:
+        """Return when a host was last heard, None if it is live or never told.
+
+        Hosts of other data centres that own nothing send no heartbeats to this one.
+        """
+        peer = self._peers.get(name)
+        if peer is None or peer.heartbeat is None or peer.is_live(self.timers.now()):
+            return None
+        reports = peer.card.dc == self.card.dc or bool(peer.claims)
+        return peer.last_heartbeat_at if reports else None
+
     def knows_any(self) -> bool:
         """Return whether any other host is known, live or not."""
         return bool(self._peers)
--- a/monsoongap/coordination/open_call.py
+++ b/monsoongap/coordination/open_call.py
@@ -18,7 +18,7 @@
 
     sender: str = ""
     is_open: bool = True
-    on_close: Callable[[], None] = _ignore
+    on_close: Callable[[], object] = _ignore
 
     def close(self) -> None:
         """Record that the sender no longer waits for the reply."""
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -51,6 +51,8 @@
 # this time, even if four heartbeats are lost.
 CLAIM_HEARD_S = 0.5
 FENCE_HOSTS = 1024
+# Owners send each other a heartbeat at least each 0.2 s; two may be lost.
+IN_TOUCH_S = 0.65
 # The clocks of two hosts differ by at most this much.
 MAX_CLOCK_SKEW_MS = 3000
 
@@ -195,6 +197,16 @@
         dcs = sorted(seen.union(self._runner_counts))
         return [share for dc in dcs for share in self.shares_of(dc)]
 
+    def hears_all_owners(self) -> bool:
+        """Return whether every share has an owner that was heard a moment ago."""
+        oldest = self.timers.now() - IN_TOUCH_S
+        owners = map(self.owner_of, self.all_shares())
+        return all(
+            owner is not None
+            and (owner.peer is None or owner.peer.last_heartbeat_at >= oldest)
+            for owner in owners
+        )
+
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
         """Return the share of a data centre, by default this one, of a job."""
         dc = dc or self.members.card.dc
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -69,6 +69,7 @@
     `on_dispatch` is called with each task that is given to a runner, `on_held` when a
     runner is newly held, `on_orphan_found` with the id of each job of which an orphan
     run is found. `location_of` returns which other owner announced a job, for the log.
+    `hears_all_owners` returns whether no data centre is out of touch.
     `planned` decides where tasks go if a horizon is set.
     """
 
@@ -84,6 +85,7 @@
     on_held: Callable[[], None] = lambda: None
     on_orphan_found: Callable[[str], None] = lambda job: None
     location_of: Callable[[str], JobLocation | None] = lambda job: None
+    hears_all_owners: Callable[[], bool] = lambda: True
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
@@ -271,11 +273,17 @@
             lost_replies=self.lost_replies,
             evacuation=self.directory.evacuation,
             location_of=self.location_of,
+            orphan_limit_s=self._orphan_limit_s,
         )
         self.links[info.id] = link
         link.open()
         return link
 
+    def _orphan_limit_s(self) -> float:
+        """Return how long an orphan run is kept for a caller that may come again."""
+        in_touch = self.hears_all_owners()
+        return self.cfg.orphan_s if in_touch else self.cfg.cut_takeover_s
+
     def _retire(self, link: Link) -> None:
         """Give no more work to a runner that is gone; drop it when it is empty."""
         link.avoid_until = float("inf")
--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -37,7 +37,8 @@
     `checks_capacity` returns whether the runner rejects a run that does not fit.
     `orphans` holds the tasks of the orphan runs in `runs`, `done_before` those that
     orphan runs completed, with the time of each.
-    `stop` requests a stop. Orphan runs that no job adopts are stopped after `orphan_s`.
+    `stop` requests a stop. Orphan runs that no job adopts are stopped after the time
+    that `orphan_limit_s` returns; their ends are kept for `orphan_s`.
     `last_seq` is the sequence number of the last end seen.
     """
 
@@ -47,6 +48,7 @@
     stop: Callable[[Run], None]
     checks_capacity: Callable[[], bool]
     on_orphan_found: Callable[[str], None] = lambda job: None
+    orphan_limit_s: Callable[[], float] | None = None
     free: Resources = field(init=False)
     health: RunnerHealth = field(default_factory=RunnerHealth)
     runs: dict[TaskId, Run] = field(default_factory=dict)
@@ -213,9 +215,12 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             run.confirmed_at = min(run.confirmed_at, now)
-        if run.on_end is None and now - run.started_at > self.orphan_s:
+        if run.on_end is None and now - run.started_at > self._orphan_limit():
             self.stop(run)
 
+    def _orphan_limit(self) -> float:
+        return self.orphan_limit_s() if self.orphan_limit_s else self.orphan_s
+
     def _stop_hung(self, run: Run, now: float) -> None:
         log.warning(
             "run makes no progress; stopping it",
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -82,6 +82,10 @@
 
 # A run without a caller is kept this much longer than a caller takes to submit again.
 ORPHAN_MARGIN_S = 0.7
+# A stop takes 50 ms, and is repeated if its reply is lost.
+STOP_MARGIN_S = 0.4
+# Before this, other hosts take a silent owner's runs over.
+TAKEOVER_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +115,19 @@
         """How long a run without a caller is kept, as the caller may submit again."""
         return self.resend_s + ORPHAN_MARGIN_S
 
+    @property
+    def cut_orphan_s(self) -> float:
+        """How long such a run is kept while a data centre is out of touch.
+
+        The caller may submit again there, and the run has to have ended by then.
+        """
+        return max(self.resend_s - STOP_MARGIN_S, 0.0)
+
+    @property
+    def cut_takeover_s(self) -> float:
+        """How long a new owner keeps such a run while a data centre is out of touch."""
+        return max(self.cut_orphan_s - TAKEOVER_S, 0.0)
+
     @property
     def lease_s(self) -> float:
         """Longest lease of a runner, in seconds."""
