Close the calls of a host's earlier process

Callers could see a task run twice over a cut after their entry host lost power: its connections stay open at the owner, it is live again when its callers notice the loss, and so the owner went on with their jobs.

Calls are closed when a host is heard from a later process than the one that sent them.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -354,7 +354,7 @@
             async with asyncio.timeout(OWNER_POLL_S):
                 await self._owners_changed.wait()
         except TimeoutError:
-            pass
+            self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
         # A paused host goes on only when it has resumed.
         await self.timers.sleep(0)
         return self.timers.now() - began_at
@@ -607,6 +607,8 @@
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
         heartbeat = peer.heartbeat
         assert heartbeat is not None
+        if became_live:
+            self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
         if heartbeat.claims:
             self._announce_jobs_to(peer, became_live)
             if heartbeat.queued:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -377,6 +377,17 @@
         # Its caller may come to any host next.
         self.announce(rec.job.id)
 
+    def close_calls(self, sender: str, boot_ms: int) -> None:
+        """Close the calls of a host's earlier process, whose connections may be silent.
+
+        `boot_ms` tells when the process started that now sends heartbeats.
+        """
+        handed_over = (rec for _, rec in self._handed_over.values())
+        for rec in (*self._unanswered.values(), *handed_over):
+            for open_call in list(rec.open_calls):
+                if open_call.sender == sender and 0 < open_call.boot_ms < boot_ms:
+                    open_call.close()
+
     def cancel(self, job: str) -> None:
         """End a job whose caller has disconnected."""
         rec = self._unanswered.get(job)
@@ -509,7 +520,11 @@
         old = now - KEEP_ANSWER_S
         for job in [j for j, at in self._started_before.items() if at < old]:
             del self._started_before[job]
-        for job in [j for j, (at, _) in self._handed_over.items() if at < old]:
+        for job in [
+            j
+            for j, (at, rec) in self._handed_over.items()
+            if at < old and rec.answer.done()
+        ]:
             del self._handed_over[job]
 
     async def _hold_until_reconciled(self, rec: JobRecord) -> bool:
--- a/monsoongap/coordination/open_call.py
+++ b/monsoongap/coordination/open_call.py
@@ -12,11 +12,13 @@
 class OpenCall:
     """A call that waits for the answer of a job.
 
-    `sender` is the name of the host that sent it, empty for a caller of this host.
+    `sender` is the name of the host that sent it, empty for a caller of this host, and
+    `boot_ms` when its process started by its last heartbeat, 0 if it sent none.
     `on_close` is called once, if the sender closes the connection before the reply.
     """
 
     sender: str = ""
+    boot_ms: int = 0
     is_open: bool = True
     on_close: Callable[[], object] = _ignore
 
--- a/tests/coordination/test_lost_entry_hosts.py
+++ b/tests/coordination/test_lost_entry_hosts.py
@@ -106,6 +106,29 @@
     run_virtual(main())
 
 
+# Guards against a run that goes on for the earlier process of a host that lost power:
+# its connections were never closed, and its callers notice when it is back.
+def test_a_job_of_an_entry_host_that_returns_is_not_run_beside_its_copy() -> None:
+    async def main() -> None:
+        world = await open_world()
+        owner_b = world.owner("b")
+        world.cut_off("a", "b")
+        await asyncio.sleep(1.5)
+        entry = other_host(world, "a", world.owner("a"))
+        submit(world, entry)
+        await asyncio.sleep(1)
+        world.power_off(entry)
+        await asyncio.sleep(0.3)
+        world.start_host(entry)
+        await asyncio.sleep(RESEND_S)
+        submit(world, owner_b)
+        await asyncio.sleep(4)
+        assert len(runs(world)) == 2
+        world.check()
+
+    run_virtual(main())
+
+
 # Guards against a job that ends although another of its callers still waits.
 def test_a_job_goes_on_while_one_of_its_entry_hosts_is_left() -> None:
     async def main() -> None:
