Soak: callers that wait for long jobs and send them again

Half of the callers of long jobs now wait, and send the job again, to any host, when their connection breaks. They may have to wait for a job that is begun anew after the last fault, so the wait at the end is 60 s.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,8 @@
 PATIENT_WAIT_S = 6.0
 # A caller that stops waiting may leave its connection open, for at most this long.
 LEFT_OPEN_S = 120.0
+# A patient caller states this many times the work of its job.
+PATIENCE_FACTOR = 4.0
 LONGEST_PAUSE_S = 35.0
 # Jobs that outlast all that hosts remember of them. Some declare the mean time of their
 # kind, of which they take many times.
@@ -63,7 +65,8 @@
         Half of the callers give up after `HURRIED_WAIT_S`, unless `may_hurry` is false.
         """
         if may_hurry and self.long_rng.random() < self.long_share:
-            return await self._send_long()
+            waits = self.long_rng.random() < 0.5
+            return await (self._send_patiently() if waits else self._send_long())
         rng = self.rng
         tasks = rng.choice((1, 2, 4, 8))
         is_long = rng.random() < LONG_SHARE
@@ -88,6 +91,31 @@
         call.response_s = loop.time() - call.due_at
         return call
 
+    async def _send_patiently(self) -> CallRecord:
+        """Send a job that outlasts what hosts remember, and wait for its answer.
+
+        The caller sends it again, to any host, when its connection breaks or it gets no
+        result, as when its host ends.
+        """
+        rng = self.long_rng
+        work_s = rng.uniform(*OUTLASTING_S)
+        plan = TaskPlan(work_s * 1000, OUTLASTING_CPU_MILLI)
+        now = asyncio.get_running_loop().time
+        call = CallRecord(f"{rng.getrandbits(64):016x}", "load", 1, work_s, now())
+        self.calls.append(call)
+        body = _encode_job(call, plan, plan.work_ms)
+        until = now() + PATIENCE_FACTOR * work_s
+        while (left_s := until - now()) > 0:
+            outcome = await self._send_once(
+                rng.choice(self.nodes), f"/load/{call.id}", body, left_s, left_s
+            )
+            call.attempts.append(Attempt(outcome))
+            if outcome not in (None, AnswerKind.BROKEN):
+                break
+            await asyncio.sleep(RESEND_DELAY_S)
+        call.response_s = now() - call.due_at
+        return call
+
     async def _send_long(self) -> CallRecord:
         """Send a job that outlasts its caller, and again to another data centre.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,8 +24,8 @@
 RECOVERY_S = 5.0
 ANSWER_WAIT_S = 20.0
 FINAL_JOBS = 20
-# Callers of long jobs may send them again after this.
-LONG_ANSWER_WAIT_S = 40.0
+# A long job may be begun anew after the last fault, and takes up to 45 s then.
+LONG_ANSWER_WAIT_S = 60.0
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
