--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -354,7 +354,7 @@
             async with asyncio.timeout(OWNER_POLL_S):
                 await self._owners_changed.wait()
         except TimeoutError:
-            self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
+            pass
         # A paused host goes on only when it has resumed.
         await self.timers.sleep(0)
         return self.timers.now() - began_at
