Keep the checks of jobs running while callers wait for handed over ones

A host that has handed its last share over stopped its periodic checks, and would not have noticed that the callers of a handed over job were gone. A test shows that such a job ends with its caller at the former owner; it fails on and passes before this change too, as a host that ends closes its call.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -222,7 +222,7 @@
 
     def _stop_idle_timers(self) -> None:
         parts = (self.ownership.claims, self.jobs.records, self.pool.waiting)
-        if any(parts) or self.lending.has_work:
+        if any(parts) or self.lending.has_work or self.jobs.hands_over:
             return
         for subscription in self._work_timers:
             subscription.cancel()
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -138,6 +138,11 @@
         """Number of jobs without an answer."""
         return len(self._unanswered)
 
+    @property
+    def hands_over(self) -> bool:
+        """Return whether callers here wait for jobs that were handed over."""
+        return any(not rec.answer.done() for _, rec in self._handed_over.values())
+
     @property
     def oldest_s(self) -> float:
         """Age of the oldest job without an answer, in seconds; 0 if there is none."""
--- a/monsoongap/coordination/open_call.py
+++ b/monsoongap/coordination/open_call.py
@@ -1,4 +1,4 @@
-"""A caller's path to the owner of its job, as the owner sees it."""
+"""The calls by which other hosts wait for the answer of a job."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
--- a/tests/coordination/test_lost_entry_hosts.py
+++ b/tests/coordination/test_lost_entry_hosts.py
@@ -188,3 +188,21 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against a job that goes on at its next owner for a caller that had come by the
+# former one, and is gone.
+def test_a_job_that_was_handed_over_ends_with_its_caller_at_the_former_owner() -> None:
+    async def main() -> None:
+        world = await open_world()
+        former = world.owner("a")
+        submit(world, former)
+        await asyncio.sleep(1)
+        world.hosts[former].leave()
+        await asyncio.sleep(1)
+        assert world.owner("a") != former
+        world.kill(former)
+        await asyncio.sleep(KEPT_S + 0.1)
+        assert [run.how for run in runs(world)] == ["stopped"]
+
+    run_virtual(main())
