--- a/tests/coordination/test_patient_callers.py
+++ b/tests/coordination/test_patient_callers.py
@@ -161,6 +161,6 @@
 
 
 # Guards against runs that go on for callers that have come elsewhere over a cut.
-@pytest.mark.parametrize("seed", [144, 167])
+@pytest.mark.parametrize("seed", [144, 167, 631])
 def test_tasks_of_patient_callers_run_once(seed: int) -> None:
     play_day(seed)
