--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -66,6 +66,7 @@
                     request = replace(request, delayed=True)
                 open_call = open_call or OpenCall()
                 open_call.sender = request.sender or request.origin
+                open_call.origin = request.origin
                 if peer := host.members.peer(open_call.sender):
                     open_call.boot_ms = peer.card.boot_ms
                 if task := asyncio.current_task():
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -2,8 +2,11 @@
 
 import logging
 from dataclasses import dataclass
+from math import isfinite
 from typing import TYPE_CHECKING
 
+from monsoongap.coordination.caller_loss import CallerLoss
+from monsoongap.coordination.contact import Contact
 from monsoongap.coordination.job_record import JobRecord
 from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
@@ -99,17 +102,88 @@
 
 
 def log_callers_lost(
-    rec: JobRecord, open_call: OpenCall, pool: Pool, now: float
+    rec: JobRecord, open_call: OpenCall, pool: Pool, contact: Contact, now: float
 ) -> None:
     """Log that no host is left that holds a caller of a job."""
     log.info(
         "the job's last call was closed by its sender; its caller may send it again",
         extra={
             "job": rec.job.id,
-            "sender": open_call.sender,
+            **_call_fields(open_call, contact),
             "age_ms": round((now - rec.arrived_at) * MS_PER_S),
             "wait_ms": round(rec.budget.wait_s * MS_PER_S),
             "runs": len(pool.runs_of(rec.job.id)),
             "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
         },
     )
+
+
+def log_callers_gone(
+    rec: JobRecord, loss: CallerLoss, pool: Pool, contact: Contact, now: float
+) -> None:
+    """Log that no caller of a job is known to wait, which ends it here.
+
+    A job that was handed over has its runs at its next owner.
+    """
+    until = loss.silent_since if loss.closed_at is None else loss.closed_at
+    _mark_callers_until(rec, until)
+    is_handed_over = rec.forwarding is not None
+    log.info(
+        "handed over job's callers are gone; closing the call to its next owner"
+        if is_handed_over
+        else "job's callers are gone; ending the job",
+        extra={
+            "job": rec.job.id,
+            "closed_ms": _ms_since(loss.closed_at, now),
+            "silent_ms": _ms_since(loss.silent_since, now),
+            **_end_fields(rec, pool, contact, now),
+        },
+    )
+
+
+def log_expired(rec: JobRecord, pool: Pool, contact: Contact, now: float) -> None:
+    """Log that a job is ended because its callers' deadline has passed."""
+    deadline = rec.expires_at if isfinite(rec.expires_at) else None
+    _mark_callers_until(rec, deadline)
+    log.info(
+        "callers no longer wait; ending the job",
+        extra={
+            "job": rec.job.id,
+            "deadline_ms": _ms_since(deadline, now),
+            **_end_fields(rec, pool, contact, now),
+        },
+    )
+
+
+def _end_fields(
+    rec: JobRecord, pool: Pool, contact: Contact, now: float
+) -> dict[str, object]:
+    """Return what is known of a job's calls and runs as it is ended."""
+    return {
+        "age_ms": _ms_since(rec.arrived_at, now),
+        "calls": [_call_fields(call, contact) for call in rec.open_calls],
+        "in_touch": pool.hears_all_owners(),
+        "silent_dcs": contact.silent_dcs() or None,
+        "runs": len(pool.runs_of(rec.job.id)),
+        "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
+    }
+
+
+def _call_fields(call: OpenCall, contact: Contact) -> dict[str, object]:
+    """Return who sent a call that waits for a job, and whether its sender is heard."""
+    fields: dict[str, object] = {"sender": call.sender, "kind": call.kind}
+    if not call.sender:
+        return fields
+    if call.kind == "forwarded":
+        fields["origin"] = call.origin
+    return fields | contact.sender_fields(call.sender)
+
+
+def _mark_callers_until(rec: JobRecord, until: float | None) -> None:
+    """Have the stops of a job's runs tell how late they are."""
+    for work in rec.works.values():
+        work.callers_until = until
+
+
+def _ms_since(at: float | None, now: float) -> int | None:
+    return None if at is None else round((now - at) * MS_PER_S)
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -17,10 +17,13 @@
     capacity_timeout_refusal,
 )
 from monsoongap.coordination.caller_loss import CallerLoss
+from monsoongap.coordination.contact import Contact
 from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.job_traces import (
     is_overdue,
+    log_callers_gone,
     log_callers_lost,
+    log_expired,
     log_overdue,
 )
 from monsoongap.coordination.open_call import OpenCall
@@ -112,6 +115,7 @@
     records: dict[str, JobRecord] = field(default_factory=dict)
     steps: Steps = field(init=False)
     admission_control: AdmissionControl = field(init=False)
+    contact: Contact = field(init=False)
     _unanswered: dict[str, JobRecord] = field(default_factory=dict)
     # Answered jobs of which runs are still being stopped.
     _ending: dict[str, JobRecord] = field(default_factory=dict)
@@ -127,6 +131,7 @@
     def __post_init__(self) -> None:
         self.steps = Steps(self.pool, self._end)
         self.admission_control = AdmissionControl(self.pool, self.timers, self._end)
+        self.contact = Contact(self.readiness.ownership)
 
     def start(self) -> tuple[Subscription, ...]:
         """Start the periodic checks of unanswered jobs."""
@@ -378,7 +383,7 @@
         if rec.closed:
             return
         self.counts.callers_lost += 1
-        log_callers_lost(rec, open_call, self.pool, self.timers.now())
+        log_callers_lost(rec, open_call, self.pool, self.contact, self.timers.now())
         # Its caller may come to any host next.
         self.announce(rec.job.id)
 
@@ -456,7 +461,9 @@
             if now > rec.expires_at + self.pool.cfg.orphan_s:
                 self._expire(rec, now)
                 continue
-            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+            loss = self._caller_loss(rec)
+            if loss.ends_job(now, in_touch, self.pool.cfg):
+                log_callers_gone(rec, loss, self.pool, self.contact, now)
                 self._end(rec, JobReply(AnswerKind.BROKEN, "its callers are gone"))
                 continue
             self._announce_again(rec, now)
@@ -486,7 +493,9 @@
         for _, rec in self._handed_over.values():
             if rec.forwarding is None or rec.answer.done():
                 continue
-            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+            loss = self._caller_loss(rec)
+            if loss.ends_job(now, in_touch, self.pool.cfg):
+                log_callers_gone(rec, loss, self.pool, self.contact, now)
                 rec.forwarding.cancel()
                 rec.answer.set_result(JobReply(AnswerKind.HANDED_ON, "not an owner"))
 
@@ -500,14 +509,7 @@
     def _expire(self, rec: JobRecord, now: float) -> None:
         """End a job whose callers no longer wait; a cancel call may have been lost."""
         self.counts.expired += 1
-        log.info(
-            "callers no longer wait; ending the job",
-            extra={
-                "job": rec.job.id,
-                "age_ms": round((now - rec.arrived_at) * MS_PER_S),
-                "runs": len(rec.works),
-            },
-        )
+        log_expired(rec, self.pool, self.contact, now)
         self._end(rec, JobReply(AnswerKind.BROKEN, "its caller's deadline has passed"))
 
     def _drop_expired(self, now: float) -> None:
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -256,6 +256,7 @@
                 "run": run.number,
                 "runner": self.info.id,
                 "fence": self.fence,
+                "after_callers_ms": self._after_callers_ms(run),
                 **location_fields(location),
             },
         )
@@ -361,11 +362,13 @@
                         "runner": self.info.id,
                         "job": run.task.job,
                         "reason": reason,
+                        "after_callers_ms": self._after_callers_ms(run),
                     },
                 )
                 await self.timers.sleep(RETRY_S)
                 continue
             now = self.timers.now()
+            self._log_late_stop(run, sent_at)
             self._responses.record(sent_at)
             self._lease.record_clock(clock_ms, now)
             run.confirmed_at = min(run.confirmed_at, now)
@@ -377,6 +380,28 @@
                 await self._probe()
             return
 
+    def _after_callers_ms(self, run: Run) -> int | None:
+        """Return for how long the callers of a run's job no longer wait, if so."""
+        until = None if run.work is None else run.work.callers_until
+        return None if until is None else round((self.timers.now() - until) * MS_PER_S)
+
+    def _log_late_stop(self, run: Run, sent_at: float) -> None:
+        """Log when a run was stopped whose job was ended for want of callers."""
+        after_callers_ms = self._after_callers_ms(run)
+        if after_callers_ms is None:
+            return
+        log.info(
+            "stop confirmed",
+            extra={
+                "job": run.task.job,
+                "task": f"{run.task.step}.{run.task.index}",
+                "run": run.number,
+                "runner": self.info.id,
+                "took_ms": round((self.timers.now() - sent_at) * MS_PER_S),
+                "after_callers_ms": after_callers_ms,
+            },
+        )
+
     async def _poll_loop(self) -> None:
         while self.state is not LinkState.CLOSED:
             if self._may_idle():
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -93,6 +93,8 @@
     the job to meet its objective, `useless_at` for its caller to be there still.
     `arrived_at` is when the job came to this owner, None for a task that runs here for
     a borrower; `again` says that a previous owner may have started it.
+    `callers_until` is when the job's callers were last known to wait, set if the job
+    was ended because they no longer do.
     """
 
     task: TaskId
@@ -118,3 +120,4 @@
     useless_at: float = float("inf")
     arrived_at: float | None = None
     again: bool = False
+    callers_until: float | None = None
