--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -15,6 +15,7 @@
 from monsoongap.coordination.ownership import Ownership
 from monsoongap.coordination.ports import NoReply, PeerCallFailed, PeerCallPort
 from monsoongap.coordination.repeated_call import call_repeatedly
+from monsoongap.coordination.start_basis import start_fields
 from monsoongap.coordination.time_budget import wait_left_s
 from monsoongap.coordination.work import RunOutcome, Work
 from monsoongap.protocol.messages import (
@@ -126,8 +127,10 @@
                 "task": f"{work.task.step}.{work.task.index}",
                 "run": work.run_number,
                 "lender": lender,
+                **start_fields(work.basis),
             },
         )
+        work.basis = None
         self._background.spawn(self._run_there(work, peer, upstream), "borrow")
 
     def extend_wait(self, work: Work) -> None:
--- a/monsoongap/coordination/contact.py
+++ b/monsoongap/coordination/contact.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.job_record import NEVER
+from monsoongap.coordination.heartbeats import NEVER
 from monsoongap.coordination.ownership import IN_TOUCH_S, Ownership
 from monsoongap.protocol.messages import ShareId
 from monsoongap.timers import MS_PER_S
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -198,6 +198,7 @@
                 self.pool.start(),
                 *self.jobs.start(),
                 self.lending.start(),
+                self.traces.start(),
                 self.timers.every(IDLE_CHECK_S, self._stop_idle_timers, "idle"),
             )
 
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -6,6 +6,7 @@
 from math import isfinite
 
 from monsoongap.coordination.open_call import OpenCall
+from monsoongap.coordination.start_basis import StartBasis
 from monsoongap.coordination.time_budget import TimeBudget
 from monsoongap.coordination.work import Work
 from monsoongap.errors import AnswerKind
@@ -38,10 +39,12 @@
     its callers stops waiting; infinite if one did not say. `announced_at` is when other
     owners were last told of the job. `runs_ended` is set when no run is left.
     `reconciling` says that runs of previous owners are awaited, `held_s` for how long
-    they were. `overdue` says that the job was logged as overdue. `open_calls` are the
-    calls that wait for the answer; `callers_lost_at` is when the last of them was
-    closed, None while there are some. `forwarding` hands the job over, and gets its
-    answer from the next owner.
+    they were. `overdue` says that the job was logged as overdue, `at_two_owners` that
+    it was logged as in progress at another owner, too. `open_calls` are the calls that
+    wait for the answer; `callers_lost_at` is when the last of them was closed, None
+    while there are some. `forwarding` hands the job over, and gets its answer from the
+    next owner. `basis` is by what this owner knew that nothing of the job ran, until
+    its first tasks are queued; None if no doubt was known.
     """
 
     job: Job
@@ -68,9 +71,11 @@
     reconciling: bool = False
     held_s: float = 0.0
     overdue: bool = False
+    at_two_owners: bool = False
     open_calls: set[OpenCall] = field(default_factory=set)
     callers_lost_at: float | None = None
     forwarding: asyncio.Task[None] | None = None
+    basis: StartBasis | None = None
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
 
     @property
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -12,7 +12,7 @@
 from monsoongap.coordination.pool import Pool
 from monsoongap.protocol.messages import SubmitCall
 from monsoongap.state.job_locations import JobLocations, location_fields
-from monsoongap.timers import MS_PER_S
+from monsoongap.timers import MS_PER_S, Subscription
 
 if TYPE_CHECKING:
     from monsoongap.coordination.jobs import Jobs
@@ -21,6 +21,10 @@
 
 # A cancel call takes less than this unless it is lost.
 OVERDUE_S = 0.5
+# A job that runs at two owners for less than this may be missed.
+TWO_OWNERS_CHECK_S = 0.1
+# A former owner's heartbeats name a job for 0.35 s after it was handed over.
+FORMER_OWNER_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,43 @@
             },
         )
 
+    def start(self) -> Subscription:
+        """Start looking for jobs that another owner has, too."""
+        return self.pool.timers.every(TWO_OWNERS_CHECK_S, self._check, "job traces")
+
+    def _check(self) -> None:
+        """Log the jobs with runs here that another owner has announced since."""
+        now = self.pool.timers.now()
+        for rec in self.jobs.unanswered:
+            if rec.at_two_owners or not rec.dispatched:
+                continue
+            since = rec.arrived_at + FORMER_OWNER_S
+            other = self.locations.announced_since(rec.job.id, since)
+            runs = self.pool.runs_of(rec.job.id) if other is not None else ()
+            if other is not None and runs:
+                rec.at_two_owners = True
+                self.jobs.counts.at_two_owners += 1
+                self._log_two_owners(rec, other, len(runs), now)
+
+    def _log_two_owners(
+        self, rec: JobRecord, other: str, runs: int, now: float
+    ) -> None:
+        contact = self.jobs.contact
+        log.warning(
+            "job is in progress at two owners",
+            extra={
+                "job": rec.job.id,
+                "owner": contact.ownership.members.card.name,
+                "other": other,
+                "age_ms": _ms_since(rec.arrived_at, now),
+                "again": rec.may_have_started or None,
+                "runs": runs,
+                "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
+                "calls": [_call_fields(call, contact) for call in rec.open_calls],
+                "silent_dcs": contact.silent_dcs() or None,
+            },
+        )
+
     def owner_not_live(self, call: SubmitCall, owner: str) -> None:
         """Log that a job is executed here as the owner that has it is not live."""
         log.warning(
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from math import isinf
 
@@ -29,6 +29,7 @@
 from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.readiness import Readiness
+from monsoongap.coordination.start_basis import start_basis
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.time_budget import budget_of
 from monsoongap.coordination.work import Work
@@ -73,7 +74,7 @@
     ended as no caller came again, `location_expired` those executed here although
     another owner had announced them long before, `cancel_missed` cancels of jobs that
     were not here, `callers_lost` times at which the last host that held a caller of a
-    job was gone.
+    job was gone, `at_two_owners` jobs in progress here that another owner announced.
     """
 
     submitted: int = 0
@@ -91,6 +92,7 @@
     location_expired: int = 0
     cancel_missed: int = 0
     callers_lost: int = 0
+    at_two_owners: int = 0
 
 
 @dataclass(slots=True)
@@ -143,6 +145,11 @@
         """Number of jobs without an answer."""
         return len(self._unanswered)
 
+    @property
+    def unanswered(self) -> Iterable[JobRecord]:
+        """The jobs without an answer."""
+        return self._unanswered.values()
+
     @property
     def hands_over(self) -> bool:
         """Return whether callers here wait for jobs that were handed over."""
@@ -564,9 +571,9 @@
             ):
                 if tries:
                     self.counts.past_lapsed += 1
-                    self._log_reconciliation(
-                        rec, "previous runs reconciled", "time", started_at, tries
-                    )
+                self._log_reconciliation(
+                    rec, "previous runs reconciled", "time", started_at, tries
+                )
                 return True
             tries += 1
             expected_s = self.readiness.expected_s()
@@ -596,10 +603,17 @@
     def _log_reconciliation(
         self, rec: JobRecord, event: str, by: str | None, started_at: float, tries: int
     ) -> None:
-        """Log how previous runs of a job were reconciled, or that they were not.
+        """Record and log how previous runs of a job were reconciled, or that not.
 
         `by` names what proved it: the owners' replies, or the time that has passed.
         """
+        limits = {
+            "share": self.in_doubt_since.get(rec.share, NEVER) + RECONCILED_AFTER_S,
+            "job": rec.in_doubt_since + KEEP_ANSWER_S,
+        }
+        rec.basis = start_basis(rec, self.pool, self.contact, by, limits, tries > 0)
+        if not tries:
+            return
         if tries == 1 and not rec.may_have_started and not rec.run_numbers:
             # A new job right after a takeover; logging each would be too much.
             return
@@ -614,6 +628,7 @@
                 "again": rec.may_have_started,
                 "runs_named": len(rec.run_numbers),
                 "held": sum(link.share == rec.share for link in links.values()),
+                **(rec.basis.fields() if rec.basis else {}),
             },
         )
 
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -18,6 +18,7 @@
 from monsoongap.coordination.placement import best_runner
 from monsoongap.coordination.planned_placement import PlannedPlacement
 from monsoongap.coordination.ports import RunnerPort
+from monsoongap.coordination.start_basis import start_fields
 from monsoongap.coordination.time_budget import objective_s
 from monsoongap.coordination.waiting import Backlog, Waiting
 from monsoongap.coordination.work import Run, RunOutcome, Work
@@ -558,10 +559,12 @@
                 "lent": work.share is None,
                 "age_ms": None if age_s is None else round(age_s * MS_PER_S),
                 "again": work.again or None,
+                **start_fields(work.basis),
                 "free_cpu": link.table.free.cpu_milli,
                 "waiting": len(self._waiting),
             },
         )
+        work.basis = None
         link.start(run, work.payload)
 
     def _bind(self, work: Work, link: Link, run: Run) -> None:
--- a/monsoongap/coordination/steps.py
+++ b/monsoongap/coordination/steps.py
@@ -37,6 +37,7 @@
                 task = TaskId(rec.job.id, number, index)
                 if task not in rec.done_tasks:
                     self._start_task(rec, task, due_at)
+        rec.basis = None
         if rec.all_done:
             self.end(rec, JobReply(AnswerKind.COMPLETED))
 
@@ -60,6 +61,7 @@
             useless_at=rec.expires_at,
             arrived_at=rec.arrived_at,
             again=rec.may_have_started,
+            basis=rec.basis,
         )
         rec.works[task] = work
         if not self.pool.adopt(work):
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from monsoongap.coordination.link import Link
+    from monsoongap.coordination.start_basis import StartBasis
 
 
 class RunState(Enum):
@@ -94,7 +95,8 @@
     `arrived_at` is when the job came to this owner, None for a task that runs here for
     a borrower; `again` says that a previous owner may have started it.
     `callers_until` is when the job's callers were last known to wait, set if the job
-    was ended because they no longer do.
+    was ended because they no longer do. `basis` is by what its owner knew that nothing
+    of the job ran, until the task is first placed; None if no doubt was known.
     """
 
     task: TaskId
@@ -121,3 +123,4 @@
     arrived_at: float | None = None
     again: bool = False
     callers_until: float | None = None
+    basis: "StartBasis | None" = None
--- a/monsoongap/state/job_locations.py
+++ b/monsoongap/state/job_locations.py
@@ -56,6 +56,14 @@
             return None
         return known[0]
 
+    def announced_since(self, job: str, since: float) -> str | None:
+        """Return the other owner that announced a job last, if that was after `since`.
+
+        For diagnosis only.
+        """
+        known = self._owners.get(job_number(job))
+        return known[0] if known is not None and known[1] > since else None
+
     def location_of(self, job: str) -> JobLocation | None:
         """Return the last location of a job, even if expired; for diagnosis only."""
         number = job_number(job)
--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -312,3 +312,135 @@
         assert (await call).kind is AnswerKind.COMPLETED
 
     run_virtual(main())
+
+
+def long_job(run_s: float = 30.0) -> Job:
+    """Return a job of one task whose caller waits for as long as it takes."""
+    payload = msgspec.json.encode(TaskPlan(run_s * 1000)).decode()
+    return Job(JOB, QUEUE, payload, (Step(1, Resources(1000, 64), run_s),))
+
+
+def test_a_job_that_ends_without_callers_tells_who_waited_and_how_late_it_stops(
+    told: Told,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1}, handlers_outlive_calls=True)
+        await world.start()
+        await asyncio.sleep(20)
+        owner = world.owner("a")
+        entry = other_of(world, owner)
+        world.cut_off("a", "b")
+        await asyncio.sleep(1.5)
+        asyncio.create_task(world.submit_job(entry, long_job(), wait_s=60.0))
+        await asyncio.sleep(1)
+        (placed,) = told.lines("task placed")
+        assert (placed["reconciled_by"], list(placed["silent_dcs"])) == ("new", ["b"])
+        assert 1400 < placed["silent_dcs"]["b"] < 1800
+        assert (placed["share_reconciled"], placed["unpolled"]) == (True, 0)
+        world.power_off(entry)
+        await asyncio.sleep(3)
+        (end,) = told.lines("job's callers are gone; ending the job")
+        (call,) = end["calls"]
+        assert (call["sender"], call["kind"]) == (entry, "caller")
+        assert (call["live"], call["silent"]) == (False, True)
+        assert call["heard_ms"] == end["silent_ms"] and "closed_ms" not in end
+        assert (end["in_touch"], list(end["silent_dcs"])) == (False, ["b"])
+        assert (end["runs"], end["lent"]) == (1, 0)
+        (stop,) = told.lines("stop requested")
+        assert stop["after_callers_ms"] == end["silent_ms"]
+        (confirmed,) = told.lines("stop confirmed")
+        assert stop["after_callers_ms"] <= confirmed["after_callers_ms"]
+        assert (confirmed["run"], confirmed["runner"]) == (stop["run"], stop["runner"])
+
+    run_virtual(main())
+
+
+def test_an_ordinary_job_tells_nothing_of_reconciliation_or_stops(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(20)
+        await world.submit(world.owner("a"), JOB, 1)
+        (placed,) = told.lines("task placed")
+        assert "reconciled_by" not in placed and "silent_dcs" not in placed
+        call = asyncio.create_task(world.submit(world.owner("b"), f"{6:016x}", 1, 500))
+        await asyncio.sleep(0.1)
+        world.hosts[world.owner("b")].cancel(f"{6:016x}")
+        await call
+        (stop,) = told.lines("stop requested")
+        assert "after_callers_ms" not in stop
+        assert told.lines("stop confirmed") == []
+
+    run_virtual(main())
+
+
+def test_a_job_started_by_time_tells_which_limit_passed(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        other = other_of(world, owner)
+        world.cut_off("a", "b")
+        world.kill(owner)
+        await asyncio.sleep(0.9 + 3.0)
+        assert (await world.submit(other, JOB, 1)).kind is AnswerKind.COMPLETED
+        (line,) = told.lines("previous runs reconciled")
+        (placed,) = told.lines("task placed")
+        assert (line["by"], placed["reconciled_by"]) == ("time", "time")
+        for found in (line, placed):
+            assert found["limit"] == "share" and found["limit_ago_ms"] < 200
+            assert found["silent_dcs"]["b"] > 3000
+            assert (found["share_reconciled"], found["unpolled"]) == (True, 0)
+
+    run_virtual(main())
+
+
+def test_a_job_at_two_owners_is_told_and_counted_once_at_each(told: Told) -> None:
+    async def main() -> None:
+        world = World({"a": 1, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        world.cut_off("a", "b")
+        await asyncio.sleep(1.5)
+        calls = [
+            asyncio.create_task(world.submit_job(name, long_job(8.0), wait_s=60.0))
+            for name in world.hosts
+        ]
+        await asyncio.sleep(2)
+        assert told.lines("job is in progress at two owners") == []
+        world.cut.clear()
+        await asyncio.sleep(3)
+        lines = told.lines("job is in progress at two owners")
+        assert {(line["owner"], line["other"]) for line in lines} == {
+            ("a-h0", "b-h0"),
+            ("b-h0", "a-h0"),
+        }
+        for line in lines:
+            assert (line["level"], line["job"], line["runs"]) == ("warning", JOB, 1)
+            assert line["calls"] == [{"sender": "", "kind": "own"}]
+            assert line["age_ms"] > 1900
+        assert len(lines) == 2
+        for host in world.hosts.values():
+            assert host.jobs.counts.at_two_owners == 1
+        await asyncio.gather(*calls)
+
+    run_virtual(main())
+
+
+def test_a_job_that_is_handed_over_is_not_taken_for_one_at_two_owners(
+    told: Told,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 2, "b": 1})
+        await world.start()
+        await asyncio.sleep(5)
+        owner = world.owner("a")
+        call = asyncio.create_task(world.submit_job(owner, long_job(3.0), wait_s=60.0))
+        await asyncio.sleep(0.2)
+        world.hosts[owner].leave()
+        assert (await call).kind is AnswerKind.COMPLETED
+        assert told.lines("ownership acquired")
+        assert told.lines("job is in progress at two owners") == []
+
+    run_virtual(main())
