--- a/tests/coordination/test_belief_lines.py
+++ b/tests/coordination/test_belief_lines.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Coroutine
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from monsoongap.errors import AnswerKind
 from monsoongap.logs import JsonFormatter
+from monsoongap.metrics import Metrics
 from monsoongap.protocol.messages import Job, Resources, Step, SubmitCall, TaskId
 from monsoongap.standin.runner_model import TaskPlan
 from tests import clock
@@ -422,7 +424,11 @@
             assert line["age_ms"] > 1900
         assert len(lines) == 2
         for host in world.hosts.values():
-            assert host.jobs.counts.at_two_owners == 1
+            metrics = Metrics(host.card.name, host.card.dc)
+            metrics.add_counters("jobs", lambda host=host: host.jobs.counts)
+            text = metrics.render()[0].decode()
+            (sample,) = re.findall(r"jobs_at_two_owners_total{.*} (\d+)", text)
+            assert sample == "1"
         await asyncio.gather(*calls)
 
     run_virtual(main())
