--- a/monsoongap/coordination/start_basis.py
+++ b/monsoongap/coordination/start_basis.py
@@ -72,7 +72,8 @@
         None if by != "time" else limit if recent else "runners",
         round((now - passed_at) * MS_PER_S) if by == "time" and recent else None,
         silent_dcs,
-        pool.is_reconciled(rec.share),
+        # Unlike `is_reconciled`, this writes no line of its own.
+        pool.in_doubt_s(rec.share) <= 0,
         sum(link.state is LinkState.NEW for link in links),
     )
 
