--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -198,7 +198,6 @@
                 self.pool.start(),
                 *self.jobs.start(),
                 self.lending.start(),
-                self.traces.start(),
                 self.timers.every(IDLE_CHECK_S, self._stop_idle_timers, "idle"),
             )
 
@@ -621,6 +620,7 @@
             if not heartbeat.brief:
                 self.borrowing.record_capacity(peer)
             self.job_locations.record_jobs(peer.card.name, heartbeat.recent_jobs)
+            self.traces.check_announced()
             if heartbeat.free and self.pool.waiting:
                 self.pool.schedule_placement()
         else:
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -7,12 +7,12 @@
 
 from monsoongap.coordination.caller_loss import CallerLoss
 from monsoongap.coordination.contact import Contact
-from monsoongap.coordination.job_record import JobRecord
+from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
 from monsoongap.protocol.messages import SubmitCall
 from monsoongap.state.job_locations import JobLocations, location_fields
-from monsoongap.timers import MS_PER_S, Subscription
+from monsoongap.timers import MS_PER_S
 
 if TYPE_CHECKING:
     from monsoongap.coordination.jobs import Jobs
@@ -27,13 +27,14 @@
 FORMER_OWNER_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class JobTraces:
-    """Logs what an owner knew of a job as it took or cancelled it."""
+    """Logs what an owner knew of a job as it took or cancelled it, or has it twice."""
 
     jobs: "Jobs"
     pool: Pool
     locations: JobLocations
+    _checked_at: float = NEVER
 
     def job_taken(self, call: SubmitCall) -> None:
         """Log that a job is executed here whose location elsewhere has expired."""
@@ -56,13 +57,15 @@
             },
         )
 
-    def start(self) -> Subscription:
-        """Start looking for jobs that another owner has, too."""
-        return self.pool.timers.every(TWO_OWNERS_CHECK_S, self._check, "job traces")
+    def check_announced(self) -> None:
+        """Log the jobs with runs here that another owner has announced since.
 
-    def _check(self) -> None:
-        """Log the jobs with runs here that another owner has announced since."""
+        Called with each heartbeat of an owner; limits its own rate.
+        """
         now = self.pool.timers.now()
+        if now - self._checked_at < TWO_OWNERS_CHECK_S:
+            return
+        self._checked_at = now
         for rec in self.jobs.unanswered:
             if rec.at_two_owners or not rec.dispatched:
                 continue
