--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -620,6 +620,7 @@
             if not heartbeat.brief:
                 self.borrowing.record_capacity(peer)
             self.job_locations.record_jobs(peer.card.name, heartbeat.recent_jobs)
+            self.traces.check_announced()
             if heartbeat.free and self.pool.waiting:
                 self.pool.schedule_placement()
         else:
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from math import isinf
 
@@ -17,15 +17,19 @@
     capacity_timeout_refusal,
 )
 from monsoongap.coordination.caller_loss import CallerLoss
+from monsoongap.coordination.contact import Contact
 from monsoongap.coordination.job_record import NEVER, JobRecord
 from monsoongap.coordination.job_traces import (
     is_overdue,
+    log_callers_gone,
     log_callers_lost,
+    log_expired,
     log_overdue,
 )
 from monsoongap.coordination.open_call import OpenCall
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.readiness import Readiness
+from monsoongap.coordination.start_basis import start_basis
 from monsoongap.coordination.steps import Steps
 from monsoongap.coordination.time_budget import budget_of
 from monsoongap.coordination.work import Work
@@ -70,7 +74,7 @@
     ended as no caller came again, `location_expired` those executed here although
     another owner had announced them long before, `cancel_missed` cancels of jobs that
     were not here, `callers_lost` times at which the last host that held a caller of a
-    job was gone.
+    job was gone, `at_two_owners` jobs in progress here that another owner announced.
     """
 
     submitted: int = 0
@@ -88,6 +92,7 @@
     location_expired: int = 0
     cancel_missed: int = 0
     callers_lost: int = 0
+    at_two_owners: int = 0
 
 
 @dataclass(slots=True)
@@ -112,6 +117,7 @@
     records: dict[str, JobRecord] = field(default_factory=dict)
     steps: Steps = field(init=False)
     admission_control: AdmissionControl = field(init=False)
+    contact: Contact = field(init=False)
     _unanswered: dict[str, JobRecord] = field(default_factory=dict)
     # Answered jobs of which runs are still being stopped.
     _ending: dict[str, JobRecord] = field(default_factory=dict)
@@ -127,6 +133,7 @@
     def __post_init__(self) -> None:
         self.steps = Steps(self.pool, self._end)
         self.admission_control = AdmissionControl(self.pool, self.timers, self._end)
+        self.contact = Contact(self.readiness.ownership)
 
     def start(self) -> tuple[Subscription, ...]:
         """Start the periodic checks of unanswered jobs."""
@@ -138,6 +145,11 @@
         """Number of jobs without an answer."""
         return len(self._unanswered)
 
+    @property
+    def unanswered(self) -> Iterable[JobRecord]:
+        """The jobs without an answer."""
+        return self._unanswered.values()
+
     @property
     def hands_over(self) -> bool:
         """Return whether callers here wait for jobs that were handed over."""
@@ -378,7 +390,7 @@
         if rec.closed:
             return
         self.counts.callers_lost += 1
-        log_callers_lost(rec, open_call, self.pool, self.timers.now())
+        log_callers_lost(rec, open_call, self.pool, self.contact, self.timers.now())
         # Its caller may come to any host next.
         self.announce(rec.job.id)
 
@@ -456,7 +468,9 @@
             if now > rec.expires_at + self.pool.cfg.orphan_s:
                 self._expire(rec, now)
                 continue
-            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+            loss = self._caller_loss(rec)
+            if loss.ends_job(now, in_touch, self.pool.cfg):
+                log_callers_gone(rec, loss, self.pool, self.contact, now)
                 self._end(rec, JobReply(AnswerKind.BROKEN, "its callers are gone"))
                 continue
             self._announce_again(rec, now)
@@ -486,7 +500,9 @@
         for _, rec in self._handed_over.values():
             if rec.forwarding is None or rec.answer.done():
                 continue
-            if self._caller_loss(rec).ends_job(now, in_touch, self.pool.cfg):
+            loss = self._caller_loss(rec)
+            if loss.ends_job(now, in_touch, self.pool.cfg):
+                log_callers_gone(rec, loss, self.pool, self.contact, now)
                 rec.forwarding.cancel()
                 rec.answer.set_result(JobReply(AnswerKind.HANDED_ON, "not an owner"))
 
@@ -500,14 +516,7 @@
     def _expire(self, rec: JobRecord, now: float) -> None:
         """End a job whose callers no longer wait; a cancel call may have been lost."""
         self.counts.expired += 1
-        log.info(
-            "callers no longer wait; ending the job",
-            extra={
-                "job": rec.job.id,
-                "age_ms": round((now - rec.arrived_at) * MS_PER_S),
-                "runs": len(rec.works),
-            },
-        )
+        log_expired(rec, self.pool, self.contact, now)
         self._end(rec, JobReply(AnswerKind.BROKEN, "its caller's deadline has passed"))
 
     def _drop_expired(self, now: float) -> None:
@@ -562,9 +571,9 @@
             ):
                 if tries:
                     self.counts.past_lapsed += 1
-                    self._log_reconciliation(
-                        rec, "previous runs reconciled", "time", started_at, tries
-                    )
+                self._log_reconciliation(
+                    rec, "previous runs reconciled", "time", started_at, tries
+                )
                 return True
             tries += 1
             expected_s = self.readiness.expected_s()
@@ -594,10 +603,17 @@
     def _log_reconciliation(
         self, rec: JobRecord, event: str, by: str | None, started_at: float, tries: int
     ) -> None:
-        """Log how previous runs of a job were reconciled, or that they were not.
+        """Record and log how previous runs of a job were reconciled, or that not.
 
         `by` names what proved it: the owners' replies, or the time that has passed.
         """
+        limits = {
+            "share": self.in_doubt_since.get(rec.share, NEVER) + RECONCILED_AFTER_S,
+            "job": rec.in_doubt_since + KEEP_ANSWER_S,
+        }
+        rec.basis = start_basis(rec, self.pool, self.contact, by, limits, tries > 0)
+        if not tries:
+            return
         if tries == 1 and not rec.may_have_started and not rec.run_numbers:
             # A new job right after a takeover; logging each would be too much.
             return
@@ -612,6 +628,7 @@
                 "again": rec.may_have_started,
                 "runs_named": len(rec.run_numbers),
                 "held": sum(link.share == rec.share for link in links.values()),
+                **(rec.basis.fields() if rec.basis else {}),
             },
         )
 
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from monsoongap.coordination.link import Link
+    from monsoongap.coordination.start_basis import StartBasis
 
 
 class RunState(Enum):
@@ -93,6 +94,9 @@
     the job to meet its objective, `useless_at` for its caller to be there still.
     `arrived_at` is when the job came to this owner, None for a task that runs here for
     a borrower; `again` says that a previous owner may have started it.
+    `callers_until` is when the job's callers were last known to wait, set if the job
+    was ended because they no longer do. `basis` is by what its owner knew that nothing
+    of the job ran, until the task is first placed; None if no doubt was known.
     """
 
     task: TaskId
@@ -118,3 +122,5 @@
     useless_at: float = float("inf")
     arrived_at: float | None = None
     again: bool = False
+    callers_until: float | None = None
+    basis: "StartBasis | None" = None
