--- a/tests/coordination/test_lost_entry_hosts.py
+++ b/tests/coordination/test_lost_entry_hosts.py
@@ -34,11 +34,13 @@
     return world
 
 
-def submit(world: World, host: str, run_s: float = RUN_S) -> asyncio.Task[JobReply]:
+def submit(
+    world: World, host: str, run_s: float = RUN_S, wait_s: float = WAIT_S
+) -> asyncio.Task[JobReply]:
     """Submit a job of one task, as a caller that waits for it."""
     payload = msgspec.json.encode(TaskPlan(run_s * 1000)).decode()
     job = Job(JOB, QUEUE, payload, (Step(1, Resources(1000, 64), run_s),))
-    return asyncio.create_task(world.submit_job(host, job, WAIT_S))
+    return asyncio.create_task(world.submit_job(host, job, wait_s))
 
 
 def runs(world: World) -> list[LedgerEntry]:
