--- a/tests/coordination/test_cut_data_centres.py
+++ b/tests/coordination/test_cut_data_centres.py
@@ -141,6 +141,44 @@
     run_virtual(main())
 
 
+# Guards against a host that is cut off from all hosts, but not from runners, and starts
+# a job by time, though the owner elsewhere takes itself to be in touch with its share.
+def test_a_host_cut_off_from_hosts_only_starts_no_job_that_runs_elsewhere() -> None:
+    async def main() -> None:
+        world = await open_world()
+        lone = other_host(world, "b", world.owner("b"))
+        for name in world.hosts:
+            if name != lone:
+                world.cut_off(lone, name)
+        await asyncio.sleep(SETTLED_S)
+        entry = other_host(world, "a", world.owner("a"))
+        submit(world, entry)
+        await asyncio.sleep(1)
+        world.kill(entry)
+        await asyncio.sleep(RESEND_S)
+        submit(world, lone)
+        await asyncio.sleep(4)
+        world.check()
+
+    run_virtual(main())
+
+
+# Guards against the silence of an entry host without power that its owner notices later
+# than its caller.
+@pytest.mark.parametrize("age_s", [1.0, 1.15, 1.3, 1.45])
+def test_a_job_of_an_entry_host_without_power_ends_in_time(age_s: float) -> None:
+    async def main() -> None:
+        world = await open_world()
+        entry = await begin_unheard(world)
+        await asyncio.sleep(age_s - 1.0)
+        world.power_off(entry)
+        await asyncio.sleep(RESEND_S)
+        submit(world, world.owner("b"))
+        await check_one_at_a_time(world)
+
+    run_virtual(main())
+
+
 # Guards against a run that is kept past the deadline of its caller, which gave up
 # unnoticed and sends the job to a data centre that is out of touch.
 def test_a_run_ends_before_its_caller_comes_again_after_its_deadline() -> None:
