--- a/tests/coordination/test_cut_days.py
+++ b/tests/coordination/test_cut_days.py
@@ -1,9 +1,9 @@
 """Random days of long jobs during which a data centre is cut off.
 
-Jobs of 38 s begin at 3 s, and two faults come before 33.5 s. Then a data centre is cut
-off for 5 to 6.5 s, with further faults that depend on the variant of the day. A caller
-whose host ends or has no result sends its job to any host 1.3 s later. All on virtual
-time.
+Jobs of 38 s begin at 3 s, others shortly before the cut or in it, and two faults come
+before 33.5 s. Then a data centre is cut off for 5 to 6.5 s, with further faults that
+depend on the variant of the day. A caller whose host ends or has no result, and one
+that gave up, sends its job to any host 1.3 s later. All on virtual time.
 """
 
 import asyncio
@@ -21,10 +21,14 @@
 from tests.host_world import QUEUE, World
 
 DCS = {"ibk": 3, "kuf": 2, "lnz": 2, "ldk": 2}
-JOBS = 24
+EARLY_JOBS = 12
+LATE_JOBS = 16
+LATE_S = (27.0, 38.0)
 RUN_S = 38.0
 DECLARED_S = (0.76, 0.76, RUN_S)
 PATIENCE_S = 153.7
+# The share of callers that give up in the cut, and come again.
+GIVES_UP_SHARE = 0.15
 CUT_AT_S = 33.5
 CUT_S = (5.0, 6.5)
 # Late enough for second and third runs to have begun.
@@ -32,7 +36,7 @@
 FAULTS = ("cut_dc", "cut_host", "end_two", "stop_in_turn", "pause_one")
 VARIANTS = (
     *("plain", "kills", "kills", "stops", "pauses", "one_way", "calls_only"),
-    *("two_dcs", "again", "lone_host", "meets_end"),
+    *("two_dcs", "again", "lone_host", "meets_end", "power", "runners"),
 )
 
 
@@ -56,9 +60,10 @@
     async def run(self, length_s: float = END_S) -> None:
         """Play the day until some time after the cut."""
         names = sorted(self.world.hosts)
-        for _ in range(JOBS):
+        starts = [self.rng.uniform(2.8, 3.3) for _ in range(EARLY_JOBS)]
+        starts += [self.rng.uniform(*LATE_S) for _ in range(LATE_JOBS)]
+        for starts_at in starts:
             id_ = f"{self.rng.getrandbits(64):016x}"
-            starts_at = self.rng.uniform(2.8, 3.3)
             self._spawn(self._call_patiently(id_, starts_at, self.rng.choice(names)))
         for at in sorted(self.rng.uniform(4, CUT_AT_S - 0.5) for _ in range(2)):
             await self._sleep_until(at)
@@ -82,10 +87,15 @@
         step = Step(1, Resources(300, 64), rng.choice(DECLARED_S))
         job = Job(id_, QUEUE, payload, (step,))
         until = self._now() + PATIENCE_S
+        gives_up_at = until
+        if rng.random() < GIVES_UP_SHARE:
+            gives_up_at = max(CUT_AT_S, self._now()) + rng.uniform(0.5, 4.0)
         while (left_s := until - self._now()) > 0:
             if name in self.world.hosts:
-                reply = await self._call(name, job, left_s)
-                if reply is None or reply.kind is not AnswerKind.BROKEN:
+                patience_s = gives_up_at - self._now()
+                wait_s = patience_s if patience_s > 0 else left_s
+                reply = await self._call(name, job, wait_s)
+                if reply is not None and reply.kind is not AnswerKind.BROKEN:
                     return
             await asyncio.sleep(RESEND_S)
             name = self.rng.choice(sorted(self.world.hosts) or [name])
@@ -101,6 +111,13 @@
             self._record(f"{name} resumes")
             self.world.resume(name)
 
+    async def _power_off(self) -> None:
+        """Cut a host's power for some seconds."""
+        name = self._pick_host()
+        self._record(f"{name} loses power")
+        self.world.power_off(name)
+        self._spawn(self._start(name, self.rng.uniform(2.5, 4.0)))
+
     async def _kill_some(self, names: list[str], count: int) -> None:
         for name in self.rng.sample(names, min(count, len(names))):
             if name in self.world.hosts:
@@ -144,6 +161,7 @@
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
         for _ in range(4):
             self._spawn(self._pause_one())
+            await asyncio.sleep(self.rng.uniform(0.0, 0.1))
             if self.rng.random() < 0.6:
                 await self._kill_some(sorted(self.world.hosts), 1)
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -215,6 +233,25 @@
             await asyncio.sleep(self.rng.uniform(0.0, 2.5))
             await self._kill_some(sorted(self.world.hosts), 2)
 
+    async def _play_power(self) -> None:
+        """Cut the power of hosts while a data centre is cut off."""
+        dc = self.rng.choice(sorted(DCS))
+        self._spawn(self._cut(pairs_of(dc), self.rng.uniform(*CUT_S)))
+        for _ in range(3):
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+            await self._power_off()
+
+    async def _play_runners(self) -> None:
+        """Cut runners off from some hosts, and kill hosts at about that time."""
+        dc = self.rng.choice(sorted(DCS))
+        self._spawn(self._cut(pairs_of(dc), self.rng.uniform(*CUT_S)))
+        for _ in range(3):
+            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
+            await self._kill_some(sorted(self.world.hosts), 1)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.9))
+            for _ in range(4):
+                self._spawn(self._cut_runner())
+
     async def _play_meets_end(self) -> None:
         """Kill hosts so that their callers come again as the cut ends."""
         dc = self.rng.choice(sorted(DCS))
