Take a host that returned from its next owner's list

A host that refused a connection was removed within 5 s instead of 60 s, as its last heartbeat counted as ages old; and one that had owned a share before it ended was never taken from an owner's list, by its old claims. Now the time of its end counts, and claims of a process that has ended are void. A lone host whose neighbours have all refused a connection no longer waits as if cut off.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -45,6 +45,7 @@
     timeout_s: float = 0.0
     timeout_logged: bool = False
     listed_until: float = NEVER
+    down_at: float = NEVER
     live_hosts: tuple[str, ...] = ()
     live_hosts_at: float = NEVER
     replied_at: float = NEVER
@@ -58,10 +59,17 @@
         """The address at which the host accepts calls, as `IP:port`."""
         return f"{self.card.ip}:{self.card.port}"
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether its process has ended since its last heartbeat."""
+        return self.down_at > self.last_heartbeat_at
+
     @property
     def claims(self) -> tuple[Claim, ...]:
-        """The claims of its last heartbeat."""
-        return self.heartbeat.claims if self.heartbeat is not None else ()
+        """The claims of its last heartbeat; none if its process has ended since."""
+        if self.heartbeat is None or self.has_ended:
+            return ()
+        return self.heartbeat.claims
 
     @property
     def is_leaving(self) -> bool:
@@ -86,9 +94,10 @@
         """Return whether it is heard here, or by an owner of its data centre."""
         return self.is_heard(now) or now < self.listed_until
 
-    def mark_down(self) -> None:
-        """Forget its last signs of life."""
+    def mark_down(self, now: float) -> None:
+        """Forget its last signs of life: its process had ended at `now`."""
         self.last_heartbeat_at = self.listed_until = NEVER
+        self.down_at = now
 
     def forget_leaving(self) -> None:
         """Discard a last heartbeat that announced leaving; the host has restarted."""
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -136,8 +136,8 @@
         return peer.last_heartbeat_at if reports else None
 
     def knows_any(self) -> bool:
-        """Return whether any other host is known, live or not."""
-        return bool(self._peers)
+        """Return whether any other host is known whose process has not ended."""
+        return not all(peer.has_ended for peer in self._peers.values())
 
     def is_live_for_others(self, name: str) -> bool:
         """Return whether another live host receives heartbeats of a host."""
@@ -152,8 +152,9 @@
         """Mark a host as not live: it refused a connection, so its process exited."""
         peer = self._peers.get(name)
         if peer is not None:
-            peer.mark_down()
-            self._check_owner_timeouts(self.timers.now())
+            now = self.timers.now()
+            peer.mark_down(now)
+            self._check_owner_timeouts(now)
 
     def send_heartbeats(self) -> None:
         """Send a full heartbeat to every live host now."""
@@ -262,7 +263,8 @@
     def _remove_silent(self, now: float) -> None:
         """Remove the hosts that were heard once and not for a long time."""
         for name, peer in list(self._peers.items()):
-            last = peer.last_heartbeat_at
+            # One that has restarted is listed by name soon, maybe before its card.
+            last = max(peer.last_heartbeat_at, peer.down_at)
             silent = peer.heartbeat is not None and not peer.is_live(now)
             if silent and now - last > REMOVE_PEER_AFTER_S:
                 del self._peers[name]
@@ -271,7 +273,8 @@
         """Log owners of this data centre that timed out, and notify its hosts."""
         any_timed_out = False
         for peer in self._peers.values():
-            if not peer.heartbeat or not peer.claims or peer.card.dc != self.card.dc:
+            is_local = peer.card.dc == self.card.dc
+            if not (is_local and peer.heartbeat and peer.heartbeat.claims):
                 continue
             timed_out = not peer.is_live(now)
             if timed_out and not peer.timeout_logged:
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -132,6 +132,19 @@
     assert not harness.members.is_live("a-h1")
 
 
+# Guards against a former owner that returned without a share and is not taken from its
+# successor's list: the others divided the runners as if it were gone.
+def test_a_former_owner_that_returned_is_live_by_the_next_owners_list() -> None:
+    harness = Harness()
+    harness.receive_heartbeat("a-h1", 1, owns=True)
+    harness.members.mark_down("a-h1")
+    card = HostCard("a-h2", "a", ip_of("a-h2"), 1, 1)
+    claims = (Claim(ShareId("a"), 1, 8),)
+    listing = Heartbeat(card, 1, False, 3, claims, live_hosts=("a-h1",))
+    harness.members.receive(msgspec.msgpack.encode(listing))
+    assert harness.members.is_live("a-h1")
+
+
 def test_log_lines_about_a_peer_name_the_peer(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
