Poll a run that was found while the reply to its start was lost

If replies get lost, a probe beside the start request may list the run, whose state is then RUNNING. As the start request was given up nothing woke the polls of the idle runner: the lease was not renewed and the end never read. Now they are woken in any case. The new test fails without it.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -291,6 +291,8 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.IN_DOUBT
                 await self._request_stop(run)
+            # A probe may have found the run, which needs its lease renewed.
+            self._wake.set()
             return
         now = self.timers.now()
         self._responses.record(sent_at)
--- a/tests/coordination/test_link.py
+++ b/tests/coordination/test_link.py
@@ -10,6 +10,7 @@
     Resources,
     RunnerInfo,
     RunnerView,
+    RunRow,
     ShareId,
     Started,
     StartRequest,
@@ -140,3 +141,40 @@
         link.close()
 
     run_virtual(main())
+
+
+class MuteRunner(UnresponsiveRunner):
+    """Begins each run that is requested, and loses the reply."""
+
+    async def poll(self, *_: object) -> RunnerView:
+        """List all runs, after a while."""
+        self.polls += 1
+        await asyncio.sleep(0.02)
+        rows = (RunRow(request.task, request.run, 0) for request in self.requests)
+        return RunnerView(1000 + self.polls, 1, tuple(rows), ())
+
+    async def start(
+        self, runner: RunnerInfo, request: StartRequest
+    ) -> Started | NotStarted:
+        """Begin the run and fail without a reply."""
+        self.requests.append(request)
+        await asyncio.sleep(0.3)
+        raise NoAnswer("lost")
+
+
+# Guards against a run whose lease is not renewed and whose end is never read: a probe
+# found it before the reply to its start was given up, and nothing woke the polls.
+def test_a_run_that_a_probe_found_is_polled() -> None:
+    async def main() -> None:
+        runner = MuteRunner()
+        link = open_link(runner)
+        await asyncio.sleep(1.0)
+        link.lost_replies.record(link.timers.now())
+        link.start(Run(TaskId("1" * 16, 0, 0), 1, Resources(1000, 64), None), "")
+        await asyncio.sleep(0.4)
+        polls = runner.polls
+        await asyncio.sleep(1.0)
+        assert runner.polls > polls
+        link.close()
+
+    run_virtual(main())
