--- a/tests/coordination/test_cut_days.py
+++ b/tests/coordination/test_cut_days.py
@@ -27,6 +27,7 @@
 RUN_S = 38.0
 DECLARED_S = (0.76, 0.76, RUN_S)
 PATIENCE_S = 153.7
+RESET_SHARE = 0.4
 # The share of callers that give up in the cut, and come again.
 GIVES_UP_SHARE = 0.15
 CUT_AT_S = 33.5
@@ -71,6 +72,8 @@
         await self._sleep_until(CUT_AT_S)
         self._spawn(getattr(self, f"_play_{self.variant}")())
         await self._sleep_until(length_s)
+        for task in [task for task in self._tasks if task.done()]:
+            task.result()
 
     async def _sleep_until(self, at: float) -> None:
         await asyncio.sleep(max(at - self._now(), 0.0))
@@ -100,6 +103,15 @@
             await asyncio.sleep(RESEND_S)
             name = self.rng.choice(sorted(self.world.hosts) or [name])
 
+    async def _cut(self, pairs: set[frozenset[str]], duration_s: float) -> None:
+        """Cut places off; calls that are open stay silent or are reset."""
+        cut = asyncio.create_task(DayScenario._cut(self, pairs, duration_s))
+        if self.rng.random() < RESET_SHARE:
+            await asyncio.sleep(0)
+            self._record("open calls are reset")
+            self.world.reset_calls()
+        await cut
+
     async def _pause_one(self) -> None:
         """Pause a host for less than a takeover takes."""
         name = self._pick_host()
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -156,6 +156,11 @@
     _boots: int = 0
     _thawed: dict[str, asyncio.Event] = field(default_factory=dict)
     _link_free_at: dict[str, float] = field(default_factory=dict)
+    # The sender, the receiver and the sender's task of each call without a reply yet.
+    _calls: dict[OpenCall, tuple[str, str, asyncio.Task[Any]]] = field(
+        default_factory=dict
+    )
+    _calls_reset: set[OpenCall] = field(default_factory=set)
 
     async def start(self) -> None:
         """Start every host and runner, and wait for owners."""
@@ -255,6 +260,13 @@
         """Cut two places (hosts, runners or data centres) from each other."""
         self.cut.add(frozenset((one, other)))
 
+    def reset_calls(self) -> None:
+        """Reset the calls between places that are cut; both ends notice at once."""
+        for open_call, (source, target, task) in list(self._calls.items()):
+            if not self.reachable(source, target):
+                self._calls_reset.add(open_call)
+                task.cancel()
+
     def reachable(self, one: str, other: str) -> bool:
         """Tell whether the network joins two places."""
         sides = [(a, b) for a in _names(one) for b in _names(other)]
@@ -340,14 +352,24 @@
         open_call = OpenCall()
         task = asyncio.create_task(host.calls.answer(request, open_call))
         self._tasks.setdefault(target, {})[task] = None
+        sender = asyncio.current_task()
+        assert sender is not None
+        self._calls[open_call] = source, target, sender
         try:
             outlives = self.handlers_outlive_calls
             reply = await (asyncio.shield(task) if outlives else task)
         except asyncio.CancelledError:
+            if open_call in self._calls_reset:
+                sender.uncancel()
+                self._close_call(source, target, open_call, is_reset=True)
+                raise PeerCallFailed("reset") from None
             if target in self.hosts and self.hosts[target] is host:
                 self._close_call(source, target, open_call)
                 raise
             raise PeerCallFailed("died") from None
+        finally:
+            del self._calls[open_call]
+            self._calls_reset.discard(open_call)
         await asyncio.sleep(LINK_S + self._queue_reply(target, reply))
         if not self.reachable(source, target):
             raise PeerCallFailed("cut")
@@ -355,15 +377,21 @@
             await asyncio.Event().wait()
         return reply
 
-    def _close_call(self, source: str, target: str, open_call: OpenCall) -> None:
-        """Tell a host that a sender has closed a call, unless the network is cut."""
+    def _close_call(
+        self, source: str, target: str, open_call: OpenCall, is_reset: bool = False
+    ) -> None:
+        """Tell a host that a call is closed, unless the network is cut.
+
+        A call that is reset is closed on both sides of a cut.
+        """
 
         async def close() -> None:
             await asyncio.sleep(LINK_S)
             await self.thawed(target)
             open_call.close()
 
-        if self.reachable(source, target) and source not in self.powered_off:
+        is_seen = self.reachable(source, target) and source not in self.powered_off
+        if is_seen or is_reset:
             asyncio.create_task(close())
 
     def _queue_reply(self, target: str, reply: Any) -> float:
