--- a/tests/coordination/test_cut_days.py
+++ b/tests/coordination/test_cut_days.py
@@ -292,6 +292,6 @@
 
 
 # Guards against runs that go on while the other side of a cut starts their jobs.
-@pytest.mark.parametrize("seed", [0])
+@pytest.mark.parametrize("seed", [4, 92, 111, 137])
 def test_tasks_of_long_jobs_run_once_over_a_cut(seed: int) -> None:
     play_day(seed)
--- a/tests/coordination/test_cut_takeovers.py
+++ b/tests/coordination/test_cut_takeovers.py
@@ -14,7 +14,7 @@
     open_world,
 )
 from tests.coordination.test_host import run_virtual
-from tests.coordination.test_lost_entry_hosts import RESEND_S, submit
+from tests.coordination.test_lost_entry_hosts import RESEND_S, runs, submit
 from tests.coordination.test_settling_races import other_host
 
 # After this, a share without hosts is owned from another data centre.
@@ -23,7 +23,7 @@
 
 # Guards against a hand-over by which the time since the last caller was lost is counted
 # anew, first by the former owner and then by the next one.
-@pytest.mark.parametrize("left_after_s", [-0.1, 0.1, 0.5, 0.8])
+@pytest.mark.parametrize("left_after_s", [-0.1, 0.1, 0.5, 0.8, 0.944])
 def test_a_hand_over_does_not_prolong_a_run_without_callers(
     left_after_s: float,
 ) -> None:
@@ -66,6 +66,26 @@
     run_virtual(main())
 
 
+# Guards against a stop that is not confirmed when the share is handed over: the next
+# owner finds the run, and keeps it for a repetition of the job.
+def test_a_hand_over_does_not_drop_the_stop_of_a_run_without_callers() -> None:
+    async def main() -> None:
+        world = await open_world(a=3)
+        entry = await begin_unheard(world)
+        (run,) = runs(world)
+        owner = world.owner("a")
+        world.kill(entry)
+        await asyncio.sleep(0.9)
+        world.cut_off(owner, run.runner)
+        await asyncio.sleep(0.1)
+        world.hosts[owner].leave()
+        await asyncio.sleep(RESEND_S - 1.0)
+        submit(world, world.owner("b"))
+        await check_one_at_a_time(world)
+
+    run_virtual(main())
+
+
 # Guards against an owner that takes itself to be in touch with a data centre because
 # its share is owned from outside, while the hosts there serve on behind the cut.
 def test_a_share_owned_from_outside_does_not_count_as_in_touch() -> None:
