End a job over a cut when no entry host is known to hold its caller

The first run went on for a call of a host that had no caller itself: a former owner that handed the job over, or an owner that forwards. Each noticed the loss of the next one only after a timeout of its own, up to 6 s, and a hand-over, a deadline or a pause of the owner made it later still; the other side starts the job after 1.3 s, or after 4 s of doubt that take for granted that the run has ended.

The cause: a run was bound to the next hop of its call, not to the caller. Now the host that holds a caller's connection says so with its heartbeats, its owners relay that to all owners with its age, and an owner or a lender that is out of touch ends a job resend_ms less 0.4 s after that was last known, whatever calls stand.

--- a/monsoongap/coordination/caller_loss.py
+++ b/monsoongap/coordination/caller_loss.py
@@ -15,20 +15,28 @@
 class CallerLoss:
     """Since when, by the timer service, no caller of a job is known to wait.
 
-    `closed_at` is when the last of its calls was closed; None while one is open.
-    `silent_since` is when the senders of all open calls were last heard, None if one of
-    them is live. Such a host may be paused, and its callers may still wait.
+    `awaited_at` is when an entry host last had one. `closed_at` is when the last of the
+    calls for the job was closed; None while one is open. An open call alone does not
+    show that its caller waits: it may come from a host that cannot hear the entry host.
     """
 
+    awaited_at: float
     closed_at: float | None = None
-    silent_since: float | None = None
 
     def ends_job(self, now: float, in_touch: bool, cfg: BoundsSection) -> bool:
         """Return whether the job is to be ended.
 
-        `in_touch` tells whether the owners of all data centres are heard.
+        `in_touch` tells whether the owners of all data centres would hear of the job.
         """
         if self.closed_at is not None and now - self.closed_at >= cfg.orphan_s:
             return True
-        since = self.silent_since if self.closed_at is None else self.closed_at
-        return since is not None and not in_touch and now - since >= cfg.cut_orphan_s
+        if in_touch:
+            return False
+        return now - self.since >= cfg.cut_orphan_s
+
+    @property
+    def since(self) -> float:
+        """Since when no caller is known to wait."""
+        if self.closed_at is None:
+            return self.awaited_at
+        return min(self.awaited_at, self.closed_at)
--- a/monsoongap/coordination/contact.py
+++ b/monsoongap/coordination/contact.py
@@ -35,15 +35,13 @@
     def sender_fields(self, sender: str) -> dict[str, object]:
         """Return whether a host is live, and the ms since it was last heard, if ever.
 
-        `silent` is the condition under which jobs are ended; it excludes hosts that
-        send no heartbeats to this one.
+        Hosts of other data centres that own nothing send no heartbeats to this one.
         """
         members = self.ownership.members
         peer = members.peer(sender)
         heard_at = NEVER if peer is None else peer.last_heartbeat_at
         return {
             "live": members.is_live(sender),
-            "silent": members.silent_since(sender) is not None,
             "heard_ms": _age_ms(self.ownership.timers.now(), heard_at),
         }
 
--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -138,13 +138,15 @@
     `seeking` says that this host owns nothing and an owner of its data centre is
     missing or silent; it has been so since `seeking_since`. `seeks_everywhere` says
     that no host of the data centre is heard: this one may be cut off, or the only one.
-    `has_news` says that owners are to be told of new jobs. Hosts of the data centres in
+    `has_news` says that owners are to be told of new jobs, `awaits` that callers of
+    this host wait for jobs that are not new. Hosts of the data centres in
     `evacuated` submit new jobs to all owners, so they have to hear them often.
     """
 
     ticks: int = 0
     is_owner: bool = False
     has_news: bool = False
+    awaits: bool = False
     seeking: bool = False
     seeks_everywhere: bool = False
     seeking_since: float = NEVER
@@ -218,7 +220,9 @@
         often = now - schedule.seeking_since < SEEK_OFTEN_S
         return LOCAL_TICKS if often else REPORT_TICKS
     serves = any(claim.share.dc == dc for claim in peer.claims)
-    return REPORT_TICKS if serves and peer.is_heard(now) else 0
+    if not (serves and peer.is_heard(now)):
+        return 0
+    return LOCAL_TICKS if schedule.awaits else REPORT_TICKS
 
 
 def sample_cards(
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from monsoongap.coordination.admission_control import RETRY_AFTER_S
+from monsoongap.coordination.awaited_jobs import AwaitedJobs
 from monsoongap.coordination.borrowing import Borrowing
 from monsoongap.coordination.config_fetch import ConfigFetcher
 from monsoongap.coordination.coverage import Coverage
@@ -132,6 +133,8 @@
             lambda: bool(self.jobs.recent_jobs()),
         )
         self.members.evacuated = lambda: self.directory.evacuation.dcs
+        self.awaited = AwaitedJobs(timers)
+        self.members.awaits = lambda: any(True for _ in self.awaited.held())
         self.ownership = Ownership(self.members, timers, self._acquired, self._released)
         self.rerouting = Rerouting(card.dc, self.ownership, self.directory)
         # The data centre of each job that was submitted to another one from here.
@@ -152,7 +155,7 @@
         )
         if cfg.placement.horizon_s > 0:
             self.pool.planned = PlannedPlacement(cfg.placement.horizon_s)
-        self.lending = Lending(self.pool, self.members, timers)
+        self.lending = Lending(self.pool, self.members, timers, self.awaited)
         self.reconciler = Reconciler(
             self.pool, self.ownership, self.lending, timers, ports.peers
         )
@@ -166,6 +169,7 @@
             self.directory.rule,
             self.reconciler.reconcile_everywhere,
             Readiness(self.pool, self.ownership, timers),
+            self.awaited,
         )
         self.jobs.admission_control.is_evacuated = self.directory.is_evacuated
         self.pool.on_dispatch = self.jobs.record_dispatch
@@ -177,8 +181,7 @@
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
-        self.pool.hears_all_owners = self.ownership.hears_all_owners
-        self.jobs.silent_since = self.members.silent_since
+        self.pool.is_in_touch = self.ownership.is_in_touch
         self.traces = JobTraces(self.jobs, self.pool, self.job_locations)
         self.config_fetcher = ConfigFetcher(
             self.members, ports.peers, self.directory, timers
@@ -290,7 +293,8 @@
             number=self._request_count,
         )
         try:
-            return await self._submit(call, rule)
+            with self.awaited.hold(job.id, wait_s):
+                return await self._submit(call, rule)
         finally:
             self._rerouted.pop(job.id, None)
 
@@ -602,11 +606,14 @@
             self.directory.evacuation.offset,
             tuple(self.directory.evacuation.dcs),
             self.handover.active > 0,
+            self.awaited.told(bool(claims)) if parts.for_owners else (),
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
         heartbeat = peer.heartbeat
         assert heartbeat is not None
+        is_report = peer.card.dc == self.card.dc and not heartbeat.claims
+        self.awaited.record(heartbeat.awaited, is_report)
         if became_live:
             self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
         if heartbeat.claims:
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -42,7 +42,8 @@
     they were. `overdue` says that the job was logged as overdue, `at_two_owners` that
     it was logged as in progress at another owner, too. `open_calls` are the calls that
     wait for the answer; `callers_lost_at` is when the last of them was closed, None
-    while there are some. `forwarding` hands the job over, and gets its answer from the
+    while there are some. `awaited_at` is when a caller was last known to wait by a
+    request that came. `forwarding` hands the job over, and gets its answer from the
     next owner. `basis` is by what this owner knew that nothing of the job ran, until
     its first tasks are queued; None if no doubt was known.
     """
@@ -74,6 +75,7 @@
     at_two_owners: bool = False
     open_calls: set[OpenCall] = field(default_factory=set)
     callers_lost_at: float | None = None
+    awaited_at: float = NEVER
     forwarding: asyncio.Task[None] | None = None
     basis: StartBasis | None = None
     _done_count_by_step: Counter[int] = field(default_factory=Counter)
@@ -153,16 +155,18 @@
             self.done_tasks.add(task)
             self._done_count_by_step[task.step] += 1
 
-    def merge_call(self, call: SubmitCall, now: float) -> None:
+    def merge_call(self, call: SubmitCall, now: float, received_at: float) -> None:
         """Update the record with what a call that came at `now` says of the job.
 
-        A repeated call extends no wait: it tells the one that the first call told.
+        It may have arrived since `received_at`, if this process was paused. A repeated
+        call extends no wait: it tells the one that the first call told.
         Completed tasks and run numbers are ignored once a step has started here.
         """
         self.may_have_started = self.may_have_started or call.again
         request = (call.origin, call.number)
         if request not in self.requests or call.is_handover:
             self.expires_at = max(self.expires_at, now + call.wait_left_s)
+            self.awaited_at = max(self.awaited_at, received_at - call.awaited_s)
         self.requests.add(request)
         if self.started_steps:
             return
--- a/monsoongap/coordination/job_traces.py
+++ b/monsoongap/coordination/job_traces.py
@@ -169,8 +169,7 @@
 
     A job that was handed over has its runs at its next owner.
     """
-    until = loss.silent_since if loss.closed_at is None else loss.closed_at
-    _mark_callers_until(rec, until)
+    _mark_callers_until(rec, loss.since)
     is_handed_over = rec.forwarding is not None
     log.info(
         "handed over job's callers are gone; closing the call to its next owner"
@@ -179,7 +178,7 @@
         extra={
             "job": rec.job.id,
             "closed_ms": _ms_since(loss.closed_at, now),
-            "silent_ms": _ms_since(loss.silent_since, now),
+            "awaited_ms": _ms_since(loss.awaited_at, now),
             **_end_fields(rec, pool, contact, now),
         },
     )
@@ -206,7 +205,7 @@
     return {
         "age_ms": _ms_since(rec.arrived_at, now),
         "calls": [_call_fields(call, contact) for call in rec.open_calls],
-        "in_touch": pool.hears_all_owners(),
+        "in_touch": pool.is_in_touch(),
         "silent_dcs": contact.silent_dcs() or None,
         "runs": len(pool.runs_of(rec.job.id)),
         "lent": sum(bool(work.borrowed_from) for work in rec.works.values()),
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -16,6 +16,7 @@
     AdmissionControl,
     capacity_timeout_refusal,
 )
+from monsoongap.coordination.awaited_jobs import AwaitedJobs
 from monsoongap.coordination.caller_loss import CallerLoss
 from monsoongap.coordination.contact import Contact
 from monsoongap.coordination.job_record import NEVER, JobRecord
@@ -49,9 +50,6 @@
 # A caller that got no answer submits the job a few more times within its deadline, and
 # gets the kept answer.
 KEEP_ANSWER_S = 15.0
-# Runs of a previous owner or of an unresponsive lender have ended after this: the
-# lender's timeout for its borrower, the time that orphans are kept, and a lease.
-RECONCILED_AFTER_S = 4.0
 # A new owner has polled its runners after a few milliseconds.
 RECONCILE_FIRST_RETRY_S = 0.01
 RECONCILE_RETRY_S = 0.1
@@ -102,8 +100,8 @@
     `reconcile` makes sure that no unknown run of a job is left at any owner; it returns
     whether that is so. `in_doubt_since` holds, for each share, the time until which a
     previous owner may have started runs that this host does not know. `records` also
-    holds answered jobs, for `KEEP_ANSWER_S` seconds. `silent_since` returns when a host
-    was last heard, None if it is live.
+    holds answered jobs, for `KEEP_ANSWER_S` seconds. `awaited` tells when a job's
+    callers were last known to wait.
     """
 
     pool: Pool
@@ -111,7 +109,7 @@
     rule_of: Callable[[str], QueueRule | None]
     reconcile: Callable[[str, ShareId], Awaitable[bool]]
     readiness: Readiness
-    silent_since: Callable[[str], float | None] = lambda host: None
+    awaited: AwaitedJobs
     in_doubt_since: dict[ShareId, float] = field(default_factory=dict)
     counts: JobCounts = field(default_factory=JobCounts)
     records: dict[str, JobRecord] = field(default_factory=dict)
@@ -190,7 +188,7 @@
         share = call.target.share
         self._transferred[share] = call.claim.fence
         self.in_doubt_since[share] = (
-            now + call.in_doubt_ms / MS_PER_S - RECONCILED_AFTER_S
+            now + call.in_doubt_ms / MS_PER_S - self.pool.cfg.reconciled_s
             if call.in_doubt_ms
             else NEVER
         )
@@ -217,7 +215,7 @@
                 started.add(rec.job.id)
         left_s = (
             self.in_doubt_since.get(share, NEVER)
-            + RECONCILED_AFTER_S
+            + self.pool.cfg.reconciled_s
             - self.timers.now()
         )
         in_doubt_ms = max(round(left_s * MS_PER_S), 0)
@@ -226,7 +224,7 @@
     def is_in_doubt(self, share: ShareId) -> bool:
         """Return whether a previous owner of a share may have runs unknown here."""
         since_s = self.timers.now() - self.in_doubt_since.get(share, NEVER)
-        return since_s <= RECONCILED_AFTER_S
+        return since_s <= self.pool.cfg.reconciled_s
 
     def announce(self, job: str) -> None:
         """Announce to other owners that a job, or a run of it, is here."""
@@ -367,7 +365,7 @@
         """Update a record, and what is known of previous owners, from a call."""
         self._add_caller(rec, open_call)
         repeated = (call.origin, call.number) in rec.requests
-        rec.merge_call(call, self.timers.now())
+        rec.merge_call(call, self.timers.now(), self.timers.received_since())
         for work in rec.works.values():
             self.pool.extend_wait(work, rec.expires_at)
         transferred = self._transferred.get(call.share, 0)
@@ -386,7 +384,7 @@
         rec.open_calls.discard(open_call)
         if rec.open_calls or rec.answer.done():
             return
-        rec.callers_lost_at = self.timers.now()
+        rec.callers_lost_at = self.timers.received_since()
         if rec.closed:
             return
         self.counts.callers_lost += 1
@@ -432,8 +430,12 @@
         for rec in [r for r in self._unanswered.values() if r.share == share]:
             del self.records[rec.job.id], self._unanswered[rec.job.id]
             rec.closed = True
+            now = self.timers.now()
+            awaited_s = max(now - self._caller_loss(rec).awaited_at, 0.0)
             call = replace(
-                rec.handover_call(self.timers.now()), transfer_fence=transfer_fence
+                rec.handover_call(now),
+                transfer_fence=transfer_fence,
+                awaited_s=awaited_s,
             )
             rec.may_have_started = call.again
             self._handed_over[rec.job.id] = (self.timers.now(), rec)
@@ -449,27 +451,21 @@
 
     def _caller_loss(self, rec: JobRecord) -> CallerLoss:
         """Return since when no caller of a job is known to wait."""
-        if not rec.open_calls:
-            return CallerLoss(closed_at=rec.callers_lost_at)
-        silent_since = NEVER
-        for open_call in rec.open_calls:
-            since = self.silent_since(open_call.sender) if open_call.sender else None
-            if since is None:
-                return CallerLoss()
-            silent_since = max(silent_since, since)
-        return CallerLoss(silent_since=silent_since)
+        awaited_at = max(rec.awaited_at, self.awaited.last_at(rec.job.id))
+        return CallerLoss(awaited_at, rec.callers_lost_at)
 
     def _tick(self) -> None:
         """End jobs that waited too long, demote late ones, and drop old records."""
         now = self.timers.now()
-        in_touch = self.pool.hears_all_owners()
+        cfg, in_touch = self.pool.cfg, self.pool.is_in_touch()
+        keep_s = cfg.orphan_s if in_touch else cfg.cut_orphan_s
         for rec in list(self._unanswered.values()):
             # A caller that got no answer may submit the job again, and joins it.
-            if now > rec.expires_at + self.pool.cfg.orphan_s:
+            if now > rec.expires_at + keep_s:
                 self._expire(rec, now)
                 continue
             loss = self._caller_loss(rec)
-            if loss.ends_job(now, in_touch, self.pool.cfg):
+            if loss.ends_job(now, in_touch, cfg):
                 log_callers_gone(rec, loss, self.pool, self.contact, now)
                 self._end(rec, JobReply(AnswerKind.BROKEN, "its callers are gone"))
                 continue
@@ -500,7 +496,8 @@
         for _, rec in self._handed_over.values():
             if rec.forwarding is None or rec.answer.done():
                 continue
-            loss = self._caller_loss(rec)
+            # The next owner hears itself whether a caller waits.
+            loss = CallerLoss(now, rec.callers_lost_at)
             if loss.ends_job(now, in_touch, self.pool.cfg):
                 log_callers_gone(rec, loss, self.pool, self.contact, now)
                 rec.forwarding.cancel()
@@ -608,7 +605,8 @@
         `by` names what proved it: the owners' replies, or the time that has passed.
         """
         limits = {
-            "share": self.in_doubt_since.get(rec.share, NEVER) + RECONCILED_AFTER_S,
+            "share": self.in_doubt_since.get(rec.share, NEVER)
+            + self.pool.cfg.reconciled_s,
             "job": rec.in_doubt_since + KEEP_ANSWER_S,
         }
         rec.basis = start_basis(rec, self.pool, self.contact, by, limits, tries > 0)
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from monsoongap.coordination.awaited_jobs import AwaitedJobs
+from monsoongap.coordination.caller_loss import CallerLoss
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.work import RunOutcome, Work
@@ -55,6 +57,7 @@
     claim: Claim
     reply: asyncio.Future[LendReply]
     expires_at: float
+    lent_at: float
     given_up: bool = False
 
 
@@ -62,13 +65,15 @@
 class Lending:
     """The lender's side of lending.
 
-    `_replies` holds the reply to each run that a borrower asked for, however often it
-    asks; `_reply_times` the time of each one that is complete.
+    `awaited` tells when a job's callers were last known to wait. `_replies` holds the
+    reply to each run that a borrower asked for, however often it asks; `_reply_times`
+    the time of each one that is complete.
     """
 
     pool: Pool
     members: Members
     timers: TimerService
+    awaited: AwaitedJobs
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
     _replies: dict[tuple[TaskId, int], asyncio.Future[LendReply]] = field(
@@ -135,7 +140,12 @@
             fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
         else:
             self._lent[id(work)] = Lent(
-                work, call.home, call.claim, fut, self._expires_at(call)
+                work,
+                call.home,
+                call.claim,
+                fut,
+                self._expires_at(call),
+                self.timers.received_since(),
             )
         return await asyncio.shield(fut)
 
@@ -213,6 +223,7 @@
     def _tick(self) -> None:
         """Stop what no borrower waits for any more; forget old replies."""
         self._forget()
+        in_touch = self.pool.is_in_touch()
         for lent in [held for held in self._lent.values() if not held.given_up]:
             peer = self.members.peer(lent.borrower)
             silent = (
@@ -221,7 +232,8 @@
             )
             replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
             expired = self.timers.now() > lent.expires_at
-            if silent or replaced or expired:
+            unawaited = self._is_unawaited(lent, in_touch)
+            if silent or replaced or expired or unawaited:
                 lent.given_up = True
                 log.info(
                     "borrower given up",
@@ -230,10 +242,23 @@
                         "borrower": lent.borrower,
                         "replaced": replaced,
                         "expired": expired,
+                        "unawaited": unawaited,
                     },
                 )
                 self.pool.withdraw(lent.work)
 
+    def awaited_at(self, job: str) -> float:
+        """Return when a caller was last known to wait for a job with lent tasks."""
+        lent_at = (
+            lent.lent_at for lent in self._lent.values() if lent.work.task.job == job
+        )
+        return max((self.awaited.last_at(job), *lent_at))
+
+    def _is_unawaited(self, lent: Lent, in_touch: bool) -> bool:
+        """Return whether the callers of a lent task's job may come elsewhere."""
+        loss = CallerLoss(self.awaited_at(lent.work.task.job))
+        return loss.ends_job(self.timers.now(), in_touch, self.pool.cfg)
+
     def _forget(self) -> None:
         """Drop the replies that nobody asks for any more, the oldest first."""
         oldest = self.timers.now() - KEEP_REPLY_S
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -65,8 +65,8 @@
 
     `on_heartbeat` is called with a peer and whether it was not live before,
     `on_owner_lost` when an owner of this data centre timed out. `has_news` tells
-    whether there are new jobs of which other owners are to be told. `evacuated` returns
-    the evacuated data centres.
+    whether there are new jobs of which other owners are to be told, `awaits` whether
+    callers here wait for older ones. `evacuated` returns the evacuated data centres.
     """
 
     card: HostCard
@@ -77,6 +77,7 @@
     is_owner: Callable[[], bool]
     on_owner_lost: Callable[[], None] = lambda: None
     has_news: Callable[[], bool] = lambda: True
+    awaits: Callable[[], bool] = lambda: False
     evacuated: Callable[[], frozenset[str]] = frozenset
     counts: MemberCounts = field(default_factory=MemberCounts)
     # Whether the list of all hosts was read from the store since the start.
@@ -254,6 +255,7 @@
         hears_local = any(p.card.dc == self.card.dc and p.is_live(now) for p in heard)
         self._schedule.advance(is_owner, seeking, hears_local, now)
         self._schedule.has_news = self.has_news()
+        self._schedule.awaits = self.awaits()
         self._schedule.evacuated = self.evacuated()
         peers = self._peers.values() if is_owner or seeking else heard
         due = list(due_peers(self._schedule, self.card.dc, peers, now))
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -197,15 +197,17 @@
         dcs = sorted(seen.union(self._runner_counts))
         return [share for dc in dcs for share in self.shares_of(dc)]
 
-    def hears_all_owners(self) -> bool:
+    def is_in_touch(self) -> bool:
         """Return whether every share has an owner that was heard a moment ago."""
-        oldest = self.timers.now() - IN_TOUCH_S
         owners = map(self.owner_of, self.all_shares())
-        return all(
-            owner is not None
-            and (owner.peer is None or owner.peer.last_heartbeat_at >= oldest)
-            for owner in owners
-        )
+        return all(owner is not None and self._hears(owner) for owner in owners)
+
+    def _hears(self, owner: Owner) -> bool:
+        peer = owner.peer
+        if peer is None:
+            return True
+        oldest = self.timers.now() - IN_TOUCH_S
+        return peer.last_heartbeat_at >= oldest
 
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
         """Return the share of a data centre, by default this one, of a job."""
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -70,7 +70,9 @@
     `on_dispatch` is called with each task that is given to a runner, `on_held` when a
     runner is newly held, `on_orphan_found` with the id of each job of which an orphan
     run is found. `location_of` returns which other owner announced a job, for the log.
-    `hears_all_owners` returns whether no data centre is out of touch.
+    `is_in_touch` returns whether no data centre is out of touch, `hears_former_owners`
+    whether hosts that may have owned runners of a data centre would be heard.
+    `awaited_at` returns when a caller of a job was last known to wait.
     `planned` decides where tasks go if a horizon is set.
     """
 
@@ -86,7 +88,7 @@
     on_held: Callable[[], None] = lambda: None
     on_orphan_found: Callable[[str], None] = lambda job: None
     location_of: Callable[[str], JobLocation | None] = lambda job: None
-    hears_all_owners: Callable[[], bool] = lambda: True
+    is_in_touch: Callable[[], bool] = lambda: True
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
@@ -282,8 +284,7 @@
 
     def _orphan_limit_s(self) -> float:
         """Return how long an orphan run is kept for a caller that may come again."""
-        in_touch = self.hears_all_owners()
-        return self.cfg.orphan_s if in_touch else self.cfg.cut_takeover_s
+        return self.cfg.orphan_s if self.is_in_touch() else self.cfg.cut_takeover_s
 
     def _retire(self, link: Link) -> None:
         """Give no more work to a runner that is gone; drop it when it is empty."""
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -353,6 +353,16 @@
     cold: bool = False
 
 
+class AwaitedJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job, by its id as a number, for which a caller waits at some entry host.
+
+    `age_ms` is how long ago that was last known.
+    """
+
+    number: Annotated[int, Meta(ge=0)]
+    age_ms: Natural
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """A host's heartbeat. `serial` increases with each one of an incarnation.
 
@@ -367,6 +377,9 @@
     the sender does not know them.
     `live_hosts` and `free` are left out, and those told last still hold. `hands_over`
     says that a host that leaves hands its shares over to hosts that it chooses.
+    `awaited` has the jobs whose callers wait at the sender, and from an owner also
+    those whose callers wait at other hosts of its data centre. `unheard` names the
+    owners whose heartbeats the sender, an owner, no longer receives.
     """
 
     card: HostCard
@@ -384,6 +397,7 @@
     evac_offset: Annotated[int, Meta(ge=-1, le=MAX_INTEGER)] = -1
     evacuated: tuple[Name, ...] = ()
     hands_over: bool = False
+    awaited: tuple[AwaitedJob, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -425,7 +439,8 @@
     accepted, for an owner whose configuration has it no longer; None in a first call.
     `transfer_fence` is the fence of the claim under which the previous owner
     transferred the share (`TransferCall`); 0 if it did not. `sender` is the host that
-    sends the call; empty from a host of an earlier version.
+    sends the call; empty from a host of an earlier version. `awaited_s` tells, in a
+    handover, how long before it a caller was last known to wait.
     """
 
     job: Job
@@ -443,6 +458,7 @@
     transfer_fence: Natural = 0
     waited_s: DurationS = 0.0
     sender: Sender = ""
+    awaited_s: DurationS = 0.0
 
     @property
     def is_handover(self) -> bool:
@@ -461,7 +477,9 @@
 
     def after(self, elapsed_s: float) -> "SubmitCall":
         """Return the call to send `elapsed_s` seconds later."""
-        return replace(self, waited_s=self.waited_s + max(elapsed_s, 0.0))
+        elapsed_s = max(elapsed_s, 0.0)
+        awaited_s = self.awaited_s + elapsed_s if self.is_handover else 0.0
+        return replace(self, waited_s=self.waited_s + elapsed_s, awaited_s=awaited_s)
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -86,6 +86,9 @@
 STOP_MARGIN_S = 0.4
 # Before this, other hosts take a silent owner's runs over.
 TAKEOVER_S = 0.7
+# Runs of a former owner or of an unresponsive lender have ended after this: the
+# lender's timeout for its borrower, the time that orphans are kept, and a lease.
+RECONCILED_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +126,15 @@
         """
         return max(self.resend_s - STOP_MARGIN_S, 0.0)
 
+    @property
+    def reconciled_s(self) -> float:
+        """After how long the runs of a host that is out of touch have ended.
+
+        Such a host ends runs whose callers it does not hear of, by a stop or, if the
+        runner does not confirm that, by a lease that lapses.
+        """
+        return max(RECONCILED_S, self.cut_orphan_s + 2 * self.lease_s + STOP_MARGIN_S)
+
     @property
     def cut_takeover_s(self) -> float:
         """How long a new owner keeps such a run while a data centre is out of touch."""
--- a/monsoongap/timers.py
+++ b/monsoongap/timers.py
@@ -188,6 +188,16 @@
         self._check_pause()
         return self._last_pause
 
+    def received_since(self) -> float:
+        """Return the earliest time at which what is read now may have arrived.
+
+        After a pause of this process that is its beginning.
+        """
+        pause, now = self.last_pause(), self.now()
+        if now - pause.ended_at <= READ_FIRST_S:
+            return pause.ended_at - pause.length_s
+        return now
+
     @property
     def read_first_s(self) -> float:
         """How long to let the loop read after a pause before acting, in seconds."""
