Count an owner as in touch only if it hears this host, too

Owners now name with their heartbeats the owners that they no longer hear, and a share owned from another data centre counts as out of touch.

--- a/monsoongap/coordination/contact.py
+++ b/monsoongap/coordination/contact.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.heartbeats import NEVER
-from monsoongap.coordination.ownership import IN_TOUCH_S, Ownership
+from monsoongap.coordination.heartbeats import IN_TOUCH_S, NEVER
+from monsoongap.coordination.ownership import Ownership
 from monsoongap.protocol.messages import ShareId
 from monsoongap.timers import MS_PER_S
 
--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -26,6 +26,8 @@
 SEEK_OFTEN_S = 3.0
 # Hosts of one data centre start within 0.3 s of each other.
 ALONE_S = 0.3
+# Owners send each other a heartbeat at least each 0.2 s; two may be lost.
+IN_TOUCH_S = 0.65
 MAX_CARDS = 6
 NEVER = -1e9
 
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -607,6 +607,7 @@
             tuple(self.directory.evacuation.dcs),
             self.handover.active > 0,
             self.awaited.told(bool(claims)) if parts.for_owners else (),
+            self.members.unheard_owners() if claims and parts.for_owners else (),
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from monsoongap.coordination.heartbeats import (
+    IN_TOUCH_S,
+    NEVER,
     HeartbeatParts,
     Peer,
     Schedule,
@@ -125,16 +127,17 @@
         peer = self._peers.get(name)
         return peer is not None and peer.is_live(self.timers.now())
 
-    def silent_since(self, name: str) -> float | None:
-        """Return when a host was last heard, None if it is live or never told.
+    def unheard_owners(self) -> tuple[str, ...]:
+        """Return the names of owners whose heartbeats no longer arrive here.
 
-        Hosts of other data centres that own nothing send no heartbeats to this one.
+        One that refused a connection has ended and is not among them.
         """
-        peer = self._peers.get(name)
-        if peer is None or peer.heartbeat is None or peer.is_live(self.timers.now()):
-            return None
-        reports = peer.card.dc == self.card.dc or bool(peer.claims)
-        return peer.last_heartbeat_at if reports else None
+        oldest = self.timers.now() - IN_TOUCH_S
+        return tuple(
+            peer.card.name
+            for peer in self._peers.values()
+            if peer.claims and NEVER < peer.last_heartbeat_at < oldest
+        )
 
     def knows_any(self) -> bool:
         """Return whether any other host is known whose process has not ended."""
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from monsoongap.coordination.heartbeats import NEVER, Peer
+from monsoongap.coordination.heartbeats import IN_TOUCH_S, NEVER, Peer
 from monsoongap.coordination.members import Members
 from monsoongap.protocol.messages import Claim, HostCard, ShareId, share_index
 from monsoongap.timers import MS_PER_S, TimerService
@@ -51,8 +51,6 @@
 # this time, even if four heartbeats are lost.
 CLAIM_HEARD_S = 0.5
 FENCE_HOSTS = 1024
-# Owners send each other a heartbeat at least each 0.2 s; two may be lost.
-IN_TOUCH_S = 0.65
 # The clocks of two hosts differ by at most this much.
 MAX_CLOCK_SKEW_MS = 3000
 
@@ -198,16 +196,24 @@
         return [share for dc in dcs for share in self.shares_of(dc)]
 
     def is_in_touch(self) -> bool:
-        """Return whether every share has an owner that was heard a moment ago."""
+        """Return whether this host and the owners of all shares hear each other.
+
+        An owner that hears this host learns of its jobs.
+        """
         owners = map(self.owner_of, self.all_shares())
         return all(owner is not None and self._hears(owner) for owner in owners)
 
     def _hears(self, owner: Owner) -> bool:
         peer = owner.peer
         if peer is None:
-            return True
+            return owner.claim.share.dc == self.members.card.dc
+        if owner.claim.share.dc != peer.card.dc:
+            # The hosts of that data centre may serve on behind a cut.
+            return False
         oldest = self.timers.now() - IN_TOUCH_S
-        return peer.last_heartbeat_at >= oldest
+        unheard = peer.heartbeat.unheard if peer.heartbeat else ()
+        is_heard_there = self.members.card.name not in unheard
+        return peer.last_heartbeat_at >= oldest and is_heard_there
 
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
         """Return the share of a data centre, by default this one, of a job."""
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -398,6 +398,7 @@
     evacuated: tuple[Name, ...] = ()
     hands_over: bool = False
     awaited: tuple[AwaitedJob, ...] = ()
+    unheard: tuple[Text, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
