End leases with the time for which the callers of runs permit them

While a data centre is out of touch a lease is granted only until resend_ms less 0.1 s after the caller of each run was last known to wait, so the runner itself ends the run in time.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -182,6 +182,7 @@
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
         self.pool.is_in_touch = self.ownership.is_in_touch
+        self.pool.awaited_at = self._awaited_at
         self.traces = JobTraces(self.jobs, self.pool, self.job_locations)
         self.config_fetcher = ConfigFetcher(
             self.members, ports.peers, self.directory, timers
@@ -568,6 +569,10 @@
                 extra={"job": job, "owner": peer.card.name, "reason": str(exc)},
             )
 
+    def _awaited_at(self, job: str) -> float:
+        """Return when a caller was last known to wait for a job with runs here."""
+        return max(self.jobs.awaited_at(job), self.lending.awaited_at(job))
+
     # Input from the store and from other hosts.
 
     def set_runners(
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -449,6 +449,12 @@
             rec.runs_ended.set()
         return taken
 
+    def awaited_at(self, job: str) -> float:
+        """Return when a caller of a job was last known to wait, `NEVER` if unknown."""
+        rec = self.records.get(job)
+        told_at = self.awaited.last_at(job)
+        return told_at if rec is None else max(rec.awaited_at, told_at)
+
     def _caller_loss(self, rec: JobRecord) -> CallerLoss:
         """Return since when no caller of a job is known to wait."""
         awaited_at = max(rec.awaited_at, self.awaited.last_at(rec.job.id))
--- a/monsoongap/coordination/lease.py
+++ b/monsoongap/coordination/lease.py
@@ -53,10 +53,13 @@
             self._clock_ms = clock_ms
             self._clock_at = now
 
-    def extend(self, now: float) -> int:
-        """Return the end of a full lease from `now` on, in ms of the runner's clock."""
+    def extend(self, now: float, until: float = float("inf")) -> int:
+        """Return the end of a lease from `now` on, in ms of the runner's clock.
+
+        It is a full one, but ends at `until` at the latest.
+        """
         elapsed_s = now - self._clock_at
-        left_s = elapsed_s + self.lease_s
+        left_s = elapsed_s + max(min(self.lease_s, until - now), 0.0)
         lapsed_at = self._clock_at + longest_lease_s(left_s)
         self.lapsed_at = max(self.lapsed_at, lapsed_at)
         return self._clock_ms + int(left_s * MS_PER_S)
--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Any
@@ -92,6 +92,7 @@
     evacuation: Evacuation = field(default_factory=Evacuation)
     location_of: Callable[[str], JobLocation | None] = lambda job: None
     orphan_limit_s: Callable[[], float] | None = None
+    permitted_until: Callable[[Iterable[Run]], float] = lambda runs: float("inf")
     table: RunTable = field(init=False)
     state: LinkState = LinkState.NEW
     polls: int = 0
@@ -220,7 +221,7 @@
         self.starts += 1
         # Extended before the request is sent: a poll sent earlier that fails now would
         # otherwise find the lease lapsed and end the run.
-        until_ms = self._lease.extend(self.timers.now())
+        until_ms = self._extend_lease(self.timers.now())
         self.table.add(run)
         # A poll may tell of a restart before the request is sent.
         born_ms = self.table.born_ms
@@ -334,6 +335,10 @@
         finally:
             _discard(call)
 
+    def _extend_lease(self, now: float) -> int:
+        """Extend the lease as far as all runs may go on; return its end."""
+        return self._lease.extend(now, self.permitted_until(self.table.runs.values()))
+
     def _may_send_start(self) -> bool:
         """Return whether a start may still be sent.
 
@@ -440,7 +445,7 @@
         # An unresponsive runner's lease is not renewed: once it has lapsed, its runs
         # have certainly ended.
         extends = held and self._lease.clock_known and not self._poll_failed
-        until_ms = self._lease.extend(sent_at) if extends else None
+        until_ms = self._extend_lease(sent_at) if extends else None
         self.polls += 1
         acknowledged = self.table.last_seen_seq if held else 0
         call = self.runners.poll(
@@ -502,7 +507,7 @@
         # answers nothing is not renewed.
         answers = self._responses.any_since(sent_at - RENEW_WITHIN_S)
         renews = held and answers and self._lease.clock_known
-        until_ms = self._lease.extend(sent_at) if renews else None
+        until_ms = self._extend_lease(sent_at) if renews else None
         try:
             view = await self.runners.poll(
                 self.info, self.fence, acknowledged, until_ms, 0, False
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -89,6 +89,7 @@
     on_orphan_found: Callable[[str], None] = lambda job: None
     location_of: Callable[[str], JobLocation | None] = lambda job: None
     is_in_touch: Callable[[], bool] = lambda: True
+    awaited_at: Callable[[str], float] = lambda job: float("inf")
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
@@ -277,11 +278,22 @@
             evacuation=self.directory.evacuation,
             location_of=self.location_of,
             orphan_limit_s=self._orphan_limit_s,
+            permitted_until=self._permitted_until,
         )
         self.links[info.id] = link
         link.open()
         return link
 
+    def _permitted_until(self, runs: Iterable[Run]) -> float:
+        """Return until when all of some runs may go on if this host is lost.
+
+        While a data centre is out of touch, their callers may come there.
+        """
+        jobs = {run.task.job for run in runs if run.work is not None}
+        if not jobs or self.is_in_touch():
+            return float("inf")
+        return min(map(self.awaited_at, jobs)) + self.cfg.cut_lease_s
+
     def _orphan_limit_s(self) -> float:
         """Return how long an orphan run is kept for a caller that may come again."""
         return self.cfg.orphan_s if self.is_in_touch() else self.cfg.cut_takeover_s
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -84,6 +84,8 @@
 ORPHAN_MARGIN_S = 0.7
 # A stop takes 50 ms, and is repeated if its reply is lost.
 STOP_MARGIN_S = 0.4
+# A runner's clock may be 2 % slow, and it ends what runs a little after the lease.
+LAPSE_MARGIN_S = 0.1
 # Before this, other hosts take a silent owner's runs over.
 TAKEOVER_S = 0.7
 # Runs of a former owner or of an unresponsive lender have ended after this: the
@@ -126,6 +128,14 @@
         """
         return max(self.resend_s - STOP_MARGIN_S, 0.0)
 
+    @property
+    def cut_lease_s(self) -> float:
+        """How long a lease may last from when a caller of a run was known to wait.
+
+        Holds while a data centre is out of touch: the caller may submit again there.
+        """
+        return max(self.resend_s - LAPSE_MARGIN_S, 0.0)
+
     @property
     def reconciled_s(self) -> float:
         """After how long the runs of a host that is out of touch have ended.
