Count no lease as lapsed that an owner behind a cut may renew

The lease of a runner that was never reached now counts from when former owners would be heard, and a share stays in doubt until it was reconciled once since the claim.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -218,13 +218,18 @@
             + self.pool.cfg.reconciled_s
             - self.timers.now()
         )
+        if left_s <= 0 and self.is_in_doubt(share):
+            left_s = self.pool.cfg.reconciled_s
         in_doubt_ms = max(round(left_s * MS_PER_S), 0)
         return tuple(sorted(started - in_doubt)), tuple(sorted(in_doubt)), in_doubt_ms
 
     def is_in_doubt(self, share: ShareId) -> bool:
         """Return whether a previous owner of a share may have runs unknown here."""
-        since_s = self.timers.now() - self.in_doubt_since.get(share, NEVER)
-        return since_s <= self.pool.cfg.reconciled_s
+        since = self.in_doubt_since.get(share, NEVER)
+        if since == NEVER:
+            return False
+        is_recent = self.timers.now() - since <= self.pool.cfg.reconciled_s
+        return is_recent or not self.pool.was_reconciled(share)
 
     def announce(self, job: str) -> None:
         """Announce to other owners that a job, or a run of it, is here."""
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -84,6 +84,8 @@
     counts: MemberCounts = field(default_factory=MemberCounts)
     # Whether the list of all hosts was read from the store since the start.
     lists_all_hosts: bool = False
+    # When the last heartbeat of another host arrived, by its data centre.
+    heard_at: dict[str, float] = field(default_factory=dict)
     _peers: dict[str, Peer] = field(default_factory=dict)
     _schedule: Schedule = field(default_factory=Schedule)
 
@@ -193,7 +195,7 @@
         self.counts.received += 1
         if heartbeat.card.name == self.card.name:
             return
-        now = self.timers.now()
+        now = self.heard_at[heartbeat.card.dc] = self.timers.now()
         peer = self._peers.get(heartbeat.card.name)
         if peer is not None and peer.heartbeat is not None:
             known, received = peer.heartbeat, heartbeat
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -37,6 +37,8 @@
 SUCCESSOR_CPU_FRACTION = 0.75
 # Hosts start within 0.3 s of each other; the first owner waits for all heartbeats.
 START_WAIT_S = 0.6
+# The hosts of its data centre send an owner a heartbeat each 0.5 s; one may be lost.
+UNHEARD_S = 1.1
 # A host without live peers is more likely cut off than the only one running.
 ISOLATED_WAIT_S = 2.5
 # Network partitions heal within seconds; until then a data centre's own hosts have
@@ -215,6 +217,20 @@
         is_heard_there = self.members.card.name not in unheard
         return peer.last_heartbeat_at >= oldest and is_heard_there
 
+    def hears_former_owners(self, dc: str) -> bool:
+        """Return whether former owners of a data centre's runners would be heard here.
+
+        They are hosts of that data centre. Within its own one, a host that hears any
+        other host learns from that one of an owner that it doesn't hear itself.
+        """
+        heard_at = self.members.heard_at
+        if dc == self.members.card.dc:
+            last_at = max(heard_at.values(), default=NEVER)
+        else:
+            last_at = heard_at.get(dc, NEVER)
+        is_silent = self.timers.now() - last_at > UNHEARD_S
+        return not is_silent or not self.members.knows_any()
+
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
         """Return the share of a data centre, by default this one, of a job."""
         dc = dc or self.members.card.dc
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -89,11 +89,14 @@
     on_orphan_found: Callable[[str], None] = lambda job: None
     location_of: Callable[[str], JobLocation | None] = lambda job: None
     is_in_touch: Callable[[], bool] = lambda: True
+    hears_former_owners: Callable[[str], bool] = lambda dc: True
     awaited_at: Callable[[str], float] = lambda job: float("inf")
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
     links: dict[str, Link] = field(default_factory=dict)
     _claims: dict[ShareId, Claim] = field(default_factory=dict)
+    # The claimed shares that were reconciled at some time since the claim.
+    _once_reconciled: set[ShareId] = field(default_factory=set)
     _listed: dict[str, RunnerInfo] = field(default_factory=dict)
     _absent: dict[str, float] = field(default_factory=dict)
     _waiting: Waiting = field(default_factory=Waiting)
@@ -111,6 +114,7 @@
     def acquire(self, claim: Claim) -> None:
         """Hold every runner of a share by the claim's fence."""
         self._claims[claim.share] = claim
+        self._once_reconciled.discard(claim.share)
         self.coverage.acquire(claim)
         self._sync(joins=False)
 
@@ -189,6 +193,12 @@
             return False
         return all(k.is_reconciled for k in self.links.values() if k.share == share)
 
+    def was_reconciled(self, share: ShareId) -> bool:
+        """Return whether a share was reconciled at some time since it was acquired."""
+        if share not in self._once_reconciled and self.is_reconciled(share):
+            self._once_reconciled.add(share)
+        return share in self._once_reconciled
+
     @property
     def lacks_runners(self) -> bool:
         """Tell whether an earlier owner may have used a runner not held here."""
@@ -448,6 +458,13 @@
         slow = sorted(link.table.health.slowness for link in self.links.values())
         if slow:
             self.usual_slowness = slow[len(slow) // 2]
+        for dc in {claim.share.dc for claim in self._claims.values()}:
+            if self.hears_former_owners(dc):
+                continue
+            # One that does not hear of this host goes on renewing leases.
+            for link in self.links.values():
+                if link.share.dc == dc:
+                    link.mark_in_doubt()
         if self._moved:
             self._sync()
         else:
