Ask all owners before a job is begun anew where it had ended

The cut was over, no heartbeat had told yet that another owner had it by then, and the job was begun beside that run.

Such a call now puts the job in doubt, so all owners are asked first.

--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -289,6 +289,8 @@
                 # Its share was released; a record here would never be handed over.
                 return JobReply(AnswerKind.HANDED_ON, "the job has ended here")
             call = replace(call, share=rec.share)
+            # Its sender counted on a job in progress; another owner may have it by now.
+            self.mark_job_in_doubt(job.id)
         # A job that was accepted is seen through by the queue that it was accepted by.
         rule = self.rule_of(job.queue) or call.rule
         if rule is None:
