Tell owners of waiting callers directly while no owner relays that

A share without an owner counts as out of touch, and its owner was the only one to pass on who waits.

A host that has heard no owner of its data centre for 0.3 s sends its heartbeats to all live owners while callers wait there.

--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -26,6 +26,8 @@
 SEEK_OFTEN_S = 3.0
 # Hosts of one data centre start within 0.3 s of each other.
 ALONE_S = 0.3
+# An owner sends the hosts of its data centre a heartbeat each 0.2 s.
+SILENT_RELAY_S = 0.3
 # Owners send each other a heartbeat at least each 0.2 s; two may be lost.
 IN_TOUCH_S = 0.65
 MAX_CARDS = 6
@@ -141,7 +143,8 @@
     missing or silent; it has been so since `seeking_since`. `seeks_everywhere` says
     that no host of the data centre is heard: this one may be cut off, or the only one.
     `has_news` says that owners are to be told of new jobs, `awaits` that callers of
-    this host wait for jobs that are not new. Hosts of the data centres in
+    this host wait for jobs that are not new, `lacks_relay` that no owner of its data
+    centre is heard that would pass that on. Hosts of the data centres in
     `evacuated` submit new jobs to all owners, so they have to hear them often.
     """
 
@@ -149,6 +152,7 @@
     is_owner: bool = False
     has_news: bool = False
     awaits: bool = False
+    lacks_relay: bool = False
     seeking: bool = False
     seeks_everywhere: bool = False
     seeking_since: float = NEVER
@@ -221,6 +225,8 @@
     if schedule.seeking and (schedule.seeks_everywhere or peer.card.dc in (dc, "")):
         often = now - schedule.seeking_since < SEEK_OFTEN_S
         return LOCAL_TICKS if often else REPORT_TICKS
+    if schedule.awaits and schedule.lacks_relay and peer.claims:
+        return LOCAL_TICKS if peer.is_live(now) else 0
     serves = any(claim.share.dc == dc for claim in peer.claims)
     if not (serves and peer.is_heard(now)):
         return 0
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -16,6 +16,7 @@
 from monsoongap.coordination.heartbeats import (
     IN_TOUCH_S,
     NEVER,
+    SILENT_RELAY_S,
     HeartbeatParts,
     Peer,
     Schedule,
@@ -261,6 +262,12 @@
         self._schedule.advance(is_owner, seeking, hears_local, now)
         self._schedule.has_news = self.has_news()
         self._schedule.awaits = self.awaits()
+        self._schedule.lacks_relay = not any(
+            p.claims
+            and p.card.dc == self.card.dc
+            and now - p.last_heartbeat_at < SILENT_RELAY_S
+            for p in heard
+        )
         self._schedule.evacuated = self.evacuated()
         peers = self._peers.values() if is_owner or seeking else heard
         due = list(due_peers(self._schedule, self.card.dc, peers, now))
