Bound the leases of starts and of orphan runs over a cut, too

Also, a poll that granted 0.3 s was held open for 0.4 s, so that healthy runs lapsed.

Now a start counts itself, an orphan run has the time after which it is stopped, and a poll waits less than the lease that it grants.

--- a/monsoongap/coordination/link.py
+++ b/monsoongap/coordination/link.py
@@ -51,6 +51,9 @@
 # A runner holds a poll open this long for an end to report. Polls renew the lease, so
 # this is well below the lease.
 POLL_WAIT_S = 0.4
+# Where a lease is short, polls follow each other sooner.
+MIN_POLL_WAIT_S = 0.05
+RENEW_MARGIN_S = 0.15
 RETRY_S = 0.1
 FIRST_POLL_S = 0.02
 # After a refusal: the runner has less capacity than its owner counts, or is unhealthy.
@@ -104,6 +107,7 @@
     _responses: Responses = field(default_factory=Responses)
     _poll_failed: bool = False
     _silent_since: float = 0.0
+    _granted_until: float = 0.0
     _probe_interval_s: float = MIN_PROBE_INTERVAL_S
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
@@ -221,7 +225,7 @@
         self.starts += 1
         # Extended before the request is sent: a poll sent earlier that fails now would
         # otherwise find the lease lapsed and end the run.
-        until_ms = self._extend_lease(self.timers.now())
+        until_ms = self._extend_lease(self.timers.now(), run)
         self.table.add(run)
         # A poll may tell of a restart before the request is sent.
         born_ms = self.table.born_ms
@@ -335,9 +339,14 @@
         finally:
             _discard(call)
 
-    def _extend_lease(self, now: float) -> int:
-        """Extend the lease as far as all runs may go on; return its end."""
-        return self._lease.extend(now, self.permitted_until(self.table.runs.values()))
+    def _extend_lease(self, now: float, *started: Run) -> int:
+        """Extend the lease as far as all runs may go on; return its end.
+
+        `started` are runs that are not in the table yet.
+        """
+        until = self.permitted_until((*self.table.runs.values(), *started))
+        self._granted_until = min(until, now + self.cfg.lease_s)
+        return self._lease.extend(now, until)
 
     def _may_send_start(self) -> bool:
         """Return whether a start may still be sent.
@@ -446,6 +455,10 @@
         # have certainly ended.
         extends = held and self._lease.clock_known and not self._poll_failed
         until_ms = self._extend_lease(sent_at) if extends else None
+        if extends:
+            # The next poll renews the lease before it ends.
+            left_s = self._granted_until - sent_at - RENEW_MARGIN_S
+            wait_s = min(wait_s, max(left_s, MIN_POLL_WAIT_S))
         self.polls += 1
         acknowledged = self.table.last_seen_seq if held else 0
         call = self.runners.poll(
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -46,6 +46,8 @@
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
 ABSENT_S = 2.5
+# A stop of an orphan run takes 50 ms.
+ORPHAN_STOP_S = 0.1
 # A runner that joins gets no task before three heartbeats have told that it is held:
 # one at once, then one each 0.2 s.
 JOIN_S = 0.5
@@ -299,10 +301,14 @@
 
         While a data centre is out of touch, their callers may come there.
         """
-        jobs = {run.task.job for run in runs if run.work is not None}
-        if not jobs or self.is_in_touch():
+        runs = tuple(runs)
+        if not runs or self.is_in_touch():
             return float("inf")
-        return min(map(self.awaited_at, jobs)) + self.cfg.cut_lease_s
+        jobs = {run.task.job for run in runs if run.work is not None}
+        orphan_s = self.cfg.cut_takeover_s + ORPHAN_STOP_S
+        ends = [self.awaited_at(job) + self.cfg.cut_lease_s for job in jobs]
+        ends += [run.started_at + orphan_s for run in runs if run.work is None]
+        return min(ends)
 
     def _orphan_limit_s(self) -> float:
         """Return how long an orphan run is kept for a caller that may come again."""
