--- a/monsoongap/coordination/heartbeats.py
+++ b/monsoongap/coordination/heartbeats.py
@@ -38,14 +38,16 @@
 class Peer:
     """Another entry host.
 
-    It is heard until `timeout_s` after `last_heartbeat_at`. It is also live until
+    It is heard until `timeout_s` after `last_heartbeat_at`. If this process was paused,
+    that one may have arrived at `received_since` already. It is also live until
     `listed_until`, by the list of an owner of its data centre. `live_hosts` is the last
-    list that it sent.
+    list that it sent, `down_at` when its process was last known to have ended.
     """
 
     card: HostCard
     heartbeat: Heartbeat | None = None
     last_heartbeat_at: float = NEVER
+    received_since: float = NEVER
     timeout_s: float = 0.0
     timeout_logged: bool = False
     listed_until: float = NEVER
@@ -108,10 +110,13 @@
         if self.is_leaving:
             self.heartbeat = None
 
-    def record(self, heartbeat: Heartbeat, now: float, timeout_s: float) -> None:
-        """Record a heartbeat that came at `now`."""
+    def record(
+        self, heartbeat: Heartbeat, now: float, received_since: float, timeout_s: float
+    ) -> None:
+        """Record a heartbeat that was read at `now`."""
         self.heartbeat = heartbeat
         self.last_heartbeat_at = now
+        self.received_since = received_since
         self.timeout_s = timeout_s
         if heartbeat.claims:
             # Only its own heartbeats prove an owner to be live.
--- a/monsoongap/coordination/members.py
+++ b/monsoongap/coordination/members.py
@@ -213,7 +213,8 @@
                 "host became live",
                 extra={"peer": heartbeat.card.name, "dc": heartbeat.card.dc},
             )
-        peer.record(heartbeat, now, self._timeout_after(heartbeat))
+        received_since = self.timers.received_since()
+        peer.record(heartbeat, now, received_since, self._timeout_after(heartbeat))
         if heartbeat.known_hosts:
             self.add_hosts(heartbeat.known_hosts)
         if not heartbeat.brief:
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -215,7 +215,7 @@
         oldest = self.timers.now() - IN_TOUCH_S
         unheard = peer.heartbeat.unheard if peer.heartbeat else ()
         is_heard_there = self.members.card.name not in unheard
-        return peer.last_heartbeat_at >= oldest and is_heard_there
+        return peer.received_since >= oldest and is_heard_there
 
     def hears_former_owners(self, dc: str) -> bool:
         """Return whether former owners of a data centre's runners would be heard here.
