Count the wait of callers from its last sign in calls that lend tasks

The call tells how long ago a caller was last known to wait, and a lender runs nothing for a borrower that it no longer hears.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -38,6 +38,8 @@
 # A lender that is live is asked again after this.
 LEND_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 0.5
+# A caller that has not been known to wait for this long ends a lent task in any case.
+MAX_AWAITED_S = 60.0
 
 _OVER_OF = {
     LendResult.DONE: RunOutcome.DONE,
@@ -67,6 +69,7 @@
 
     `on_dispatch` is called with each task that a lender started. `on_lost` is called
     with each task whose lender may still run it, and the shares that the lender owned.
+    `awaited_at` returns when a caller of a job was last known to wait.
     """
 
     members: Members
@@ -76,6 +79,7 @@
     directory: Directory
     on_dispatch: Callable[[Work], None] = lambda work: None
     on_lost: Callable[[Work, tuple[ShareId, ...]], None] = lambda work, shares: None
+    awaited_at: Callable[[str], float] = lambda job: float("inf")
     _told: dict[str, AdvertisedCapacity] = field(default_factory=dict)
     # The calls without a reply, by the id of their task's object.
     _calls: dict[int, LendCall] = field(default_factory=dict)
@@ -212,7 +216,9 @@
                     self.peers,
                     peer.address,
                     lambda _: replace(
-                        call, wait_s=wait_left_s(work.useless_at, self.timers.now())
+                        call,
+                        wait_s=wait_left_s(work.useless_at, self.timers.now()),
+                        awaited_s=self._awaited_s(work),
                     ),
                     LendReply,
                     LEND_TIMEOUT_S,
@@ -224,6 +230,11 @@
             else:
                 return reply
 
+    def _awaited_s(self, work: Work) -> float:
+        """Return how long ago a caller of a task's job was last known to wait."""
+        age_s = self.timers.now() - self.awaited_at(work.task.job)
+        return min(max(age_s, 0.0), MAX_AWAITED_S)
+
     def cancel(self, work: Work) -> None:
         """Tell the lender that a task is no longer wanted."""
         peer = self.members.peer(work.borrowed_from)
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -178,6 +178,7 @@
         self._announced_to: dict[str, int] = {}
         self._claims_told: dict[str, tuple[tuple[Claim, ...], bool, bool]] = {}
         self.borrowing.on_dispatch = self.jobs.record_dispatch
+        self.borrowing.awaited_at = self.jobs.awaited_at
         self.borrowing.on_lost = self.reconciler.reconcile_lent
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -13,6 +13,7 @@
 
 from monsoongap.coordination.awaited_jobs import AwaitedJobs
 from monsoongap.coordination.caller_loss import CallerLoss
+from monsoongap.coordination.job_record import NEVER
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.pool import Pool
 from monsoongap.coordination.work import RunOutcome, Work
@@ -57,7 +58,8 @@
     claim: Claim
     reply: asyncio.Future[LendReply]
     expires_at: float
-    lent_at: float
+    # When a caller was last known to wait, as the task came.
+    awaited_at: float
     given_up: bool = False
 
 
@@ -76,6 +78,8 @@
     awaited: AwaitedJobs
     _fences: dict[ShareId, int] = field(default_factory=dict)
     _lent: dict[int, Lent] = field(default_factory=dict)
+    # When a caller of a job was last known to wait, as its last lent task came.
+    _lent_awaited_at: dict[str, float] = field(default_factory=dict)
     _replies: dict[tuple[TaskId, int], asyncio.Future[LendReply]] = field(
         default_factory=dict
     )
@@ -92,12 +96,15 @@
 
     async def lend(self, call: LendCall) -> LendReply:
         """Run a task of another owner at once, or refuse."""
-        if not self._record_claim(call.claim):
+        if not self.accepts(call.claim):
             log.warning(
                 "borrower was replaced",
                 extra={"job": call.task.job, "borrower": call.home},
             )
             return LendReply(LendResult.NO_ROOM, call.run)
+        if self._is_silent(call.home):
+            # The call was held on its way, and its borrower may have ended the job.
+            return await self.refuse(call)
         known = self._replies.get((call.task, call.run))
         if known is not None:
             # Sent again: the first one's reply may be lost, or callers wait longer.
@@ -110,6 +117,8 @@
 
         def over(work: Work, how: RunOutcome, runner: str) -> None:
             self._lent.pop(id(work), None)
+            if all(lent.work.task.job != work.task.job for lent in self._lent.values()):
+                self._lent_awaited_at.pop(work.task.job, None)
             result = _RESULT_OF.get(how, LendResult.GONE)
             if how in _NOT_BEGUN:
                 result = LendResult.NO_ROOM
@@ -139,13 +148,15 @@
         elif not self.pool.place_now(work):
             fut.set_result(LendReply(LendResult.NO_ROOM, call.run))
         else:
+            awaited_at = self.timers.received_since() - call.awaited_s
+            self._lent_awaited_at[call.task.job] = awaited_at
             self._lent[id(work)] = Lent(
                 work,
                 call.home,
                 call.claim,
                 fut,
                 self._expires_at(call),
-                self.timers.received_since(),
+                awaited_at,
             )
         return await asyncio.shield(fut)
 
@@ -183,7 +194,7 @@
 
     async def stop_runs_of(self, call: FindCall) -> FindReply:
         """Stop what runs of a job here; tell whether nothing is left."""
-        if not self._record_claim(call.claim):
+        if not self.accepts(call.claim):
             return FindReply(False)
         if call.task is not None and (call.task, call.run) not in self._replies:
             # Its call may still be on its way: it begins nothing any more.
@@ -200,9 +211,9 @@
     def record_claims(self, claims: Iterable[Claim]) -> None:
         """Take in claims that were told or made."""
         for claim in claims:
-            self._record_claim(claim)
+            self.accepts(claim)
 
-    def _record_claim(self, claim: Claim) -> bool:
+    def accepts(self, claim: Claim) -> bool:
         """Tell whether no higher claim of the same share is known."""
         known = self._fences.get(claim.share, 0)
         self._fences[claim.share] = max(known, claim.fence)
@@ -225,11 +236,7 @@
         self._forget()
         in_touch = self.pool.is_in_touch()
         for lent in [held for held in self._lent.values() if not held.given_up]:
-            peer = self.members.peer(lent.borrower)
-            silent = (
-                peer is None
-                or self.timers.now() - peer.last_heartbeat_at > BORROWER_SILENT_S
-            )
+            silent = self._is_silent(lent.borrower)
             replaced = self._fences.get(lent.claim.share, 0) > lent.claim.fence
             expired = self.timers.now() > lent.expires_at
             unawaited = self._is_unawaited(lent, in_touch)
@@ -249,14 +256,18 @@
 
     def awaited_at(self, job: str) -> float:
         """Return when a caller was last known to wait for a job with lent tasks."""
-        lent_at = (
-            lent.lent_at for lent in self._lent.values() if lent.work.task.job == job
-        )
-        return max((self.awaited.last_at(job), *lent_at))
+        told_at = self.awaited.last_at(job)
+        return max(told_at, self._lent_awaited_at.get(job, NEVER))
+
+    def _is_silent(self, borrower: str) -> bool:
+        peer = self.members.peer(borrower)
+        now = self.timers.now()
+        return peer is None or now - peer.last_heartbeat_at > BORROWER_SILENT_S
 
     def _is_unawaited(self, lent: Lent, in_touch: bool) -> bool:
         """Return whether the callers of a lent task's job may come elsewhere."""
-        loss = CallerLoss(self.awaited_at(lent.work.task.job))
+        told_at = self.awaited.last_at(lent.work.task.job)
+        loss = CallerLoss(max(told_at, lent.awaited_at))
         return loss.ends_job(self.timers.now(), in_touch, self.pool.cfg)
 
     def _forget(self) -> None:
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -504,7 +504,8 @@
     `home` is the name of the borrower. `claim` is the one by which the borrower
     executes the job: a borrower that has been replaced without knowing it is refused.
     `upstream` serves the queue by the borrower's configuration. `wait_s` is how much
-    longer the job's callers wait, in seconds; 0 if they did not say.
+    longer the job's callers wait, in seconds; 0 if they did not say. `awaited_s` is how
+    long before the call a caller was last known to wait.
     """
 
     task: TaskId
@@ -521,6 +522,7 @@
     most_per_runner: Natural = 0
     upstream: Text = ""
     wait_s: DurationS = 0.0
+    awaited_s: DurationS = 0.0
 
 
 class LendResult(StrEnum):
