Check the claim of a call before the job that it names is ended

A review's trial: an owner that was replaced asks another one to stop its runs of a job. That one ended the job, whose caller waited, took note that the job is at the sender, and only then replied that the claim is old. The claim is checked first now. The new test fails on the code before.

--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -14,6 +14,7 @@
     ConfigCall,
     ConfigReply,
     FindCall,
+    FindReply,
     JobReply,
     LendCall,
     LocateCall,
@@ -87,6 +88,9 @@
                 return True
             case FindCall(job):
                 host.start_work_timers()
+                if not host.lending.accepts(request.claim):
+                    # Its sender was replaced; nothing is to end for it.
+                    return FindReply(False)
                 if request.home:
                     # From now on, a repetition of the job is forwarded to its owner.
                     host.job_locations.record_jobs(request.home, (job_number(job),))
--- a/tests/coordination/test_cut_takeovers.py
+++ b/tests/coordination/test_cut_takeovers.py
@@ -6,15 +6,17 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from monsoongap.protocol.messages import FindCall
 from tests.coordination.test_cut_data_centres import (
     begin_unheard,
     check_one_at_a_time,
     open_world,
 )
 from tests.coordination.test_host import run_virtual
-from tests.coordination.test_lost_entry_hosts import RESEND_S, runs, submit
+from tests.coordination.test_lost_entry_hosts import JOB, RESEND_S, runs, submit
 from tests.coordination.test_settling_races import other_host
 
 # After this, a share without hosts is owned from another data centre.
@@ -106,3 +108,23 @@
         await check_one_at_a_time(world)
 
     run_virtual(main())
+
+
+# Guards against the end of a job whose caller waits, for an owner that was replaced and
+# is told that nothing is settled.
+def test_a_replaced_owner_ends_no_job() -> None:
+    async def main() -> None:
+        world = await open_world()
+        owner, asker = world.owner("a"), world.owner("b")
+        submit(world, other_host(world, "a", owner))
+        await asyncio.sleep(1)
+        (claim,) = world.hosts[asker].ownership.claims.values()
+        (share,) = world.hosts[owner].ownership.claims
+        old = msgspec.structs.replace(claim, fence=claim.fence - 1)
+        call = FindCall(JOB, share, old, home=asker)
+        reply = await world.deliver_call(asker, owner, call)
+        await asyncio.sleep(1)
+        assert not reply.settled
+        assert [run.how for run in runs(world)] == [""]
+
+    run_virtual(main())
