Bound how many waiting callers a heartbeat tells of

A review's trial: a heartbeat with 6,000 such jobs has 66 kB, more than a datagram carries; its sender would fall silent. At most 400 are told, in turns.

--- a/monsoongap/coordination/awaited_jobs.py
+++ b/monsoongap/coordination/awaited_jobs.py
@@ -21,6 +21,8 @@
 RELAY_S = 2.0
 FORGET_S = 15.0
 SWEEP_AT = 2048
+# Bounds a heartbeat to what one datagram carries; more jobs are told in turns.
+MAX_TOLD = 400
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -44,6 +46,7 @@
     _reported: dict[int, float] = field(default_factory=dict)
     _known: dict[int, float] = field(default_factory=dict)
     _sweep_at: int = SWEEP_AT
+    _told_first: int = 0
 
     @contextmanager
     def hold(self, job: str, wait_s: float) -> Iterator[None]:
@@ -96,6 +99,9 @@
                 for number, at in self._reported.items()
                 if number not in self._held
             )
+        if len(told) > MAX_TOLD:
+            first = self._told_first = (self._told_first + MAX_TOLD) % len(told)
+            told = (told + told)[first : first + MAX_TOLD]
         return tuple(told)
 
     def record(self, awaited: tuple[AwaitedJob, ...], is_report: bool) -> None:
