--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -98,6 +98,8 @@
     _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
     _owners_updated_at: float = -1e9
+    _in_touch: bool = False
+    _touch_checked_at: float = -1e9
     # When each data centre last had an owner.
     _seen_at: dict[str, float] = field(default_factory=dict)
     _remote_checked_at: float = -1e9
@@ -202,8 +204,12 @@
 
         An owner that hears this host learns of its jobs.
         """
-        owners = map(self.owner_of, self.all_shares())
-        return all(owner is not None and self._hears(owner) for owner in owners)
+        now = self.timers.now()
+        if now - self._touch_checked_at > OWNERS_CACHE_S:
+            self._touch_checked_at = now
+            owners = map(self.owner_of, self.all_shares())
+            self._in_touch = all(o is not None and self._hears(o) for o in owners)
+        return self._in_touch
 
     def _hears(self, owner: Owner) -> bool:
         peer = owner.peer
@@ -220,16 +226,19 @@
     def hears_former_owners(self, dc: str) -> bool:
         """Return whether former owners of a data centre's runners would be heard here.
 
-        They are hosts of that data centre. Within its own one, a host that hears any
-        other host learns from that one of an owner that it doesn't hear itself.
+        They are other hosts of that data centre, whose processes have not ended. Within
+        its own one, a host that hears any other host learns from that one of an owner
+        that it does not hear itself.
         """
+        peers = (p for p in self.members.all() if p.card.dc == dc)
+        if all(peer.has_ended for peer in peers):
+            return True
         heard_at = self.members.heard_at
         if dc == self.members.card.dc:
             last_at = max(heard_at.values(), default=NEVER)
         else:
             last_at = heard_at.get(dc, NEVER)
-        is_silent = self.timers.now() - last_at > UNHEARD_S
-        return not is_silent or not self.members.knows_any()
+        return self.timers.now() - last_at <= UNHEARD_S
 
     def share_of_job(self, job: str, dc: str = "") -> ShareId:
         """Return the share of a data centre, by default this one, of a job."""
