Soak: cut data centres off from each other, with both sides running

The kind cut_dc starts entry hosts by soak.linked_host, whose event loop connects and sends to proxies of the soak for addresses of other data centres. The other kinds start hosts as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import TextIO
 
 import msgspec
 
@@ -33,8 +35,13 @@
 UNDERSTATED_FACTOR = 50.0
 # Little, so that runners have room for many of them at a time.
 OUTLASTING_CPU_MILLI = 100
+# Jobs that begin together, and of which some are declared as the mean of their kind.
+STEADY_S = (37.0, 39.0)
+STEADY_WAIT_S = 150.0
 # Long jobs are the ones that are still running when an owner changes.
 LONG_SHARE = 0.2
+# Answers that take longer are logged.
+LATE_S = 5.0
 
 # Outcomes by status code of the platform; any other status counts as no answer.
 OUTCOME_OF_STATUS = {
@@ -48,7 +55,9 @@
     """Sends jobs to random entry hosts and records the answers.
 
     A share `long_share` of the jobs outlasts what hosts remember; their callers draw
-    from `long_rng` alone, so that the others are the same without them.
+    from `long_rng` alone, so that the others are the same without them. With
+    `all_wait`, they wait for the answer. `log` gets a line for each attempt that is
+    answered late, or without a result.
     """
 
     nodes: list[NodeAddress]
@@ -57,6 +66,8 @@
     calls: list[CallRecord] = field(default_factory=list)
     long_share: float = 0.0
     long_rng: random.Random = field(default_factory=random.Random)
+    all_wait: bool = False
+    log: TextIO | None = None
     _left_open: set[asyncio.Task[AnswerKind | None]] = field(default_factory=set)
 
     async def send(self, may_hurry: bool = True) -> CallRecord:
@@ -65,6 +76,8 @@
         Half of the callers give up after `HURRIED_WAIT_S`, unless `may_hurry` is false.
         """
         if may_hurry and self.long_rng.random() < self.long_share:
+            if self.all_wait:
+                return await self.send_steady()
             waits = self.long_rng.random() < 0.5
             return await (self._send_patiently() if waits else self._send_long())
         rng = self.rng
@@ -91,20 +104,32 @@
         call.response_s = loop.time() - call.due_at
         return call
 
+    async def send_steady(self) -> CallRecord:
+        """Send a job of `STEADY_S`, declared as that or as far less, and wait."""
+        work_s = self.long_rng.uniform(*STEADY_S)
+        factor = self.long_rng.choice((1.0, UNDERSTATED_FACTOR))
+        return await self._send_until(work_s, work_s / factor, STEADY_WAIT_S)
+
     async def _send_patiently(self) -> CallRecord:
-        """Send a job that outlasts what hosts remember, and wait for its answer.
+        """Send a job that outlasts what hosts remember, and wait for its answer."""
+        work_s = self.long_rng.uniform(*OUTLASTING_S)
+        return await self._send_until(work_s, work_s, PATIENCE_FACTOR * work_s)
+
+    async def _send_until(
+        self, work_s: float, declared_s: float, patience_s: float
+    ) -> CallRecord:
+        """Send a job, and wait for its answer for `patience_s`.
 
         The caller sends it again, to any host, when its connection breaks or it gets no
         result, as when its host ends.
         """
         rng = self.long_rng
-        work_s = rng.uniform(*OUTLASTING_S)
         plan = TaskPlan(work_s * 1000, OUTLASTING_CPU_MILLI)
         now = asyncio.get_running_loop().time
         call = CallRecord(f"{rng.getrandbits(64):016x}", "load", 1, work_s, now())
         self.calls.append(call)
-        body = _encode_job(call, plan, plan.work_ms)
-        until = now() + PATIENCE_FACTOR * work_s
+        body = _encode_job(call, plan, declared_s * 1000)
+        until = now() + patience_s
         while (left_s := until - now()) > 0:
             outcome = await self._send_once(
                 rng.choice(self.nodes), f"/load/{call.id}", body, left_s, left_s
@@ -162,15 +187,27 @@
             headers += ((WAIT_HEADER, str(round(stated_s * 1000))),)
         req = HttpRequest("POST", path, body, headers)
         address = node.proxied_callers if self.long_share else node.callers
+        began_at = time.time()
         try:
             reply = await self.http.exchange(address, req, wait_s)
-        except (NotConnected, ExchangeLost):
+        except (NotConnected, ExchangeLost) as exc:
             # The caller gets no answer and sends the job again, as real callers do.
+            self._log_attempt(node, path, began_at, str(exc))
             return None
+        if reply.status != HTTPStatus.OK or time.time() - began_at > LATE_S:
+            answer = f"{reply.status} {reply.body.decode(errors='replace')}"
+            self._log_attempt(node, path, began_at, answer)
         if reply.status == HTTPStatus.OK:
             return AnswerKind(msgspec.json.decode(reply.body)["state"])
         return OUTCOME_OF_STATUS.get(reply.status)
 
+    def _log_attempt(
+        self, node: NodeAddress, path: str, began_at: float, end: str
+    ) -> None:
+        if self.log is not None:
+            times = f"{began_at:.3f} to {time.time():.3f}"
+            print(f"{times} {path} at {node.name}: {end}", file=self.log)
+
 
 def _encode_job(call: CallRecord, plan: TaskPlan, declared_ms: float) -> bytes:
     step = {
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -5,7 +5,7 @@
 import functools
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
 from string import ascii_lowercase
@@ -17,7 +17,8 @@
 from monsoongap.standin.runner_model import LedgerEntry
 from monsoongap.transport.http_client import HttpClient
 from monsoongap.transport.http_conn import ExchangeLost, HttpRequest, NotConnected
-from soak.processes import CALLERS_PROXY_OFFSET, Processes
+from soak.links import Links, TcpLink, UdpLink
+from soak.processes import CALLERS_PROXY_OFFSET, PEERS_OFFSET, Processes
 from soak.proxy import Proxy
 
 IP = "127.0.0.1"
@@ -33,24 +34,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    """Number of data centres, and of entry hosts and runners in each of them."""
+    """Number of data centres, and of entry hosts and runners in each of them.
+
+    The first one has `more_nodes` in addition.
+    """
 
     dcs: int = 2
     nodes: int = 2
     runners: int = 3
+    more_nodes: int = 0
 
     @property
     def dc_names(self) -> str:
         """Return the names of the data centres, one letter each."""
         return ascii_lowercase[: self.dcs]
 
+    def node_ips(self, dc: str) -> dict[str, str]:
+        """Return the IPs of the entry hosts of a data centre, by their names."""
+        index = self.dc_names.index(dc)
+        count = self.nodes + (0 if index else self.more_nodes)
+        return {f"{dc}{i}": f"127.0.{1 + index}.{1 + i}" for i in range(count)}
+
 
 @dataclass(slots=True)
 class Deployment:
     """A running deployment; `control` is the control address of the stand-in.
 
     Each runner has a proxy, and each data centre reaches the store through its own.
-    Callers use `callers_proxies`, of the hosts, if they send long jobs.
+    Callers use `callers_proxies`, of the hosts, if they send long jobs. `links` are the
+    proxies between data centres, if there are any.
     """
 
     size: Size
@@ -61,6 +73,7 @@
     callers_proxies: list[Proxy]
     http: HttpClient
     control: str
+    links: Links = field(default_factory=Links)
 
     async def post_control(self, path: str, **fields: object) -> None:
         """Post a command to the stand-in, and retry if it does not answer."""
@@ -117,13 +130,41 @@
     raise StartTimeout(f"deployment did not start within {START_TIMEOUT_S:.0f} s")
 
 
+async def _open_links(deployment: Deployment, runner_port: int) -> None:
+    """Start the proxies between data centres, and write what their hosts use.
+
+    A proxy has the port of its target, and the IP too but for the second part.
+    """
+    size, procs = deployment.size, deployment.procs
+    for index, source in enumerate(size.dc_names):
+        found: dict[str, str] = {}
+        for target_index, dc in enumerate(size.dc_names):
+            if dc == source:
+                continue
+            first = runner_port + target_index * size.runners
+            peers = [
+                (ip, procs.base_port + PEERS_OFFSET)
+                for ip in size.node_ips(dc).values()
+            ]
+            runners = [(IP, first + i) for i in range(size.runners)]
+            for ip, port in peers + runners:
+                address = (ip.replace("127.0.", f"127.{1 + index}."), port)
+                found[f"{ip}:{port}"] = f"{address[0]}:{port}"
+                kinds = (TcpLink, UdpLink) if (ip, port) in peers else (TcpLink,)
+                for kind in kinds:
+                    link = kind(source, dc, address, (ip, port))
+                    await link.listen()
+                    deployment.links.links.append(link)
+        procs.write_links(source, found)
+
+
 @contextlib.asynccontextmanager
 async def open_deployment(
-    seed: int, out: Path, size: Size | None = None
+    seed: int, out: Path, size: Size | None = None, linked: bool = False
 ) -> AsyncIterator[Deployment]:
     """Start a deployment, yield it once it serves, and stop it on exit.
 
-    Raises `StartTimeout`.
+    With `linked`, there are proxies between data centres. Raises `StartTimeout`.
     """
     size = size or Size()
     port = 20_000 + (seed % 50) * 200
@@ -140,6 +181,7 @@
     callers_proxies: list[Proxy] = []
     http = HttpClient()
     rng = random.Random(seed)
+    links = Links()
     try:
         for proxy in (*proxies, *store_proxies.values()):
             await proxy.listen()
@@ -153,12 +195,15 @@
             f"--runners={size.runners}",
         )
         proxies_of = (proxies, store_proxies, callers_proxies)
-        deployment = Deployment(size, rng, procs, *proxies_of, http, f"{IP}:{port + 1}")
+        control = f"{IP}:{port + 1}"
+        deployment = Deployment(size, rng, procs, *proxies_of, http, control, links)
         await _wait_until(deployment.is_standin_up)
-        for dc_index, dc in enumerate(size.dc_names):
+        if linked:
+            await _open_links(deployment, runner_port + PROXY_PORT_OFFSET)
+        for dc in size.dc_names:
             store = f"{IP}:{store_proxies[dc].port}"
-            for i in range(size.nodes):
-                procs.add_node(f"{dc}{i}", dc, f"127.0.{1 + dc_index}.{1 + i}", store)
+            for name, ip in size.node_ips(dc).items():
+                procs.add_node(name, dc, ip, store)
         for name, node in procs.nodes.items():
             proxy = Proxy(node.ip, node.port + CALLERS_PROXY_OFFSET, node.port)
             await proxy.listen()
@@ -168,5 +213,6 @@
     finally:
         procs.end_all()
         http.close()
+        links.close()
         for proxy in (*proxies, *store_proxies.values(), *callers_proxies):
             proxy.close()
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -7,8 +7,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 ROOT = Path(__file__).parent.parent
 GRACE_S = 4
+# Above the port for callers.
+PEERS_OFFSET = 3
 # Above the ports on which an entry host listens itself.
 CALLERS_PROXY_OFFSET = 4
 # Limit for evacuating a data centre.
@@ -72,6 +76,7 @@
     log_lines_per_s: int = LOG_LINES_PER_S
     nodes: dict[str, NodeAddress] = field(default_factory=dict)
     _running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    _links: dict[str, Path] = field(default_factory=dict)
 
     def start(self, name: str, *args: str) -> None:
         """Start a module as a process; its output is appended to `NAME.log`."""
@@ -80,6 +85,11 @@
                 [sys.executable, "-m", *args], cwd=ROOT, stdout=log, stderr=log
             )
 
+    def write_links(self, dc: str, links: dict[str, str]) -> None:
+        """Have the hosts of a data centre use proxies for the addresses in `links`."""
+        self._links[dc] = self.out / f"links-{dc}.json"
+        self._links[dc].write_bytes(msgspec.json.encode(links))
+
     def add_node(self, name: str, dc: str, ip: str, store: str) -> None:
         """Write the settings of an entry host and start it."""
         port = self.base_port
@@ -91,7 +101,7 @@
             port=port,
             ready=port + 1,
             operators=port + 2,
-            peers=port + 3,
+            peers=port + PEERS_OFFSET,
             store=store,
             grace=GRACE_S,
             evac_ms=EVAC_MS,
@@ -105,7 +115,10 @@
         if name in self._running and self.is_up(name):
             return
         path = self.out / f"{name}.ini"
-        self.start(name, "monsoongap.entry", f"--config={path}")
+        if links := self._links.get(self.nodes[name].dc):
+            self.start(name, "soak.linked_host", str(path), str(links))
+        else:
+            self.start(name, "monsoongap.entry", f"--config={path}")
 
     def is_up(self, name: str) -> bool:
         """Return whether a process runs."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,15 +8,16 @@
 import shutil
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TextIO
 
 import typer
 
 from monsoongap.load.checker import broken_promises
 from monsoongap.transport.http_conn import ExchangeLost, NotConnected
 from soak.callers import Callers
+from soak.cuts import CutInjector
 from soak.deployment import Deployment, Size, StartTimeout, open_deployment
 from soak.troubles import FaultInjector
 
@@ -24,6 +25,10 @@
 RECOVERY_S = 5.0
 ANSWER_WAIT_S = 20.0
 FINAL_JOBS = 20
+# In a soak of cuts, so many long jobs begin together, so many seconds after the load.
+STEADY_JOBS = 24
+STEADY_AT_S = (2.8, 3.3)
+CUT_SIZE = Size(4, 2, 3, 1)
 # A long job may be begun anew after the last fault, and takes up to 45 s then.
 LONG_ANSWER_WAIT_S = 60.0
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -43,11 +48,17 @@
     only: str = ""
     long_share: float = 0.0
 
+    @property
+    def cuts(self) -> bool:
+        """Return whether the soak cuts the links between data centres."""
+        return self.only == "cut_dc"
+
 
 async def soak(seed: int, plan: Plan, out: Path) -> list[str]:
     """Run one soak and return a sentence for each failure."""
-    async with open_deployment(seed, out, plan.size) as deployment:
-        failures = await _run_under_load(deployment, seed, plan)
+    async with open_deployment(seed, out, plan.size, plan.cuts) as deployment:
+        with (out / "attempts.txt").open("w") as log:
+            failures = await _run_under_load(deployment, seed, plan, log)
         if failures:
             await _write_runs(deployment, out / "runs.txt")
         return failures
@@ -64,15 +75,24 @@
             print(f"{span} {task} on {run.runner} {run.how}", file=file)
 
 
-async def _run_under_load(deployment: Deployment, seed: int, plan: Plan) -> list[str]:
+async def _run_under_load(
+    deployment: Deployment, seed: int, plan: Plan, log: TextIO
+) -> list[str]:
     callers = Callers(
         list(deployment.procs.nodes.values()),
         deployment.rng,
         long_share=plan.long_share,
         long_rng=random.Random(f"long {seed}"),
+        all_wait=plan.cuts,
+        log=log,
     )
     sends: set[asyncio.Task[object]] = set()
-    injector = FaultInjector(deployment, seed, plan.only, plan.long_share > 0)
+    kind = CutInjector if plan.cuts else FaultInjector
+    injector = kind(deployment, seed, plan.only, plan.long_share > 0)
+
+    async def send_steady(rng: random.Random) -> None:
+        await asyncio.sleep(rng.uniform(*STEADY_AT_S))
+        await callers.send_steady()
 
     async def load() -> None:
         while True:
@@ -80,13 +100,17 @@
             await asyncio.sleep(1 / plan.jobs_per_s)
 
     loading = asyncio.create_task(load())
+    if plan.cuts:
+        rng = random.Random(f"steady {seed}")
+        sends |= {asyncio.create_task(send_steady(rng)) for _ in range(STEADY_JOBS)}
     if plan.calm:
         await asyncio.sleep(plan.seconds)
     else:
         await injector.inject_faults(plan.seconds)
     await asyncio.sleep(RECOVERY_S)
     loading.cancel()
-    wait_s = LONG_ANSWER_WAIT_S if plan.long_share else ANSWER_WAIT_S
+    has_long = plan.long_share or plan.cuts
+    wait_s = LONG_ANSWER_WAIT_S if has_long else ANSWER_WAIT_S
     done_pending = await asyncio.wait(sends, timeout=wait_s)
     final_sends = (callers.send(may_hurry=False) for _ in range(FINAL_JOBS))
     final_calls = await asyncio.gather(*final_sends)
@@ -142,7 +166,9 @@
         # By default two or three of each, depending on the seed.
         size = Size(dcs or 2 + soak_seed % 2, nodes or 2 + soak_seed // 2 % 2, runners)
         plan = Plan(seconds, jobs_per_s, calm, size, only, long_share)
-        print(f"seed {soak_seed}, {size}")
+        if plan.cuts and not (dcs or nodes):
+            plan = replace(plan, size=replace(CUT_SIZE, runners=runners))
+        print(f"seed {soak_seed}, {plan.size}")
         try:
             shutil.rmtree(out / str(soak_seed), ignore_errors=True)
             (out / str(soak_seed)).mkdir(parents=True)
