--- a/soak/links.py
+++ b/soak/links.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum, auto
-from typing import Any, Protocol
+from typing import Any
 
 from monsoongap.transport.http_conn import (
     KEEPALIVE_IDLE_S,
@@ -54,25 +54,6 @@
     receives: bool = True
 
 
-class Link(Protocol):
-    """What one proxy carries: traffic of the hosts of `source` to an address."""
-
-    source: str
-    target_dc: str
-
-    async def listen(self) -> None:
-        """Start to listen."""
-
-    def begin_cut(self, kind: CutKind, sends: bool, receives: bool) -> None:
-        """Cut what the source sends, and what it receives."""
-
-    def end_cut(self) -> None:
-        """Pass everything on again."""
-
-    def close(self) -> None:
-        """Stop listening and close all connections."""
-
-
 @dataclass(slots=True, eq=False)
 class _Connection:
     """A connection of a host through a proxy, and its continuation to the target."""
@@ -279,6 +260,9 @@
             self._transport.close()
 
 
+Link = TcpLink | UdpLink
+
+
 @dataclass(slots=True)
 class Links:
     """All proxies between the data centres of a deployment."""
