--- a/soak/run.py
+++ b/soak/run.py
@@ -59,8 +59,7 @@
     async with open_deployment(seed, out, plan.size, plan.cuts) as deployment:
         with (out / "attempts.txt").open("w") as log:
             failures = await _run_under_load(deployment, seed, plan, log)
-        if failures:
-            await _write_runs(deployment, out / "runs.txt")
+        await _write_runs(deployment, out / "runs.txt")
         return failures
 
 
