--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -41,7 +41,13 @@
             kind = rng.choice((CutKind.DROP, CutKind.TIMEOUT))
         cut = Cut(dc, kind, *ways)
         disturb = rng.choice(
-            (self._kill_two, self._stop_in_turn, self._pause_briefly, self._leave_alone)
+            (
+                self._kill_two,
+                self._kill_and_stop,
+                self._stop_in_turn,
+                self._pause_briefly,
+                self._leave_alone,
+            )
         )
         before_s = rng.choice((0.0, rng.uniform(0.0, BEFORE_S)))
         cuts_store = rng.random() < STORE_SHARE
@@ -85,6 +91,16 @@
                 await asyncio.sleep(rng.uniform(0.0, before_s + 1.0))
                 group.create_task(self._kill(rng, name))
 
+    async def _kill_and_stop(self, rng: Random, dc: str, before_s: float) -> None:
+        """Kill a host in the cut, and stop another of its data centre soon after."""
+        name = self._draw_hosts(rng, dc)[0]
+        others = [n for n in self.deployment.nodes_of(name[0]) if n != name]
+        await asyncio.sleep(before_s + rng.uniform(0.7, 2.5))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._kill(rng, name))
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            group.create_task(self._restart(rng.choice(others)))
+
     async def _stop_in_turn(self, rng: Random, dc: str, before_s: float) -> None:
         """Stop hosts in turn and start them again."""
         await asyncio.sleep(rng.uniform(0.0, before_s))
