--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -94,7 +94,7 @@
     async def _kill_and_stop(self, rng: Random, dc: str, before_s: float) -> None:
         """Kill a host in the cut, and stop another of its data centre soon after."""
         name = self._draw_hosts(rng, dc)[0]
-        others = [n for n in self.deployment.nodes_of(name[0]) if n != name]
+        others = [n for n in self.deployment.nodes_of(name[0]) if n != name] or [name]
         await asyncio.sleep(before_s + rng.uniform(0.7, 2.5))
         async with asyncio.TaskGroup() as group:
             group.create_task(self._kill(rng, name))
