Bound leases from the first silence of an owner on

Leases are bounded once an owner has been silent for 0.25 s, so that a full one granted before ends before a caller that was lost in the cut comes again.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -183,6 +183,7 @@
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
         self.pool.is_in_touch = self.ownership.is_in_touch
+        self.pool.contact_at = self.ownership.contact_at
         self.pool.hears_former_owners = self.ownership.hears_former_owners
         self.pool.awaited_at = self._awaited_at
         self.traces = JobTraces(self.jobs, self.pool, self.job_locations)
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -98,8 +98,8 @@
     _runners_read_at: float = -1e9
     _owners: dict[ShareId, Owner] = field(default_factory=dict)
     _owners_updated_at: float = -1e9
-    _in_touch: bool = False
-    _touch_checked_at: float = -1e9
+    _contact_at: float = NEVER
+    _contact_checked_at: float = NEVER
     # When each data centre last had an owner.
     _seen_at: dict[str, float] = field(default_factory=dict)
     _remote_checked_at: float = -1e9
@@ -204,24 +204,31 @@
 
         An owner that hears this host learns of its jobs.
         """
+        return self.timers.now() - self.contact_at() <= IN_TOUCH_S
+
+    def contact_at(self) -> float:
+        """Return when this host last heard the one of all owners heard the longest ago.
+
+        `NEVER` if a share has no owner, or one that does not hear this host.
+        """
         now = self.timers.now()
-        if now - self._touch_checked_at > OWNERS_CACHE_S:
-            self._touch_checked_at = now
+        if now - self._contact_checked_at > OWNERS_CACHE_S:
+            self._contact_checked_at = now
             owners = map(self.owner_of, self.all_shares())
-            self._in_touch = all(o is not None and self._hears(o) for o in owners)
-        return self._in_touch
+            self._contact_at = min(map(self._heard_at, owners), default=now)
+        return self._contact_at
 
-    def _hears(self, owner: Owner) -> bool:
-        peer = owner.peer
-        if peer is None:
-            return owner.claim.share.dc == self.members.card.dc
-        if owner.claim.share.dc != peer.card.dc:
+    def _heard_at(self, owner: Owner | None) -> float:
+        if owner is None:
+            return NEVER
+        own, peer = self.members.card, owner.peer
+        if owner.claim.share.dc != (own if peer is None else peer.card).dc:
             # The hosts of that data centre may serve on behind a cut.
-            return False
-        oldest = self.timers.now() - IN_TOUCH_S
+            return NEVER
+        if peer is None:
+            return self.timers.now()
         unheard = peer.heartbeat.unheard if peer.heartbeat else ()
-        is_heard_there = self.members.card.name not in unheard
-        return peer.received_since >= oldest and is_heard_there
+        return NEVER if own.name in unheard else peer.received_since
 
     def hears_former_owners(self, dc: str) -> bool:
         """Return whether former owners of a data centre's runners would be heard here.
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -46,6 +46,9 @@
 FREE_TOLD = 8
 # A runner that left the list counts as gone after this, if it still answers.
 ABSENT_S = 2.5
+# Owners send each other a heartbeat at least each 0.2 s. A full lease that is granted
+# until then lapses before a caller that was lost in the cut comes again.
+CONTACT_S = 0.25
 # A stop of an orphan run takes 50 ms.
 ORPHAN_STOP_S = 0.1
 # A runner that joins gets no task before three heartbeats have told that it is held:
@@ -74,7 +77,8 @@
     run is found. `location_of` returns which other owner announced a job, for the log.
     `is_in_touch` returns whether no data centre is out of touch, `hears_former_owners`
     whether hosts that may have owned runners of a data centre would be heard.
-    `awaited_at` returns when a caller of a job was last known to wait.
+    `contact_at` returns when all owners were last heard, `awaited_at` when a caller of
+    a job was last known to wait.
     `planned` decides where tasks go if a horizon is set.
     """
 
@@ -92,6 +96,7 @@
     location_of: Callable[[str], JobLocation | None] = lambda job: None
     is_in_touch: Callable[[], bool] = lambda: True
     hears_former_owners: Callable[[str], bool] = lambda dc: True
+    contact_at: Callable[[], float] = lambda: float("inf")
     awaited_at: Callable[[str], float] = lambda job: float("inf")
     counts: PoolCounts = field(default_factory=PoolCounts)
     planned: PlannedPlacement | None = None
@@ -299,10 +304,11 @@
     def _permitted_until(self, runs: Iterable[Run]) -> float:
         """Return until when all of some runs may go on if this host is lost.
 
-        While a data centre is out of touch, their callers may come there.
+        Their callers may come to a data centre that is out of touch. A short silence
+        counts, as a cut that has just begun is not noticed yet.
         """
         runs = tuple(runs)
-        if not runs or self.is_in_touch():
+        if not runs or self.timers.now() - self.contact_at() <= CONTACT_S:
             return float("inf")
         jobs = {run.task.job for run in runs if run.work is not None}
         orphan_s = self.cfg.cut_takeover_s + ORPHAN_STOP_S
