Name data centres without a known owner as unheard

A review's trial: heartbeats are lost one way, and the owner on the side that is not heard changes. Owners also name data centres of which they hear no owner, in all their heartbeats.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -615,7 +615,8 @@
             tuple(self.directory.evacuation.dcs),
             self.handover.active > 0,
             self.awaited.told(bool(claims)) if parts.for_owners else (),
-            self.members.unheard_owners() if claims and parts.for_owners else (),
+            # One that is not heard may own a share without this host knowing it.
+            self.ownership.unheard() if claims else (),
         )
 
     def _heartbeat_received(self, peer: Peer, became_live: bool) -> None:
--- a/monsoongap/coordination/ownership.py
+++ b/monsoongap/coordination/ownership.py
@@ -228,7 +228,16 @@
         if peer is None:
             return self.timers.now()
         unheard = peer.heartbeat.unheard if peer.heartbeat else ()
-        return NEVER if own.name in unheard else peer.received_since
+        lacks = own.name in unheard or any(s.dc in unheard for s in self.claims)
+        return NEVER if lacks else peer.received_since
+
+    def unheard(self) -> tuple[str, ...]:
+        """Return whom this owner does not hear: owners, and data centres without one.
+
+        One that has become an owner since can only be missed by its data centre.
+        """
+        lacking = {s.dc for s in self.all_shares() if self.owner_of(s) is None}
+        return (*self.members.unheard_owners(), *sorted(lacking))
 
     def hears_former_owners(self, dc: str) -> bool:
         """Return whether former owners of a data centre's runners would be heard here.
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -379,7 +379,8 @@
     says that a host that leaves hands its shares over to hosts that it chooses.
     `awaited` has the jobs whose callers wait at the sender, and from an owner also
     those whose callers wait at other hosts of its data centre. `unheard` names the
-    owners whose heartbeats the sender, an owner, no longer receives.
+    owners whose heartbeats the sender, an owner, no longer receives, and the data
+    centres of which it hears no owner.
     """
 
     card: HostCard
