--- a/monsoongap/coordination/awaited_jobs.py
+++ b/monsoongap/coordination/awaited_jobs.py
@@ -17,7 +17,7 @@
 
 # A younger call shows by its arrival that its caller waits.
 TELL_AFTER_S = 0.4
-# What is older ends every job over a cut, so it is not passed on.
+# Older reports are not passed on: over a cut, jobs end sooner without a newer one.
 RELAY_S = 2.0
 FORGET_S = 15.0
 SWEEP_AT = 2048
@@ -74,13 +74,13 @@
         return self._known.get(number, NEVER)
 
     def held(self) -> Iterator[AwaitedJob]:
-        """Yield the jobs of this host's callers that are not new."""
+        """Yield the jobs whose callers have waited here for `TELL_AFTER_S`."""
         now = self.timers.now()
         for number, callers in self._held.items():
             if any(c.since + TELL_AFTER_S <= now < c.until for c in callers):
                 yield AwaitedJob(number, 0)
 
-    def told(self, relays: bool) -> tuple[AwaitedJob, ...]:
+    def to_announce(self, relays: bool) -> tuple[AwaitedJob, ...]:
         """Return the jobs to tell with a heartbeat to owners.
 
         `relays` includes what other hosts of this data centre reported; only owners
@@ -104,7 +104,9 @@
             told = (told + told)[first : first + MAX_TOLD]
         return tuple(told)
 
-    def record(self, awaited: tuple[AwaitedJob, ...], is_report: bool) -> None:
+    def record_announced(
+        self, awaited: tuple[AwaitedJob, ...], is_report: bool
+    ) -> None:
         """Record the jobs of a heartbeat.
 
         `is_report` says that the sender is of this data centre and owns nothing.
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -614,7 +614,7 @@
             self.directory.evacuation.offset,
             tuple(self.directory.evacuation.dcs),
             self.handover.active > 0,
-            self.awaited.told(bool(claims)) if parts.for_owners else (),
+            self.awaited.to_announce(bool(claims)) if parts.for_owners else (),
             # One that is not heard may own a share without this host knowing it.
             self.ownership.unheard() if claims else (),
         )
@@ -623,7 +623,7 @@
         heartbeat = peer.heartbeat
         assert heartbeat is not None
         is_report = peer.card.dc == self.card.dc and not heartbeat.claims
-        self.awaited.record(heartbeat.awaited, is_report)
+        self.awaited.record_announced(heartbeat.awaited, is_report)
         if became_live:
             self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
         if heartbeat.claims:
--- a/monsoongap/coordination/pool.py
+++ b/monsoongap/coordination/pool.py
@@ -201,7 +201,10 @@
         return all(k.is_reconciled for k in self.links.values() if k.share == share)
 
     def was_reconciled(self, share: ShareId) -> bool:
-        """Return whether a share was reconciled at some time since it was acquired."""
+        """Return whether a share was reconciled at some time since it was acquired.
+
+        That is noted when this is asked while the share is reconciled.
+        """
         if share not in self._once_reconciled and self.is_reconciled(share):
             self._once_reconciled.add(share)
         return share in self._once_reconciled
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -478,7 +478,10 @@
         return self.wait_s - self.waited_s if self.wait_s else float("inf")
 
     def after(self, elapsed_s: float) -> "SubmitCall":
-        """Return the call to send `elapsed_s` seconds later."""
+        """Return the call to send `elapsed_s` seconds later.
+
+        The sender of a handover holds no caller, so its news of one ages.
+        """
         elapsed_s = max(elapsed_s, 0.0)
         awaited_s = self.awaited_s + elapsed_s if self.is_handover else 0.0
         return replace(self, waited_s=self.waited_s + elapsed_s, awaited_s=awaited_s)
--- a/monsoongap/settings.py
+++ b/monsoongap/settings.py
@@ -85,11 +85,12 @@
 # A stop takes 50 ms, and is repeated if its reply is lost.
 STOP_MARGIN_S = 0.4
 # A runner's clock may be 2 % slow, and it ends what runs a little after the lease.
-LAPSE_MARGIN_S = 0.1
+CUT_LEASE_MARGIN_S = 0.1
 # Before this, other hosts take a silent owner's runs over.
 TAKEOVER_S = 0.7
-# Runs of a former owner or of an unresponsive lender have ended after this: the
-# lender's timeout for its borrower, the time that orphans are kept, and a lease.
+# Runs of a former owner or of an unresponsive lender, for which no caller is known to
+# wait, have ended after this: the lender's timeout for its borrower, the time that
+# orphans are kept, and a lease.
 RECONCILED_S = 4.0
 
 
@@ -134,14 +135,14 @@
 
         Holds while a data centre is out of touch: the caller may submit again there.
         """
-        return max(self.resend_s - LAPSE_MARGIN_S, 0.0)
+        return max(self.resend_s - CUT_LEASE_MARGIN_S, 0.0)
 
     @property
     def reconciled_s(self) -> float:
         """After how long the runs of a host that is out of touch have ended.
 
-        Such a host ends runs whose callers it does not hear of, by a stop or, if the
-        runner does not confirm that, by a lease that lapses.
+        It ends those of which it does not hear that a caller waits, by a stop or, if
+        the runner does not confirm that, by a lease that lapses.
         """
         return max(RECONCILED_S, self.cut_orphan_s + 2 * self.lease_s + STOP_MARGIN_S)
 
