Review scripts end their entry hosts when they are ended from outside

A script that got SIGTERM left four entry hosts. Ended by SIGTERM and SIGINT, 2 and 9 s after the start, it leaves none.

--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -727,9 +727,15 @@
 
     async def run() -> int:
         lab = Lab(folder, **options)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110):
                 broken = await play(lab)
+        except asyncio.CancelledError:
+            lab.record.add("ended from outside")
+            return NOT_RUN
         except (CannotRun, TimeoutError, OSError) as exc:
             lab.record.add(f"the case could not run: {exc!r}")
             print(f"the case could not run: {exc!r}", file=sys.stderr)
