--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -38,7 +38,13 @@
 }
 HEARTBEAT_S = 1.5
 MAIN_ROUTE = ("r-a", "site.example", "/work/")
-REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected"}
+REASONS = {
+    200: "OK",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    421: "Misdirected",
+}
 
 
 class CannotRun(Exception):
@@ -46,10 +52,12 @@
 
 
 class Record:
-    """Writes `record.txt` in the folder of the case; times are seconds of the script."""
+    """Writes `record.txt` in the folder of the case; times are in seconds."""
 
     def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        path = folder / "record.txt"
+        path.write_text("")
+        self._path = path
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -58,8 +66,8 @@
 
     def add(self, text: str) -> None:
         """Write one line with the time."""
-        self._file.write(f"{self.now():8.3f} {text}\n")
-        self._file.flush()
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(f"{self.now():8.3f} {text}\n")
 
 
 # HTTP.
@@ -91,6 +99,7 @@
         self._writers = set()
 
     async def listen(self, ip: str, port: int) -> None:
+        """Listen on an address."""
         self._server = await asyncio.start_server(self._serve, ip, port)
 
     def close(self) -> None:
@@ -116,7 +125,12 @@
                 head += f"Content-Length: {len(content)}\r\n\r\n"
                 writer.write(head.encode() + content)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ValueError,
+        ):
             # The peer has gone, or the script ends.
             pass
         finally:
@@ -182,7 +196,9 @@
                 (size,) = struct.unpack_from(">I", body, offset)
                 content = body[offset + 4 : offset + 4 + size]
                 offset += 4 + size
-                self._append(topic, content[1 : 1 + content[0]], content[1 + content[0] :])
+                self._append(
+                    topic, content[1 : 1 + content[0]], content[1 + content[0] :]
+                )
             reply = {"offset": first, "end": len(records)}
         elif path == "/monsoongap/log-read":
             start, wait_s = int(args["from"]), int(args.get("waitMs", "0")) / 1000
@@ -262,6 +278,7 @@
         self.lab.spawn(self._work())
 
     def clock(self) -> int:
+        """Return the runner's clock, in ms since this life began."""
         return int((time.monotonic() - self._life_began) * 1000)
 
     def report(self) -> None:
@@ -269,7 +286,7 @@
         self._seq += 1
         entry = {
             "service": "svc",
-            "address": "%s:%d" % self.address,
+            "address": told(self.address),
             "zone": self.zone,
             "version": "1",
             "slots": 8,
@@ -304,7 +321,9 @@
         self._ended_runs[run.task] = max(self._ended_runs.get(run.task, 0), run.number)
         self._last_end += 1
         self.ends.append([self._last_end, run.task, run.number, how, ""])
-        self.lab.record.add(f"runner {self.id}: {run.task} run {run.number} ended {how}")
+        self.lab.record.add(
+            f"runner {self.id}: {run.task} run {run.number} ended {how}"
+        )
         self.lab.on_end(self, run, how)
         self._event.set()
         self._event = asyncio.Event()
@@ -389,12 +408,19 @@
             [r.task, r.number, "", int(100 * (now - r.began) / r.work_s), 0]
             for r in self.runs.values()
         ]
-        return self._reply(200, born=self.born, running=running, finished=self.ends[:500])
+        return self._reply(
+            200, born=self.born, running=running, finished=self.ends[:500]
+        )
 
 
 # The deployment.
 
 
+def told(address) -> str:
+    """Return an address as `IP:port`."""
+    return f"{address[0]}:{address[1]}"
+
+
 def free_port(ips) -> int:
     """Return a TCP and UDP port that is free on all addresses."""
     for _ in range(50):
@@ -402,7 +428,9 @@
             probe.bind((ips[0], 0))
             port = probe.getsockname()[1]
         try:
-            for ip, kind in itertools.product(ips, (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            for ip, kind in itertools.product(
+                ips, (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+            ):
                 with socket.socket(socket.AF_INET, kind) as probe:
                     probe.bind((ip, port))
         except OSError:
@@ -465,10 +493,10 @@
             "portRange": [self.ports["peers"], self.ports["peers"] + 15],
             "seeds": [f"{h.ip}:{self.ports['peers']}" for h in self.lab.hosts[:3]],
             "zones": {h.zone: "main" for h in self.lab.hosts},
-            "bindAddrs": {"front": "%s:%d" % self.front, "ready": "%s:%d" % self.ready},
+            "bindAddrs": {"front": told(self.front), "ready": told(self.ready)},
             "limits": {"cpuShare": 0.537, "cores": 2, "memoryMb": 300, "maxFds": 4100},
             "bounds": BOUNDS,
-            "platform": {"address": "%s:%d" % self.lab.store_address},
+            "platform": {"address": told(self.lab.store_address)},
         }
         template = (ROOT / role["template"]).read_text()
         text = fill(template, fields)
@@ -478,10 +506,14 @@
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         env["MONSOONGAP_NODE_FILE"] = str(self.settings)
-        with open(self.log, "ab") as out:
-            self.process = await asyncio.create_subprocess_exec(
-                *role["run"].split(), cwd=ROOT, env=env, stdout=out, stderr=out
-            )
+        out = self._open_log()
+        self.process = await asyncio.create_subprocess_exec(
+            *role["run"].split(), cwd=ROOT, env=env, stdout=out, stderr=out
+        )
+        os.close(out)
+
+    def _open_log(self) -> int:
+        return os.open(self.log, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
@@ -495,10 +527,19 @@
 
     def count(self, event: str, **fields) -> int:
         """Return how many log lines of the process have an event and some fields."""
-        lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
+        lines = (
+            self.log.read_text(errors="replace").splitlines()
+            if self.log.exists()
+            else []
+        )
         found = [line for line in lines if event in line]
-        return sum(all(f'"{k}":{json.dumps(v)}' in f or f'"{k}": {json.dumps(v)}' in f
-                       for k, v in fields.items()) for f in found)
+        return sum(
+            all(
+                f'"{k}":{json.dumps(v)}' in f or f'"{k}": {json.dumps(v)}' in f
+                for k, v in fields.items()
+            )
+            for f in found
+        )
 
 
 class Lab:
@@ -576,13 +617,24 @@
         self.configure()
         for z, zone in enumerate(zones):
             for n in range(runners_per_zone):
-                address = (f"127.{100 + z}.0.{n + 1}", free_port([f"127.{100 + z}.0.{n + 1}"]))
+                address = (
+                    f"127.{100 + z}.0.{n + 1}",
+                    free_port([f"127.{100 + z}.0.{n + 1}"]),
+                )
                 labels = ["a", f"rack-{zone}-{n}"]
-                runner = Runner(self, f"s{z}{n}{os.urandom(3).hex()}", zone, address, capacity, labels)
+                runner = Runner(
+                    self,
+                    f"s{z}{n}{os.urandom(3).hex()}",
+                    zone,
+                    address,
+                    capacity,
+                    labels,
+                )
                 self.runners.append(runner)
                 await runner.begin()
         self.hosts = [
-            Host(self, f"front-{zone}-{ip.rpartition('.')[2]}", zone, ip, ports) for zone, ip in ips
+            Host(self, f"front-{zone}-{ip.rpartition('.')[2]}", zone, ip, ports)
+            for zone, ip in ips
         ]
         for host in self.hosts:
             await host.begin()
@@ -603,7 +655,7 @@
             await asyncio.sleep(0.05)
 
     def owner_of(self, zone: str):
-        """Return the host that acquired the share of a zone last, by the hosts' logs."""
+        """Return the host that acquired a zone's share last, by the hosts' logs."""
         found = None
         best = -1.0
         for host in self.hosts:
@@ -616,8 +668,16 @@
                         best, found = entry["fence"], host
         return found
 
-    async def post(self, host: Host, id_: str, steps, deadline_ms: int, prefix="/work/",
-                   name="site.example", **spec):
+    async def post(
+        self,
+        host: Host,
+        id_: str,
+        steps,
+        deadline_ms: int,
+        prefix="/work/",
+        name="site.example",
+        **spec,
+    ):
         """Submit a job that need not be kept, and return the status of the answer."""
         body = {"spec": json.dumps(spec), "steps": steps, "bestEffort": True}
         headers = (
@@ -625,13 +685,21 @@
             ("Content-Type", "application/json"),
             ("X-Monsoongap-Deadline-Ms", str(deadline_ms)),
         )
-        self.record.add(f"client: POST {prefix}{id_} to {host.name}, deadline {deadline_ms}")
+        self.record.add(
+            f"client: POST {prefix}{id_} to {host.name}, deadline {deadline_ms}"
+        )
         status, answer = await call(
-            host.front, "POST", prefix + id_, json.dumps(body).encode(), headers,
+            host.front,
+            "POST",
+            prefix + id_,
+            json.dumps(body).encode(),
+            headers,
             deadline_ms / 1000,
         )
-        told = status if status else "none"
-        self.record.add(f"client: answer to {id_}: {told} {answer.decode(errors='replace')}")
+        shown = status or "none"
+        self.record.add(
+            f"client: answer to {id_}: {shown} {answer.decode(errors='replace')}"
+        )
         return status, answer
 
     async def end(self) -> None:
@@ -641,9 +709,6 @@
                 host.process.send_signal(signal.SIGCONT)
                 host.process.kill()
                 await host.process.wait()
-        if os.environ.get("KEEP_LOGS"):
-            for host in self.hosts:
-                Path(os.environ["KEEP_LOGS"], host.log.name).write_bytes(host.log.read_bytes())
         for task in list(self._tasks):
             task.cancel()
         for server in (self.store.server, *(r.server for r in self.runners)):
