Tests: calls open to a host that loses power stay silent

The test world failed each call that was open to a host without power at once, as if its process had been killed. A real connection stays silent: its sender repeats the call, and the host's next process may answer. Such a call now waits until its sender gives up.

--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -366,6 +366,9 @@
             if target in self.hosts and self.hosts[target] is host:
                 self._close_call(source, target, open_call)
                 raise
+            if target in self.powered_off and not sender.cancelling():
+                # Nothing closes the connection: its sender gives up or calls again.
+                await asyncio.Event().wait()
             raise PeerCallFailed("died") from None
         finally:
             del self._calls[open_call]
