A restarted lender's refusal no longer denies the runs of its earlier process

Cause: a lender that has begun a task loses power and is back within a second. Nothing closes the borrower's call, so the borrower repeats it on a new connection. The call does not say which process it is for. The lender's next process does not know the run, has no room, and replies NO_ROOM. The borrower takes that for "never began": it queues the task again as if it were new, and refuses the job when no room is found in time. If the new process has room, it begins the task a second time beside the first run.

Change: a call to lend names the process that it is for, by the boot time of its card, and a reply the process that sends it. A process declines calls that are for an earlier one. The borrower takes a refusal at its word only if the process that was called gave it, or if no copy of the call was sent before; otherwise the task counts as lost at its lender, as after a failed call, and is settled with the owners of the lender's share before it is placed again. Once a heartbeat tells that a host has restarted, the calls to its earlier process end, rather than wait on silent connections.

Why it works: of all that may have received a copy of the call, only the process called first knows whether it began the task. One that still replies has received every copy; any other has begun nothing, and knows nothing.

A refusal of the first copy costs nothing more than before.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -13,8 +13,13 @@
 from monsoongap.coordination.heartbeats import Peer
 from monsoongap.coordination.members import Members
 from monsoongap.coordination.ownership import Ownership
-from monsoongap.coordination.ports import NoReply, PeerCallFailed, PeerCallPort
-from monsoongap.coordination.repeated_call import call_repeatedly
+from monsoongap.coordination.ports import (
+    NoReply,
+    PeerCallFailed,
+    PeerCallPort,
+    PeerRestarted,
+)
+from monsoongap.coordination.repeated_call import RepeatedCall, RepeatedCalls
 from monsoongap.coordination.start_basis import start_fields
 from monsoongap.coordination.time_budget import wait_left_s
 from monsoongap.coordination.work import RunOutcome, Work
@@ -63,6 +68,14 @@
         return sum(max(free.resources.cpu_milli, 0) for free in self.rooms)
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenLoan:
+    """A call for a task without a reply."""
+
+    message: LendCall
+    call: RepeatedCall
+
+
 @dataclass(slots=True)
 class Borrowing:
     """The borrower's side of lending.
@@ -77,12 +90,13 @@
     timers: TimerService
     peers: PeerCallPort
     directory: Directory
+    calls: RepeatedCalls
     on_dispatch: Callable[[Work], None] = lambda work: None
     on_lost: Callable[[Work, tuple[ShareId, ...]], None] = lambda work, shares: None
     awaited_at: Callable[[str], float] = lambda job: float("inf")
     _told: dict[str, AdvertisedCapacity] = field(default_factory=dict)
-    # The calls without a reply, by the id of their task's object.
-    _calls: dict[int, LendCall] = field(default_factory=dict)
+    # By the id of their task's object.
+    _loans: dict[int, _OpenLoan] = field(default_factory=dict)
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def record_capacity(self, peer: Peer) -> None:
@@ -140,15 +154,16 @@
     def extend_wait(self, work: Work) -> None:
         """Tell the lender of a task that the job's callers wait longer."""
         peer = self.members.peer(work.borrowed_from)
-        call = self._calls.get(id(work))
-        if peer is not None and call is not None:
-            self._background.spawn(self._extend_there(work, peer, call), "extend")
+        loan = self._loans.get(id(work))
+        if peer is not None and loan is not None:
+            self._background.spawn(self._extend_there(work, peer, loan), "extend")
 
-    async def _extend_there(self, work: Work, peer: Peer, call: LendCall) -> None:
+    async def _extend_there(self, work: Work, peer: Peer, loan: _OpenLoan) -> None:
         """Repeat a call, whose reply comes to the first one, with the new wait."""
-        call = replace(call, wait_s=wait_left_s(work.useless_at, self.timers.now()))
+        copy = self._copy(loan, work)
+        loan.call.copies += 1
         try:
-            await self.peers.call(peer.address, call, LendReply, CANCEL_TIMEOUT_S)
+            await self.peers.call(peer.address, copy, LendReply, CANCEL_TIMEOUT_S)
         except PeerCallFailed:
             # A lender that does not hear of it stops the run, and it is placed again.
             return
@@ -160,7 +175,8 @@
             work.borrowed_from = ""
             work.on_end(work, RunOutcome.NO_ROOM, "")
             return
-        call = LendCall(
+        call = self.calls.begin(peer)
+        message = LendCall(
             work.task,
             work.run_number,
             work.payload,
@@ -174,10 +190,11 @@
             work.rack,
             work.most_per_runner,
             upstream,
+            callee_boot_ms=call.card.boot_ms,
         )
-        self._calls[id(work)] = call
+        loan = self._loans[id(work)] = _OpenLoan(message, call)
         try:
-            reply = await self._call_lender(peer, call, work)
+            reply = await self._call_lender(loan, work)
         except PeerCallFailed as exc:
             log.warning(
                 "lender lost",
@@ -191,7 +208,8 @@
             self.on_lost(work, shares)
             return
         finally:
-            del self._calls[id(work)]
+            del self._loans[id(work)]
+            self.calls.end(call)
         work.borrowed_from = ""
         work.run_number = max(work.run_number, reply.run)
         match reply.result:
@@ -204,31 +222,37 @@
                 self.on_dispatch(work)
         work.on_end(work, _OVER_OF[reply.result], "")
 
-    async def _call_lender(self, peer: Peer, call: LendCall, work: Work) -> LendReply:
+    async def _call_lender(self, loan: _OpenLoan, work: Work) -> LendReply:
         """Return the lender's reply, which comes when the run has ended.
 
-        Raises `PeerCallFailed` if the lender cannot be reached, or does not reply and
-        is not live or was told to stop the run.
+        Raises `PeerCallFailed` if the lender cannot be reached or has restarted, or
+        does not reply and is not live or was told to stop the run.
         """
+        call = loan.call
         while True:
             try:
-                reply: LendReply = await call_repeatedly(
-                    self.peers,
-                    peer.address,
-                    lambda _: replace(
-                        call,
-                        wait_s=wait_left_s(work.useless_at, self.timers.now()),
-                        awaited_s=self._awaited_s(work),
-                    ),
+                reply: LendReply = await call.reply(
+                    lambda _: self._copy(loan, work),
                     LendReply,
                     LEND_TIMEOUT_S,
                     work.estimate_s,
                 )
             except NoReply:
-                if work.withdrawn or not self.members.is_live(peer.card.name):
+                if work.withdrawn or not self.members.is_live(call.card.name):
                     raise
-            else:
-                return reply
+                continue
+            is_refusal = reply.result is LendResult.NO_ROOM
+            if is_refusal and call.may_have_begun(reply.boot_ms):
+                raise PeerRestarted("an earlier copy may have reached another process")
+            return reply
+
+    def _copy(self, loan: _OpenLoan, work: Work) -> LendCall:
+        """Return the message of a call as it is to be sent now."""
+        return replace(
+            loan.message,
+            wait_s=wait_left_s(work.useless_at, self.timers.now()),
+            awaited_s=self._awaited_s(work),
+        )
 
     def _awaited_s(self, work: Work) -> float:
         """Return how long ago a caller of a task's job was last known to wait."""
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -33,7 +33,7 @@
 )
 from monsoongap.coordination.prior_owners import PriorOwners
 from monsoongap.coordination.readiness import Readiness
-from monsoongap.coordination.repeated_call import call_repeatedly
+from monsoongap.coordination.repeated_call import RepeatedCalls
 from monsoongap.coordination.rerouting import Rerouting
 from monsoongap.coordination.settling import Reconciler
 from monsoongap.coordination.succession import Succession
@@ -139,8 +139,14 @@
         self.rerouting = Rerouting(card.dc, self.ownership, self.directory)
         # The data centre of each job that was submitted to another one from here.
         self._rerouted: dict[str, str] = {}
+        self.repeated_calls = RepeatedCalls(ports.peers)
         self.borrowing = Borrowing(
-            self.members, self.ownership, timers, ports.peers, self.directory
+            self.members,
+            self.ownership,
+            timers,
+            ports.peers,
+            self.directory,
+            self.repeated_calls,
         )
         self.coverage = Coverage(timers, cfg.bounds.lease_s)
         self.pool = Pool(
@@ -540,14 +546,16 @@
     async def _send_submit(self, peer: Peer, call: SubmitCall) -> JobReply:
         """Send a job to another host; raises `PeerCallFailed`."""
         call = replace(call, sender=self.card.name)
-        reply: JobReply = await call_repeatedly(
-            self.peers,
-            peer.address,
-            call.after,
-            JobReply,
-            call.wait_left_s + FORWARD_MARGIN_S if call.wait_s else FORWARD_TIMEOUT_S,
-            critical_path_s(call.job),
-        )
+        timeout_s = FORWARD_TIMEOUT_S
+        if call.wait_s:
+            timeout_s = call.wait_left_s + FORWARD_MARGIN_S
+        sending = self.repeated_calls.begin(peer)
+        try:
+            reply: JobReply = await sending.reply(
+                call.after, JobReply, timeout_s, critical_path_s(call.job)
+            )
+        finally:
+            self.repeated_calls.end(sending)
         return reply
 
     def cancel(self, job: str) -> None:
@@ -626,6 +634,7 @@
         self.awaited.record_announced(heartbeat.awaited, is_report)
         if became_live:
             self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
+            self.repeated_calls.host_restarted(peer.card)
         if heartbeat.claims:
             self._announce_jobs_to(peer, became_live)
             if heartbeat.queued:
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -17,6 +17,8 @@
     FindReply,
     JobReply,
     LendCall,
+    LendReply,
+    LendResult,
     LocateCall,
     PrepareCall,
     RunnerInfo,
@@ -75,10 +77,8 @@
                     open_call.on_close = task.cancel
                 return await self._answer_submit(request, open_call)
             case LendCall():
-                host.start_work_timers()
-                if await host.config_fetcher.wait_for(request.version, request.home):
-                    return await host.lending.lend(request)
-                return await host.lending.refuse(request)
+                lend_reply = await self._answer_lend(request)
+                return replace(lend_reply, boot_ms=host.card.boot_ms)
             case LocateCall(job):
                 return host.jobs.knows(job)
             case CancelCall(job):
@@ -113,6 +113,34 @@
             case _:
                 raise TypeError(f"unknown call type: {type(request).__name__}")
 
+    def _is_for_earlier_process(self, call: LendCall) -> bool:
+        """Return whether a call is for a process that ran before, under this name.
+
+        That one may have begun what an earlier copy of the call asked for.
+        """
+        boot_ms = self._host.card.boot_ms
+        if call.callee_boot_ms in (0, boot_ms):
+            return False
+        log.info(
+            "call is for an earlier process of this host; declining it",
+            extra={
+                "call": type(call).__name__,
+                "job": call.task.job,
+                "callee_boot_ms": call.callee_boot_ms,
+                "boot_ms": boot_ms,
+            },
+        )
+        return True
+
+    async def _answer_lend(self, call: LendCall) -> LendReply:
+        if self._is_for_earlier_process(call):
+            return LendReply(LendResult.NO_ROOM, call.run)
+        host = self._host
+        host.start_work_timers()
+        if await host.config_fetcher.wait_for(call.version, call.home):
+            return await host.lending.lend(call)
+        return await host.lending.refuse(call)
+
     async def _answer_submit(self, call: SubmitCall, open_call: OpenCall) -> JobReply:
         host = self._host
         if not await host.config_fetcher.wait_for(call.version, call.origin):
--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -43,6 +43,10 @@
     """No reply arrived in time; the peer may still work on the call."""
 
 
+class PeerRestarted(PeerCallFailed):
+    """Another process than the one called answers, or sends heartbeats, as the peer."""
+
+
 class PeerDown(PeerCallFailed):
     """The connection was refused: the other host's process has exited."""
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -509,7 +509,9 @@
     executes the job: a borrower that has been replaced without knowing it is refused.
     `upstream` serves the queue by the borrower's configuration. `wait_s` is how much
     longer the job's callers wait, in seconds; 0 if they did not say. `awaited_s` is how
-    long before the call a caller was last known to wait.
+    long before the call a caller was last known to wait. `callee_boot_ms` is the
+    process that the call is for; another one under its name refuses it. 0 if the sender
+    does not know it.
     """
 
     task: TaskId
@@ -527,6 +529,7 @@
     upstream: Text = ""
     wait_s: DurationS = 0.0
     awaited_s: DurationS = 0.0
+    callee_boot_ms: Natural = 0
 
 
 class LendResult(StrEnum):
@@ -545,10 +548,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LendReply:
-    """Outcome of a lent task; `run` is the number of the run that ended."""
+    """Outcome of a lent task; `run` is the number of the run that ended.
+
+    `boot_ms` is that of the lender's process; 0 from a host of an earlier version.
+    """
 
     result: LendResult
     run: Natural
+    boot_ms: Natural = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_config_versions.py
+++ b/tests/coordination/test_config_versions.py
@@ -120,7 +120,7 @@
             borrower_claim,
         )
         reply = await lender.calls.answer(call)
-        assert reply == LendReply(LendResult.NO_ROOM, 1)
+        assert reply == LendReply(LendResult.NO_ROOM, 1, lender.card.boot_ms)
         apply(lender, config_with_added_queue(world))
         assert await lender.calls.answer(call) == reply
         await asyncio.sleep(0.5)
