A restarted owner no longer denies the jobs of its earlier process

What callers saw: 503 "no capacity" or "no owner" for a job of which tasks had run, when the owner of its share lost power and was back within a second.

The entry host repeats its call, the owner's next process knows nothing of the job and declines it as "not an owner". The entry host submits the job to the next owner as one that was never begun. That owner may refuse it, and the promise "not run" is false.

Evidence: two tests, one with the heartbeats of the next process and one without.

Change: a call to submit names the process that it is for, too, and its reply the one that sends it. If the job is declined by another process than the one that was called, and a copy was sent before, the call counts as failed. The next owner then learns that the job may have been begun. An answer that promises that nothing ran loses its promise in the same case.

A plain "not an owner" to a first copy is handled as before.

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -29,6 +29,7 @@
     PeerCallFailed,
     PeerCallPort,
     PeerDown,
+    PeerRestarted,
     RunnerPort,
 )
 from monsoongap.coordination.prior_owners import PriorOwners
@@ -544,19 +545,28 @@
         return None
 
     async def _send_submit(self, peer: Peer, call: SubmitCall) -> JobReply:
-        """Send a job to another host; raises `PeerCallFailed`."""
-        call = replace(call, sender=self.card.name)
+        """Send a job to another host and return its reply.
+
+        Raises `PeerCallFailed`, also if a process of that host declines the job and an
+        earlier one may have begun it.
+        """
         timeout_s = FORWARD_TIMEOUT_S
         if call.wait_s:
             timeout_s = call.wait_left_s + FORWARD_MARGIN_S
         sending = self.repeated_calls.begin(peer)
+        boot_ms = sending.card.boot_ms
+        call = replace(call, sender=self.card.name, callee_boot_ms=boot_ms)
         try:
             reply: JobReply = await sending.reply(
                 call.after, JobReply, timeout_s, critical_path_s(call.job)
             )
         finally:
             self.repeated_calls.end(sending)
-        return reply
+        if not sending.may_have_begun(reply.boot_ms):
+            return reply
+        if reply.kind is AnswerKind.HANDED_ON:
+            raise PeerRestarted("an earlier copy may have reached another process")
+        return reply.without_promise()
 
     def cancel(self, job: str) -> None:
         """Cancel a job whose caller has disconnected."""
--- a/monsoongap/coordination/host_calls.py
+++ b/monsoongap/coordination/host_calls.py
@@ -75,7 +75,8 @@
                 if task := asyncio.current_task():
                     # Until the job has a record here, nothing is to go on.
                     open_call.on_close = task.cancel
-                return await self._answer_submit(request, open_call)
+                reply = await self._answer_submit(request, open_call)
+                return replace(reply, boot_ms=host.card.boot_ms)
             case LendCall():
                 lend_reply = await self._answer_lend(request)
                 return replace(lend_reply, boot_ms=host.card.boot_ms)
@@ -113,7 +114,7 @@
             case _:
                 raise TypeError(f"unknown call type: {type(request).__name__}")
 
-    def _is_for_earlier_process(self, call: LendCall) -> bool:
+    def _is_for_earlier_process(self, call: SubmitCall | LendCall) -> bool:
         """Return whether a call is for a process that ran before, under this name.
 
         That one may have begun what an earlier copy of the call asked for.
@@ -125,7 +126,7 @@
             "call is for an earlier process of this host; declining it",
             extra={
                 "call": type(call).__name__,
-                "job": call.task.job,
+                "job": call.job.id if isinstance(call, SubmitCall) else call.task.job,
                 "callee_boot_ms": call.callee_boot_ms,
                 "boot_ms": boot_ms,
             },
@@ -142,6 +143,8 @@
         return await host.lending.refuse(call)
 
     async def _answer_submit(self, call: SubmitCall, open_call: OpenCall) -> JobReply:
+        if self._is_for_earlier_process(call):
+            return JobReply(AnswerKind.HANDED_ON, "an earlier process was called")
         host = self._host
         if not await host.config_fetcher.wait_for(call.version, call.origin):
             return JobReply(AnswerKind.HANDED_ON, "owner has an older configuration")
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -407,12 +407,15 @@
     """The answer to a job.
 
     `REFUSED` promises that nothing was or will be run; the caller may retry after
-    `retry_after_s`. See `monsoongap.errors` for all kinds.
+    `retry_after_s`. See `monsoongap.errors` for all kinds. In a reply to another host,
+    `boot_ms` tells which of its processes the sender is, as its card does; 0 from a
+    host of an earlier version.
     """
 
     kind: AnswerKind
     detail: str = ""
     retry_after_s: DurationS = 0.0
+    boot_ms: Natural = 0
 
     def without_promise(self) -> "JobReply":
         """Return the answer for a job that a previous owner may have started.
@@ -442,7 +445,9 @@
     `transfer_fence` is the fence of the claim under which the previous owner
     transferred the share (`TransferCall`); 0 if it did not. `sender` is the host that
     sends the call; empty from a host of an earlier version. `awaited_s` tells, in a
-    handover, how long before it a caller was last known to wait.
+    handover, how long before it a caller was last known to wait. `callee_boot_ms` is
+    the process that the call is for; another one under its name declines. 0 if the
+    sender does not know it.
     """
 
     job: Job
@@ -461,6 +466,7 @@
     waited_s: DurationS = 0.0
     sender: Sender = ""
     awaited_s: DurationS = 0.0
+    callee_boot_ms: Natural = 0
 
     @property
     def is_handover(self) -> bool:
--- a/tests/coordination/test_restarted_hosts.py
+++ b/tests/coordination/test_restarted_hosts.py
@@ -14,6 +14,7 @@
 from monsoongap.protocol.messages import Job, JobReply, Resources, Step
 from monsoongap.standin.runner_model import TaskPlan
 from tests.coordination.test_host import run_virtual
+from tests.coordination.test_settling_races import other_host
 from tests.host_world import QUEUE, World
 
 JOB = "ab" * 8
@@ -116,3 +117,31 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against a job that is refused as not run although its owner began it, because
+# the owner lost power and its next process declines the repeated call.
+@pytest.mark.parametrize("is_heard", [True, False])
+def test_a_restarted_owner_does_not_deny_the_job_of_its_earlier_process(
+    is_heard: bool,
+) -> None:
+    async def main() -> None:
+        world = World({"a": 2})
+        await world.start()
+        await asyncio.sleep(3)
+        owner = world.owner("a")
+        entry = other_host(world, "a", owner)
+        call = submit(world, entry, JOB, 3.0)
+        await asyncio.sleep(0.2)
+        assert len(world.ledger) == 1
+        if not is_heard:
+            world.heartbeats_lost.add((owner, entry))
+        restarting = asyncio.create_task(restart(world, owner, 0.4))
+        for runner in list(world.models):
+            world.crash_runner(runner)
+        reply = await asyncio.wait_for(call, 20)
+        await restarting
+        assert reply.kind is AnswerKind.BROKEN
+        world.check()
+
+    run_virtual(main())
