Calls to a restarted host no longer wait on idle connections

What callers saw: a job whose entry host calls an owner that was back 0.2 s after a loss of power is answered 0.7 s late, or 77 s late if it declares 38 s of work.

Cause: the idle connections to the owner's earlier process are kept, as nothing closed them. The next call goes out on one of them and is lost. It is repeated only once the declared work should be done twice over.

Evidence: the trace of that job ends with a call to a host that had become live 2 s before.

Change: when a host becomes live, the idle connections to it are closed, so that its calls go out on new ones.

The test world also lets a call that is open to a host without power be reset by a cut, as other calls are.

--- a/monsoongap/coordination/ports.py
+++ b/monsoongap/coordination/ports.py
@@ -117,6 +117,10 @@
         """
         ...
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address; later calls open new ones."""
+        ...
+
 
 class DatagramPort(Protocol):
     """Datagrams with heartbeats to other entry hosts; they may be lost."""
--- a/monsoongap/transport/host_calls.py
+++ b/monsoongap/transport/host_calls.py
@@ -148,6 +148,10 @@
         except Malformed as exc:
             raise PeerCallFailed(f"{address}: {exc}") from exc
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address (`IP:port`)."""
+        self._http.forget(address)
+
 
 class HeartbeatSocket(asyncio.DatagramProtocol):
     """Implements `DatagramPort`."""
--- a/tests/coordination/test_restarted_hosts.py
+++ b/tests/coordination/test_restarted_hosts.py
@@ -145,3 +145,24 @@
         world.check()
 
     run_virtual(main())
+
+
+# Guards against calls that wait on an idle connection to the earlier process of a host
+# although heartbeats have told that it has restarted.
+def test_a_call_to_a_restarted_host_goes_out_on_a_new_connection() -> None:
+    async def main() -> None:
+        world = World({"a": 2})
+        await world.start()
+        await asyncio.sleep(3)
+        owner = world.owner("a")
+        entry = other_host(world, "a", owner)
+        await restart(world, owner, 0.2)
+        await asyncio.sleep(3)
+        began_at = asyncio.get_running_loop().time()
+        for i, name in enumerate((owner, entry)):
+            reply = await submit(world, name, f"{i:016x}", 0.05)
+            assert reply.kind is AnswerKind.COMPLETED
+        assert asyncio.get_running_loop().time() - began_at < 0.5
+        world.check()
+
+    run_virtual(main())
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -208,6 +208,9 @@
         """Start a host, or start it again, with a list of runners or without."""
         self._boots += 1
         self.powered_off.discard(name)
+        for target in self._cards:
+            # A new process has no idle connections.
+            self.silent_connections.pop((name, target), None)
         thawed = self._thawed[name] = asyncio.Event()
         thawed.set()
         card = msgspec.structs.replace(self._cards[name], boot_ms=self._boots)
@@ -244,8 +247,13 @@
             task.cancel()
 
     def power_off(self, name: str) -> None:
-        """Cut a host's power: it stops at once, and its connections stay silent."""
+        """Cut a host's power: it stops at once, and its connections stay silent.
+
+        Other hosts have one idle connection to it, too.
+        """
         self.powered_off.add(name)
+        for source in self.hosts.keys() - {name}:
+            self.silent_connections[source, name] = 1
         self.kill(name)
 
     def name_at(self, ip: str) -> str:
@@ -367,8 +375,7 @@
                 self._close_call(source, target, open_call)
                 raise
             if target in self.powered_off and not sender.cancelling():
-                # Nothing closes the connection: its sender gives up or calls again.
-                await asyncio.Event().wait()
+                await self._wait_in_silence(open_call, sender)
             raise PeerCallFailed("died") from None
         finally:
             del self._calls[open_call]
@@ -380,6 +387,18 @@
             await asyncio.Event().wait()
         return reply
 
+    async def _wait_in_silence(
+        self, open_call: OpenCall, sender: asyncio.Task[Any]
+    ) -> None:
+        """Wait until the sender gives a call up, or its connection is reset."""
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            if open_call not in self._calls_reset:
+                raise
+            sender.uncancel()
+            raise PeerCallFailed("reset") from None
+
     def _close_call(
         self, source: str, target: str, open_call: OpenCall, is_reset: bool = False
     ) -> None:
@@ -541,6 +560,10 @@
         except TimeoutError as exc:
             raise PeerCallFailed("no reply in time") from exc
 
+    def close_idle(self, address: str) -> None:
+        target = self.world.name_at(address.rpartition(":")[0])
+        self.world.silent_connections.pop((self.name, target), None)
+
 
 @dataclass(slots=True)
 class _Datagrams:
