A lender that has forgotten a run no longer denies it

What callers would see: 503 "no capacity" for a job that a lender has run.

Cause: a lender keeps the reply to a run for 40 s after its end, while a borrower repeats its call for as long as it hears the lender. If heartbeats arrive and calls don't, a copy that arrives later meets a lender that has dropped the reply. It refuses the task, or begins it again.

Change: a call to lend tells how long ago its first copy was sent. A lender begins no unknown run for a call of more than 30 s, and replies that the run may go on (LEFT_RUNNING), so that the borrower settles it with the owners of the share. 30 s is below the 40 s by more than a call is delayed.

A first copy is handled as before.

--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -43,8 +43,9 @@
 # A lender that is live is asked again after this.
 LEND_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 0.5
-# A caller that has not been known to wait for this long ends a lent task in any case.
-MAX_AWAITED_S = 60.0
+# Longer times are told as this: a lender ends a task that no caller has been known to
+# wait for as long, and has forgotten a call that was first sent as long ago.
+MAX_AGE_S = 60.0
 
 _OVER_OF = {
     LendResult.DONE: RunOutcome.DONE,
@@ -252,12 +253,13 @@
             loan.message,
             wait_s=wait_left_s(work.useless_at, self.timers.now()),
             awaited_s=self._awaited_s(work),
+            elapsed_s=min(loan.call.elapsed_s, MAX_AGE_S),
         )
 
     def _awaited_s(self, work: Work) -> float:
         """Return how long ago a caller of a task's job was last known to wait."""
         age_s = self.timers.now() - self.awaited_at(work.task.job)
-        return min(max(age_s, 0.0), MAX_AWAITED_S)
+        return min(max(age_s, 0.0), MAX_AGE_S)
 
     def cancel(self, work: Work) -> None:
         """Tell the lender that a task is no longer wanted."""
--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -41,6 +41,9 @@
 # A reply is kept this long after the run has ended. A borrower repeats its call within
 # 30 s (`LEND_TIMEOUT_S`), and a network partition may delay it.
 KEEP_REPLY_S = 40.0
+# An unknown run is not begun for a call whose first copy was sent this long ago: the
+# reply to that one may have been dropped. Below `KEEP_REPLY_S` by the delay of a call.
+MAX_ELAPSED_S = 30.0
 # Enough for 1,000 tasks a second, looked at in each tick.
 FORGET_AT_ONCE = 64
 
@@ -113,6 +116,8 @@
                     expires_at = self._expires_at(call)
                     lent.expires_at = max(lent.expires_at, expires_at)
             return await asyncio.shield(known)
+        if call.elapsed_s > MAX_ELAPSED_S:
+            return await self.refuse(call)
         fut = self._add_reply(call.task, call.run)
 
         def over(work: Work, how: RunOutcome, runner: str) -> None:
@@ -168,12 +173,15 @@
     async def refuse(self, call: LendCall) -> LendReply:
         """Refuse a task, also if its call is repeated or late.
 
-        Returns the reply of an earlier call for the same run, if there was one.
+        Returns the reply of an earlier call for the same run, if there was one. One
+        that may have been dropped since leaves the run in doubt.
         """
         known = self._replies.get((call.task, call.run))
         if known is None:
             known = self._add_reply(call.task, call.run)
-            known.set_result(LendReply(LendResult.NO_ROOM, call.run))
+            is_dropped = call.elapsed_s > MAX_ELAPSED_S
+            result = LendResult.LEFT_RUNNING if is_dropped else LendResult.NO_ROOM
+            known.set_result(LendReply(result, call.run))
         return await asyncio.shield(known)
 
     def _add_reply(self, task: TaskId, run: int) -> "asyncio.Future[LendReply]":
--- a/monsoongap/coordination/repeated_call.py
+++ b/monsoongap/coordination/repeated_call.py
@@ -31,12 +31,13 @@
 class RepeatedCall:
     """A call to one process of another host, and the copies of it sent so far.
 
-    `card` is the card of that process. `restarted` is done once the host is known to
-    have restarted.
+    `card` is the card of that process, `started_at` the time of the event loop at which
+    the call began. `restarted` is done once the host is known to have restarted.
     """
 
     peers: PeerCallPort
     card: HostCard
+    started_at: float
     restarted: asyncio.Future[None]
     copies: int = 0
 
@@ -45,6 +46,11 @@
         """The address at which the process accepts calls, as `IP:port`."""
         return f"{self.card.ip}:{self.card.port}"
 
+    @property
+    def elapsed_s(self) -> float:
+        """How long ago the call began, in seconds."""
+        return asyncio.get_running_loop().time() - self.started_at
+
     def may_have_begun(self, boot_ms: int) -> bool:
         """Return whether work may have begun that a refusal does not know of.
 
@@ -115,8 +121,8 @@
 
         The caller passes it to `end` when it has a reply or gives up.
         """
-        restarted = asyncio.get_running_loop().create_future()
-        call = RepeatedCall(self.peers, peer.card, restarted)
+        loop = asyncio.get_running_loop()
+        call = RepeatedCall(self.peers, peer.card, loop.time(), loop.create_future())
         self._open.add(call)
         return call
 
--- a/monsoongap/protocol/messages.py
+++ b/monsoongap/protocol/messages.py
@@ -517,7 +517,7 @@
     longer the job's callers wait, in seconds; 0 if they did not say. `awaited_s` is how
     long before the call a caller was last known to wait. `callee_boot_ms` is the
     process that the call is for; another one under its name refuses it. 0 if the sender
-    does not know it.
+    does not know it. `elapsed_s` is how long ago the first copy of the call was sent.
     """
 
     task: TaskId
@@ -536,13 +536,14 @@
     wait_s: DurationS = 0.0
     awaited_s: DurationS = 0.0
     callee_boot_ms: Natural = 0
+    elapsed_s: DurationS = 0.0
 
 
 class LendResult(StrEnum):
     """Outcome of a lent task.
 
-    `LEFT_RUNNING`: the lender no longer owns the runner; the run may continue there
-    under the next owner.
+    `LEFT_RUNNING`: a run may go on, or have ended, of which the lender does not know:
+    another host owns its runner now, or the lender has forgotten it.
     """
 
     DONE = "done"
