A replaced borrower is not told that its run never began

What callers would see: 503 for a job of which a lender is still about to stop a run.

Cause: a lender that knows a higher fence of the borrower's share replied NO_ROOM to each of its calls, also to a copy of one that had begun a run. The reply to the copy overtakes that to the first call while the run is stopped.

Evidence: a test in which the runner of the run can't be reached. Before, the copy got NO_ROOM while the first call waited for the end of the run.

Change: the copy gets the reply to the first call, as in the other refusals. Only a call for an unknown run is told that it never began.

--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -104,7 +104,7 @@
                 "borrower was replaced",
                 extra={"job": call.task.job, "borrower": call.home},
             )
-            return LendReply(LendResult.NO_ROOM, call.run)
+            return await self.refuse(call)
         if self._is_silent(call.home):
             # The call was held on its way, and its borrower may have ended the job.
             return await self.refuse(call)
--- a/tests/coordination/test_forgotten_loans.py
+++ b/tests/coordination/test_forgotten_loans.py
@@ -68,3 +68,24 @@
         assert await world.hosts[lender].calls.answer(call) == reply
 
     run_virtual(main())
+
+
+# Guards against a replaced borrower that learns that a run has never begun, although
+# the lender is only about to stop it.
+def test_a_replaced_borrower_is_not_told_that_its_run_never_began() -> None:
+    async def main() -> None:
+        world, name = await open_lending_world()
+        lender = world.hosts[name]
+        call = lend_call(world, 5.0)
+        first = asyncio.create_task(lender.calls.answer(call))
+        await asyncio.sleep(0.2)
+        (run,) = [e for e in world.ledger if e.task.job == JOB]
+        world.cut_off(name, run.runner)
+        claim = msgspec.structs.replace(call.claim, fence=call.claim.fence + 1)
+        lender.lending.record_claims((claim,))
+        second = asyncio.create_task(lender.calls.answer(call))
+        await asyncio.wait({first, second}, timeout=10)
+        assert first.result() == second.result()
+        assert first.result().result is not LendResult.NO_ROOM
+
+    run_virtual(main())
