A lent run that its runner rejects as old counts as begun

What callers would see: 503 for a job that ran, where a lender meets a run that its earlier process had begun and a borrower of an earlier version does not name the process that it calls.

Cause: a runner rejects a run as old if it has had this one or a later one. The lender replied NO_ROOM, which the borrower takes for "never began".

Evidence: a test in which a lender restarts and is called again without the boot time of its process: NO_ROOM before, although the run had been done.

Change: such a run counts as gone. The task is placed again as run of a higher number, and the job is not refused any more.

Measured: the new test passes.

--- a/monsoongap/coordination/lending.py
+++ b/monsoongap/coordination/lending.py
@@ -48,8 +48,9 @@
 FORGET_AT_ONCE = 64
 
 _RESULT_OF = {RunOutcome.DONE: LendResult.DONE, RunOutcome.FAILED: LendResult.FAILED}
-# The run never began: the borrower may place the task again at once.
-_NOT_BEGUN = (RunOutcome.NO_ROOM, RunOutcome.UNHEALTHY, RunOutcome.OLD_RUN)
+# The run never began: the borrower may place the task again at once. A runner that
+# rejects a run as old has had this one, or a later one, before.
+_NOT_BEGUN = (RunOutcome.NO_ROOM, RunOutcome.UNHEALTHY)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/coordination/test_forgotten_loans.py
+++ b/tests/coordination/test_forgotten_loans.py
@@ -16,7 +16,12 @@
 )
 from monsoongap.standin.runner_model import TaskPlan
 from tests.coordination.test_host import run_virtual
-from tests.coordination.test_restarted_hosts import JOB, open_lending_world, submit
+from tests.coordination.test_restarted_hosts import (
+    JOB,
+    open_lending_world,
+    restart,
+    submit,
+)
 from tests.host_world import QUEUE, UPSTREAM, World
 
 
@@ -89,3 +94,22 @@
         assert first.result().result is not LendResult.NO_ROOM
 
     run_virtual(main())
+
+
+# Guards against "never began" for a run that a runner has had before. The call is of a
+# host of an earlier version, which does not name the process that it is for.
+def test_a_run_that_a_runner_rejects_as_old_counts_as_begun() -> None:
+    async def main() -> None:
+        world, name = await open_lending_world(1)
+        call = lend_call(world, 0.1)
+        reply = await world.hosts[name].calls.answer(call)
+        assert reply.result is LendResult.DONE
+        (run,) = [e for e in world.ledger if e.task.job == JOB]
+        (other,) = {"b-r0", "b-r1"} - {run.runner}
+        world.crash_runner(other)
+        lender = await restart(world, name, 0.2)
+        await asyncio.sleep(6)
+        reply = await lender.calls.answer(call)
+        assert reply.result is LendResult.GONE
+
+    run_virtual(main())
