Soak: hosts that lose power and are back within a second

A connection to a host without power stays silent, and is reset once the host is back and something is sent.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -131,7 +131,7 @@
 
 
 async def _open_links(deployment: Deployment, runner_port: int) -> None:
-    """Start the proxies between data centres, and write what their hosts use.
+    """Start the proxies between hosts, and write which ones each data centre uses.
 
     A proxy has the port of its target, and the IP too but for the second part.
     """
@@ -139,14 +139,15 @@
     for index, source in enumerate(size.dc_names):
         found: dict[str, str] = {}
         for target_index, dc in enumerate(size.dc_names):
-            if dc == source:
-                continue
             first = runner_port + target_index * size.runners
             peers = [
                 (ip, procs.base_port + PEERS_OFFSET)
                 for ip in size.node_ips(dc).values()
             ]
             runners = [(IP, first + i) for i in range(size.runners)]
+            if dc == source:
+                # Its hosts reach the runners of their own data centre directly.
+                runners = []
             for ip, port in peers + runners:
                 address = (ip.replace("127.0.", f"127.{1 + index}."), port)
                 found[f"{ip}:{port}"] = f"{address[0]}:{port}"
--- a/soak/linked_host.py
+++ b/soak/linked_host.py
@@ -47,6 +47,7 @@
     """An event loop that connects and sends to the proxies in `links`."""
 
     links: dict[str, str]
+    host: str
 
     async def create_connection(
         self,
@@ -55,7 +56,7 @@
         port: Any = None,
         **kwargs: Any,
     ) -> Any:
-        """Connect, and wait until the proxy has connected to the address.
+        """Connect, name this host, and wait until the proxy has connected.
 
         Raise `ConnectionRefusedError` if the proxy tells that it was refused.
         """
@@ -67,6 +68,7 @@
         sock.setblocking(False)
         try:
             await self.sock_connect(sock, split_address(address))
+            await self.sock_sendall(sock, f"{self.host}\n".encode())
             if await self.sock_recv(sock, 1) != CONNECTED:
                 raise ConnectionRefusedError
             return await connect(protocol_factory, sock=sock)
@@ -83,10 +85,11 @@
         return LinkedDatagrams(transport, self.links), protocol
 
 
-def new_loop(links: dict[str, str]) -> LinkedLoop:
-    """Return an event loop that uses the proxies in `links`."""
+def new_loop(links: dict[str, str], host: str) -> LinkedLoop:
+    """Return an event loop of a host that uses the proxies in `links`."""
     loop = LinkedLoop()
     loop.links = links
+    loop.host = host
     return loop
 
 
@@ -100,7 +103,8 @@
     async def serve() -> None:
         await Daemon(cfg).run(source)
 
-    with asyncio.Runner(loop_factory=functools.partial(new_loop, links)) as runner:
+    loop_factory = functools.partial(new_loop, links, cfg.host.name)
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
         runner.run(serve())
 
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,9 +1,10 @@
-"""Proxies between data centres, which can cut what their hosts exchange.
+"""Proxies between hosts, which can cut data centres off and hide that a host ended.
 
-Each carries what the hosts of one data centre send to one address of another: the
-connections, or the datagrams. A proxy tells a new connection that it has reached the
-address, so that one to an address without a process is refused, and one over a cut
-link is not established.
+Each carries what the hosts of one data centre send to one address, of another data
+centre or of their own: the connections, or the datagrams. A host first names itself on
+a new connection. The proxy tells it that the address is reached, so that a connection
+to an address without a process is refused, and one over a cut link, or to a host
+without power, is not established.
 """
 
 import asyncio
@@ -58,9 +59,12 @@
 class _Connection:
     """A connection of a host through a proxy, and its continuation to the target."""
 
+    host: str
     client: asyncio.StreamWriter
     target: asyncio.StreamWriter
     last_at: float
+    # One of its hosts lost power: the other one is never told that it has ended.
+    is_dead: bool = False
 
     def reset(self) -> None:
         for writer in (self.client, self.target):
@@ -93,10 +97,13 @@
     _sends: asyncio.Event = field(default_factory=asyncio.Event)
     _receives: asyncio.Event = field(default_factory=asyncio.Event)
     _conns: set[_Connection] = field(default_factory=set)
+    # Set while the host at the target has power.
+    _has_power: asyncio.Event = field(default_factory=asyncio.Event)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
     def __post_init__(self) -> None:
+        self._has_power.set()
         self.end_cut()
 
     async def listen(self) -> None:
@@ -125,6 +132,19 @@
         self._sends.set()
         self._receives.set()
 
+    def power_off(self, host: str, ip: str) -> None:
+        """Hold new connections to a host, and leave the open ones of it silent."""
+        is_target = ip == self.target[0]
+        if is_target:
+            self._has_power.clear()
+        for conn in self._conns:
+            conn.is_dead = conn.is_dead or is_target or conn.host == host
+
+    def power_on(self, ip: str) -> None:
+        """Establish connections to a host again."""
+        if ip == self.target[0]:
+            self._has_power.set()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         for conn in self._conns:
@@ -152,8 +172,10 @@
         if self._cut is CutKind.RESET:
             reset(writer)
             return
+        host = (await reader.readline()).decode().strip()
         await self._sends.wait()
         await self._receives.wait()
+        await self._has_power.wait()
         try:
             if self._cut is not None:
                 raise ConnectionRefusedError
@@ -163,7 +185,7 @@
             writer.write(REFUSED)
             writer.close()
             return
-        conn = _Connection(writer, target, asyncio.get_running_loop().time())
+        conn = _Connection(host, writer, target, asyncio.get_running_loop().time())
         self._conns.add(conn)
         writer.write(CONNECTED)
         try:
@@ -171,6 +193,10 @@
                 self._pass_on(conn, reader, writer, target, self._sends),
                 self._pass_on(conn, target_reader, target, writer, self._receives),
             )
+            if conn.is_dead:
+                # Open, but silent, until the client closes it.
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
         finally:
             self._conns.discard(conn)
 
@@ -189,6 +215,13 @@
                 data = await reader.read(CHUNK_BYTES)
             except OSError:
                 data, was_reset = b"", True
+            if conn.is_dead:
+                if data and not self._has_power.is_set():
+                    continue
+                if sender is conn.client:
+                    # Closed there, or answered with a reset as the host is back.
+                    reset(conn.client)
+                return
             if was_reset and not passes.is_set():
                 # The reset is lost; the other side notices when it sends.
                 return
@@ -254,6 +287,12 @@
         """Pass everything on again."""
         self._passes = True
 
+    def power_off(self, host: str, ip: str) -> None:
+        """Do nothing: a host without power neither sends nor receives datagrams."""
+
+    def power_on(self, ip: str) -> None:
+        """Do nothing."""
+
     def close(self) -> None:
         """Stop listening."""
         if self._transport is not None:
@@ -265,7 +304,7 @@
 
 @dataclass(slots=True)
 class Links:
-    """All proxies between the data centres of a deployment."""
+    """All proxies between the hosts of a deployment."""
 
     links: list[Link] = field(default_factory=list)
 
@@ -281,10 +320,24 @@
         for link in self._links_of(dc):
             link.end_cut()
 
+    def power_off(self, host: str, ip: str) -> None:
+        """Let what a host has open go silent; it is about to be killed."""
+        for link in self.links:
+            link.power_off(host, ip)
+
+    def power_on(self, ip: str) -> None:
+        """Establish connections to a host again."""
+        for link in self.links:
+            link.power_on(ip)
+
     def close(self) -> None:
         """Close all proxies."""
         for link in self.links:
             link.close()
 
     def _links_of(self, dc: str) -> Iterator[Link]:
-        return (link for link in self.links if dc in (link.source, link.target_dc))
+        return (
+            link
+            for link in self.links
+            if dc in (link.source, link.target_dc) and link.source != link.target_dc
+        )
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,18 +19,22 @@
 from soak.callers import Callers
 from soak.cuts import CutInjector
 from soak.deployment import Deployment, Size, StartTimeout, open_deployment
+from soak.power import PowerInjector
 from soak.troubles import FaultInjector
 
 DEFAULT_JOBS_PER_S = 20.0
 RECOVERY_S = 5.0
 ANSWER_WAIT_S = 20.0
 FINAL_JOBS = 20
-# In a soak of cuts, so many long jobs begin together, so many seconds after the load.
+# In a soak of links that fail, so many long jobs begin together, so many seconds after
+# the load.
 STEADY_JOBS = 24
 STEADY_AT_S = (2.8, 3.3)
-CUT_SIZE = Size(4, 2, 3, 1)
+LINKED_SIZE = Size(4, 2, 3, 1)
 # A long job may be begun anew after the last fault, and takes up to 45 s then.
 LONG_ANSWER_WAIT_S = 60.0
+# Faults that need links between hosts.
+LINKED_INJECTORS = {"cut_dc": CutInjector, "lose_power": PowerInjector}
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
@@ -49,14 +53,14 @@
     long_share: float = 0.0
 
     @property
-    def cuts(self) -> bool:
-        """Return whether the soak cuts the links between data centres."""
-        return self.only == "cut_dc"
+    def is_linked(self) -> bool:
+        """Return whether hosts reach each other through links that can fail."""
+        return self.only in LINKED_INJECTORS
 
 
 async def soak(seed: int, plan: Plan, out: Path) -> list[str]:
     """Run one soak and return a sentence for each failure."""
-    async with open_deployment(seed, out, plan.size, plan.cuts) as deployment:
+    async with open_deployment(seed, out, plan.size, plan.is_linked) as deployment:
         with (out / "attempts.txt").open("w") as log:
             failures = await _run_under_load(deployment, seed, plan, log)
         await _write_runs(deployment, out / "runs.txt")
@@ -82,11 +86,11 @@
         deployment.rng,
         long_share=plan.long_share,
         long_rng=random.Random(f"long {seed}"),
-        all_wait=plan.cuts,
+        all_wait=plan.is_linked,
         log=log,
     )
     sends: set[asyncio.Task[object]] = set()
-    kind = CutInjector if plan.cuts else FaultInjector
+    kind = LINKED_INJECTORS.get(plan.only, FaultInjector)
     injector = kind(deployment, seed, plan.only, plan.long_share > 0)
 
     async def send_steady(rng: random.Random) -> None:
@@ -99,7 +103,7 @@
             await asyncio.sleep(1 / plan.jobs_per_s)
 
     loading = asyncio.create_task(load())
-    if plan.cuts:
+    if plan.is_linked:
         rng = random.Random(f"steady {seed}")
         sends |= {asyncio.create_task(send_steady(rng)) for _ in range(STEADY_JOBS)}
     if plan.calm:
@@ -108,7 +112,7 @@
         await injector.inject_faults(plan.seconds)
     await asyncio.sleep(RECOVERY_S)
     loading.cancel()
-    has_long = plan.long_share or plan.cuts
+    has_long = plan.long_share or plan.is_linked
     wait_s = LONG_ANSWER_WAIT_S if has_long else ANSWER_WAIT_S
     done_pending = await asyncio.wait(sends, timeout=wait_s)
     final_sends = (callers.send(may_hurry=False) for _ in range(FINAL_JOBS))
@@ -165,8 +169,8 @@
         # By default two or three of each, depending on the seed.
         size = Size(dcs or 2 + soak_seed % 2, nodes or 2 + soak_seed // 2 % 2, runners)
         plan = Plan(seconds, jobs_per_s, calm, size, only, long_share)
-        if plan.cuts and not (dcs or nodes):
-            plan = replace(plan, size=replace(CUT_SIZE, runners=runners))
+        if plan.is_linked and not (dcs or nodes):
+            plan = replace(plan, size=replace(LINKED_SIZE, runners=runners))
         print(f"seed {soak_seed}, {plan.size}")
         try:
             shutil.rmtree(out / str(soak_seed), ignore_errors=True)
--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -97,7 +97,7 @@
             await asyncio.sleep(0)
 
     links = {f"{IP}:{address[1]}": f"{IP}:{proxy[1]}"}
-    with asyncio.Runner(loop_factory=lambda: new_loop(links)) as runner:
+    with asyncio.Runner(loop_factory=lambda: new_loop(links, "a0")) as runner:
         runner.run(main())
 
 
@@ -226,3 +226,24 @@
         await until(lambda: receiver.received == b"124")
 
     run_test(test)
+
+
+@pytest.mark.parametrize("is_client", [True, False])
+def test_a_host_without_power_leaves_its_connections_open(is_client: bool) -> None:
+    async def test(net: Network) -> None:
+        client = await net.connect()
+        ends = [client, net.accepted[0]]
+        dead, other = ends if is_client else reversed(ends)
+        net.links.power_off("a0" if is_client else "b0", "" if is_client else IP)
+        dead.transport.abort()
+        await asyncio.sleep(SHORT_S)
+        assert not other.is_lost
+        if not is_client:
+            with pytest.raises(TimeoutError):
+                await net.connect()
+            net.links.power_on(IP)
+            client.transport.write(b"call")
+            await until(lambda: client.is_lost)
+        await net.connect()
+
+    run_test(test)
