A job whose lender was lost ends when no room is found in time

What callers saw: a job of which a lender may have begun a task counted as dispatched for good. Where no room was found for it again, it was held until its caller left; for a caller that states no wait it had no end.

Cause: a lost loan was recorded like a run on a runner, after which a job is no longer ended for want of capacity.

Evidence: a lender of an earlier version, which does not name its process, declines a repeated call while both data centres are full. The job had no answer after 10 s.

Change: the job is only marked as possibly started. While the run at the lender is being ended, and as long again as a new job waits for room, it goes on; then it is answered without the promise. A task that is placed again counts as dispatched as before.

Measured: the new test passes, with the first copy declined (REFUSED) and a repeated one (no promise). All tests pass (783, 5 expected failures).

--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -187,6 +187,8 @@
         self.borrowing.on_dispatch = self.jobs.record_dispatch
         self.borrowing.awaited_at = self.jobs.awaited_at
         self.borrowing.on_lost = self.reconciler.reconcile_lent
+        self.reconciler.on_doubt = self.jobs.record_doubt
+        self.reconciler.on_settled = self.jobs.record_settled
         self.job_locations = JobLocations(timers)
         self.pool.location_of = self.job_locations.location_of
         self.pool.is_in_touch = self.ownership.is_in_touch
--- a/monsoongap/coordination/job_record.py
+++ b/monsoongap/coordination/job_record.py
@@ -87,8 +87,8 @@
 
     @property
     def is_borrowing(self) -> bool:
-        """Return whether a task of the job runs at another owner."""
-        return any(work.borrowed_from for work in self.works.values())
+        """Return whether a task of the job runs, or may still run, at another owner."""
+        return any(work.borrowed_from or work.settling for work in self.works.values())
 
     def may_run_outside(self, since: float) -> bool:
         """Return whether runs of the job may be elsewhere than on its share's runners.
@@ -124,7 +124,7 @@
 
     @property
     def capacity_timeout_s(self) -> float:
-        """Age at which the job is refused if none of its tasks was dispatched.
+        """Age at which the job is ended if none of its tasks was dispatched.
 
         Runners were idle while it was held, so that time does not count as long as its
         caller still waits for it.
--- a/monsoongap/coordination/jobs.py
+++ b/monsoongap/coordination/jobs.py
@@ -650,6 +650,19 @@
             rec.dispatched = True
             rec.run_numbers[work.task] = work.run_number
 
+    def record_doubt(self, work: Work) -> None:
+        """Record that a lender that was lost may have begun a task."""
+        rec = self.records.get(work.task.job)
+        if rec is not None:
+            rec.may_have_started = True
+            rec.run_numbers[work.task] = work.run_number
+
+    def record_settled(self, work: Work) -> None:
+        """Record that a task whose lender was lost can be placed again."""
+        rec = self.records.get(work.task.job)
+        if rec is not None:
+            rec.held_s = self.timers.now() - rec.arrived_at
+
     def _end(self, rec: JobRecord, reply: JobReply) -> None:
         """Answer a job and stop its remaining tasks."""
         rec.closed = True
--- a/monsoongap/coordination/settling.py
+++ b/monsoongap/coordination/settling.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from monsoongap.coordination.heartbeats import Peer
@@ -33,13 +34,19 @@
 
 @dataclass(slots=True)
 class Reconciler:
-    """Stops the unknown runs of jobs, here and at other owners."""
+    """Stops the unknown runs of jobs, here and at other owners.
+
+    `on_doubt` is called with each task whose lender was lost, `on_settled` once no run
+    of it is left there.
+    """
 
     pool: Pool
     ownership: Ownership
     lending: Lending
     timers: TimerService
     peers: PeerCallPort
+    on_doubt: Callable[[Work], None] = lambda work: None
+    on_settled: Callable[[Work], None] = lambda work: None
     _background: BackgroundTasks = field(default_factory=BackgroundTasks)
     _logged_at: dict[tuple[str, ShareId], float] = field(default_factory=dict)
     _suppressed: int = 0
@@ -58,7 +65,8 @@
 
         `shares` are those that the lender owned.
         """
-        self.pool.on_dispatch(work)
+        work.settling = True
+        self.on_doubt(work)
         self._background.spawn(self._reconcile_lent(work, shares), "settle")
 
     async def _reconcile_lent(self, work: Work, shares: tuple[ShareId, ...]) -> None:
@@ -79,6 +87,8 @@
             if any(self.ownership.owner_of(share) for share in current_shares):
                 owned_at = self.timers.now()
             await self.timers.sleep(RETRY_S)
+        work.settling = False
+        self.on_settled(work)
         # This host may own the lender's share by now, and the runner of the run. An
         # orphan run of a job that has ended is stopped.
         if work.withdrawn or not self.pool.adopt(work):
--- a/monsoongap/coordination/work.py
+++ b/monsoongap/coordination/work.py
@@ -89,8 +89,9 @@
     here for a borrower. `run_number` is the number of the latest run. `avoid` holds the
     ids of runners on which the task failed or was lost. `active_run` and `link` are
     the run on a runner of this host. `borrowed_from` is the name of the lender that
-    runs the task, empty if it waits or runs here. `withdrawn` says that no result of it
-    is awaited any more. `due_at` is when the run must end for
+    runs the task, empty if it waits or runs here. `settling` says that a lender
+    was lost, and that its run there is being ended. `withdrawn` says that no result of
+    it is awaited any more. `due_at` is when the run must end for
     the job to meet its objective, `useless_at` for its caller to be there still.
     `arrived_at` is when the job came to this owner, None for a task that runs here for
     a borrower; `again` says that a previous owner may have started it.
@@ -117,6 +118,7 @@
     link: "Link | None" = None
     borrowed_from: str = ""
     waiting: bool = False
+    settling: bool = False
     withdrawn: bool = False
     due_at: float = float("inf")
     useless_at: float = float("inf")
--- a/tests/coordination/test_restarted_hosts.py
+++ b/tests/coordination/test_restarted_hosts.py
@@ -119,6 +119,30 @@
     run_virtual(main())
 
 
+# Guards against trust in a refusal of a repeated call by a host of an earlier version,
+# which does not name its process; the refusal of a first copy is final. A job in doubt
+# that finds no room ends as soon as another one, but without the promise.
+@pytest.mark.parametrize("is_repeated", [True, False])
+def test_an_earlier_version_s_refusal_of_a_repeated_call_is_in_doubt(
+    is_repeated: bool,
+) -> None:
+    async def main() -> None:
+        world, lender = await open_lending_world()
+        borrower = world.owner("a")
+        world.nameless.add(lender)
+        world.silent_connections[borrower, lender] = int(is_repeated)
+        # Full before the first call arrives, or before the second.
+        filling = submit(world, lender, "ef" * 8, 60.0, tasks=8)
+        call = submit(world, borrower, JOB, 0.3)
+        reply = await asyncio.wait_for(call, 10)
+        kind = AnswerKind.BROKEN if is_repeated else AnswerKind.REFUSED
+        assert reply.kind is kind
+        assert not filling.done()
+        world.check()
+
+    run_virtual(main())
+
+
 # Guards against a job that is refused as not run although its owner began it, because
 # the owner lost power and its next process declines the repeated call.
 @pytest.mark.parametrize("is_heard", [True, False])
--- a/tests/host_world.py
+++ b/tests/host_world.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
@@ -126,6 +126,8 @@
     # Number of idle connections from one host to another that have gone silent.
     silent_connections: dict[tuple[str, str], int] = field(default_factory=dict)
     call_types_lost: set[type[Any]] = field(default_factory=set)
+    # Hosts of a version before the one that names processes in calls and replies.
+    nameless: set[str] = field(default_factory=set)
     # Calls that hosts of an earlier version don't know.
     call_types_unknown: set[type[Any]] = field(default_factory=set)
     calls_delivered: Counter[type[Any]] = field(default_factory=Counter)
@@ -357,6 +359,9 @@
         await self.thawed(target)
         await host.timers.read_first()
         self.calls_delivered[type(request)] += 1
+        is_nameless = target in self.nameless
+        if is_nameless and hasattr(request, "callee_boot_ms"):
+            request = replace(request, callee_boot_ms=0)
         open_call = OpenCall()
         task = asyncio.create_task(host.calls.answer(request, open_call))
         self._tasks.setdefault(target, {})[task] = None
@@ -385,7 +390,8 @@
             raise PeerCallFailed("cut")
         if not fresh and frozenset((source, target)) in self.replies_lost:
             await asyncio.Event().wait()
-        return reply
+        has_name = hasattr(reply, "boot_ms")
+        return replace(reply, boot_ms=0) if is_nameless and has_name else reply
 
     async def _wait_in_silence(
         self, open_call: OpenCall, sender: asyncio.Task[Any]
