A queue whose host name is configured with a capital is served

Cause: the Host header of a request is turned to lower case, the host name of the configuration is not, and the two are compared.

Evidence: a test of the directory found no queue for such a host before.

Change: queues are looked up by the lower-case form of their configured host name. Two names that differ only in case share their queues, as they are one host.

--- a/monsoongap/state/directory.py
+++ b/monsoongap/state/directory.py
@@ -104,7 +104,8 @@
         self._guards = {rule.name: rule.checks_capacity for rule in config.upstreams}
         by_host: dict[str, list[QueueRule]] = {}
         for rule in config.queues:
-            by_host.setdefault(rule.host, []).append(rule)
+            # Host names have no case.
+            by_host.setdefault(rule.host.lower(), []).append(rule)
         for rules in by_host.values():
             rules.sort(key=lambda rule: -len(rule.path_prefix))
         self._by_host = by_host
@@ -168,7 +169,10 @@
         return self._guards.get(upstream, False)
 
     def match(self, host: str, path: str) -> QueueRule | None:
-        """Return the queue of the host with the longest prefix of the path."""
+        """Return the queue of the host with the longest prefix of the path.
+
+        `host` is in lower case.
+        """
         for rule in self._by_host.get(host, ()):
             if path.startswith(rule.path_prefix):
                 return rule
