An orphan run takes all of a runner that checks no capacity

Cause: a runner does not list the size of a run that its owner has not started. Such an orphan run counted for all processors of a runner that does not check its capacity, but for none of its memory and accelerators. A task that needs no processors fitted beside it, and best fit even preferred that runner.

Evidence: the test of such a runner found 4096 MiB and one accelerator free.

Change: there an orphan run counts for the whole room, until its job adopts it and tells its size, or it has ended. Runners that check their capacity are treated as before.

--- a/monsoongap/coordination/runs.py
+++ b/monsoongap/coordination/runs.py
@@ -24,10 +24,9 @@
 
 log = logging.getLogger(__name__)
 
-# Runners do not list the size of an orphan run; two or three runs fit on a runner. A
-# runner that does not check its capacity gets no other run until the orphan has ended.
+# Share of the processors that an orphan run counts for, on a runner that rejects what
+# does not fit; two or three runs fit on a runner.
 ORPHAN_SHARE = 0.5
-ORPHAN_SHARE_UNCHECKED = 1.0
 
 
 @dataclass(slots=True)
@@ -234,11 +233,20 @@
         self.health.record_failure(now)
         self.stop(run)
 
+    def _orphan_size(self) -> Resources:
+        """Return what an orphan run counts for; runners do not list its size.
+
+        A runner that does not check its capacity gets no other run until the orphan has
+        ended, so it counts for all processors, memory and accelerators.
+        """
+        room = self.info.room
+        if not self.checks_capacity():
+            return room
+        return Resources(int(room.cpu_milli * ORPHAN_SHARE), 0, 0)
+
     def _add_orphan(self, row: RunRow, now: float) -> Run:
         """Add an orphan run, for its job to adopt."""
-        share = ORPHAN_SHARE if self.checks_capacity() else ORPHAN_SHARE_UNCHECKED
-        size = Resources(int(self.info.room.cpu_milli * share), 0, 0)
-        run = Run(row.task, row.run, size, state=RunState.RUNNING)
+        run = Run(row.task, row.run, self._orphan_size(), state=RunState.RUNNING)
         self.add(run)
         self.orphans.add(run.task)
         run.confirmed_at = now
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -13,7 +13,7 @@
 )
 from monsoongap.timers import TimerService
 
-INFO = RunnerInfo("r1", "u", "a:1", "a", False, Resources(4000, 4096), (), 7)
+INFO = RunnerInfo("r1", "u", "a:1", "a", False, Resources(4000, 4096, 1), (), 7)
 TASK = TaskId("ab" * 8, 0, 0)
 
 
@@ -132,8 +132,14 @@
     assert fixture.stopped and fixture.stopped[0] is run
 
 
+# Guards against tasks that need no processors and are placed beside an orphan run that
+# has the runner's memory or its only accelerator.
 def test_a_runner_that_checks_no_capacity_has_none_beside_an_orphan_run() -> None:
     fixture = TableFixture()
     fixture.checks_capacity = False
     fixture.poll((RunRow(TASK, 3, 10),))
-    assert fixture.table.free.cpu_milli == 0
+    assert fixture.table.free == Resources(0, 0, 0)
+    (run,) = fixture.table.runs.values()
+    # Its job adopts it, and tells its size.
+    fixture.table.resize(run, Resources(0, 1024, 1))
+    assert fixture.table.free == Resources(4000, 3072, 0)
