--- a/monsoongap/coordination/borrowing.py
+++ b/monsoongap/coordination/borrowing.py
@@ -43,8 +43,8 @@
 # A lender that is live is asked again after this.
 LEND_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 0.5
-# Longer times are told as this: a lender ends a task that no caller has been known to
-# wait for as long, and has forgotten a call that was first sent as long ago.
+# Limits the ages that a call tells. A lender ends a task that no caller has been known
+# to wait for as long as this, and has forgotten a call that was first sent as long ago.
 MAX_AGE_S = 60.0
 
 _OVER_OF = {
--- a/monsoongap/coordination/host.py
+++ b/monsoongap/coordination/host.py
@@ -647,7 +647,7 @@
         if became_live:
             self.jobs.close_calls(peer.card.name, peer.card.boot_ms)
             self.repeated_calls.host_restarted(peer.card)
-            # They may lead to its earlier process, and would carry nothing.
+            # They may lead to an earlier process of it; what is sent there is lost.
             self.peers.close_idle(peer.address)
         if heartbeat.claims:
             self._announce_jobs_to(peer, became_live)
--- a/tests/coordination/test_brief_power_losses.py
+++ b/tests/coordination/test_brief_power_losses.py
@@ -31,6 +31,7 @@
 
     def __post_init__(self) -> None:
         self._began_at = asyncio.get_running_loop().time()
+        # Of the cut that comes besides.
         self.variant = "plain"
         self.targets = self.rng.choice(("any", "owners", *DCS))
         self._record(f"power losses of {self.targets}")
@@ -38,7 +39,7 @@
     async def run(self, length_s: float = END_S) -> None:
         """Play the day until some time after the cut."""
         self._spawn(self._lose_power())
-        self._spawn(self._submit_short())
+        self._spawn(self._submit_jobs())
         await CutDay.run(self, length_s)
 
     async def _lose_power(self) -> None:
@@ -60,7 +61,7 @@
             or (self.targets == "owners" and host.ownership.claims)
         )
 
-    async def _submit_short(self) -> None:
+    async def _submit_jobs(self) -> None:
         while self._now() < LAST_LOSS_S:
             self._spawn(self._submit(f"{self.rng.getrandbits(64):016x}"))
             await asyncio.sleep(self.rng.uniform(*SUBMIT_INTERVAL_S))
